--- /dev/null
+++ b/bluebellshift/core/event.h
@@ -0,0 +1,149 @@
+// Everything that can happen to a daemon, as data.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "bluebellshift/core/answer.h"
+#include "bluebellshift/core/ids.h"
+#include "bluebellshift/core/message.h"
+#include "bluebellshift/core/object.h"
+#include "bluebellshift/core/units.h"
+
+namespace bluebellshift::core {
+
+// Time has passed; sent when a timer that the reducer set runs out.
+struct TimerFired
+{
+};
+
+// A watch or a read of all objects returned.
+struct PlatformChanged
+{
+    Revision revision;
+    Instant asOf;            // the store had no newer revision at this instant
+    bool isComplete = false; // `objects` is all of them, not only those changed
+    std::vector<Object> objects;
+};
+
+// A watch or a read of all objects failed.
+struct PlatformFailed
+{
+    Instant begunAt;
+};
+
+// A single read or write returned.
+struct PlatformReplied
+{
+    CallId call;
+    PlatformOutcome outcome = PlatformOutcome::Unknown;
+    Object object; // Done: as stored now
+};
+
+struct PeerSaid
+{
+    VmId from;
+    Incarnation incarnation; // of the sender
+    Message message;
+};
+
+struct PeerLost
+{
+    VmId vm;
+};
+
+// A caller's request; headers and body stay with the shell.
+struct RequestArrived
+{
+    RequestId request;
+    ServiceId service;
+    std::string method;
+    std::string path; // without the service's part and the query
+    bool hasKey = false;
+    KeyDigest keyDigest;
+    std::string ticket;              // empty when the caller sent none
+    std::string idempotencyKey;      // empty when the caller sent none
+    Duration timeLeft;               // zero when the caller named no deadline
+    std::uint32_t clientAddress = 0; // IPv4, host byte order
+    std::size_t bodyBytes = 0;
+    VmId relayedBy; // empty when it came from a caller
+    std::uint64_t relayCorrelation = 0;
+};
+
+// A caller asks for a ticket for one request that may not be repeated.
+struct TicketAsked
+{
+    RequestId request;
+    ServiceId service;
+    bool hasKey = false;
+    KeyDigest keyDigest;
+};
+
+// The caller closed its connection, or the relaying VM said so.
+struct CallerGone
+{
+    RequestId request;
+};
+
+// How one attempt at a target ended.
+enum class AttemptOutcome {
+    Answered,      // a whole answer
+    NeverSent,     // not one byte of the request left this VM
+    ConnectFailed, // the same, because the target took no connection
+    Shed,          // the target said that it did not run the request
+    Cut,           // the answer ended early
+    TooLarge,      // the answer was longer than the limit
+    TimedOut,
+    Cancelled,
+};
+
+struct AttemptEnded
+{
+    RequestId request;
+    int attempt = 0;
+    AttemptOutcome outcome = AttemptOutcome::NeverSent;
+    AnswerPointer answer;       // Answered and Shed
+    int reportedBusySlots = -1; // from the target's load report; -1 when there was none
+};
+
+// A probe of a target's health returned.
+struct ProbeEnded
+{
+    TargetId target;
+    bool isHealthy = false;
+    bool isLeaving = false;
+    int reportedBusySlots = -1;
+};
+
+// An operator's change, already authenticated and authorised by role.
+struct ChangeAsked
+{
+    RequestId request;
+    OperatorId by;
+    std::string kind;
+    std::string name;
+    Revision expected;   // 0: the object must not exist yet
+    std::string value;   // JSON
+    std::string summary; // for the audit trail; holds no secret
+    WallTime at;
+};
+
+struct ShutdownAsked
+{
+};
+
+using EventBody = std::variant<TimerFired, PlatformChanged, PlatformFailed, PlatformReplied,
+                               PeerSaid, PeerLost, RequestArrived, TicketAsked, CallerGone,
+                               AttemptEnded, ProbeEnded, ChangeAsked, ShutdownAsked>;
+
+struct Event
+{
+    Instant now;
+    WallTime wallTime;
+    std::uint64_t random = 0; // fresh for each event
+    EventBody body;
+};
+
+} // namespace bluebellshift::core
--- /dev/null
+++ b/bluebellshift/core/logevent.h
@@ -0,0 +1,82 @@
+// Numbered log events. docs/events.md is their catalogue; a test holds the two
+// together.
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace bluebellshift::core {
+
+enum class LogLevel { Debug, Info, Warning, Error };
+
+// Each number is used once and never again for another event.
+struct LogEvent
+{
+    int number;
+    LogLevel level;
+    const char *name;
+};
+
+// Every event that the daemon can log, in the order of their numbers.
+const std::vector<LogEvent> &allLogEvents();
+
+namespace log {
+// 1xx: the process
+inline constexpr LogEvent daemonStarted { 101, LogLevel::Info, "daemon-started" };
+inline constexpr LogEvent daemonStopped { 102, LogLevel::Info, "daemon-stopped" };
+inline constexpr LogEvent shutdownBegun { 103, LogLevel::Info, "shutdown-begun" };
+inline constexpr LogEvent linesDropped { 104, LogLevel::Warning, "lines-dropped" };
+inline constexpr LogEvent readyChanged { 105, LogLevel::Info, "ready-changed" };
+// 2xx: the view
+inline constexpr LogEvent viewInstalled { 201, LogLevel::Info, "view-installed" };
+inline constexpr LogEvent viewStale { 202, LogLevel::Warning, "view-stale" };
+inline constexpr LogEvent viewFresh { 203, LogLevel::Info, "view-fresh" };
+inline constexpr LogEvent objectInvalid { 204, LogLevel::Error, "object-invalid" };
+inline constexpr LogEvent bundleInForce { 205, LogLevel::Info, "bundle-in-force" };
+inline constexpr LogEvent oldViewIgnored { 206, LogLevel::Warning, "old-view-ignored" };
+// 3xx: membership
+inline constexpr LogEvent peerAlive { 301, LogLevel::Info, "peer-alive" };
+inline constexpr LogEvent peerSuspected { 302, LogLevel::Warning, "peer-suspected" };
+inline constexpr LogEvent peerLeaving { 303, LogLevel::Info, "peer-leaving" };
+inline constexpr LogEvent peerRejected { 304, LogLevel::Warning, "peer-rejected" };
+// 4xx: the ledger
+inline constexpr LogEvent ledgerJoined { 401, LogLevel::Info, "ledger-joined" };
+inline constexpr LogEvent memberExpelled { 402, LogLevel::Warning, "member-expelled" };
+inline constexpr LogEvent sharesReclaimed { 403, LogLevel::Info, "shares-reclaimed" };
+inline constexpr LogEvent selfExpelled { 404, LogLevel::Warning, "self-expelled" };
+// 5xx: requests
+inline constexpr LogEvent requestRouted { 501, LogLevel::Info, "request-routed" };
+inline constexpr LogEvent requestRefused { 502, LogLevel::Info, "request-refused" };
+inline constexpr LogEvent requestAnswered { 503, LogLevel::Info, "request-answered" };
+inline constexpr LogEvent attemptFailed { 504, LogLevel::Warning, "attempt-failed" };
+inline constexpr LogEvent requestRelayed { 505, LogLevel::Info, "request-relayed" };
+inline constexpr LogEvent answerReplayed { 506, LogLevel::Info, "answer-replayed" };
+inline constexpr LogEvent targetEjected { 507, LogLevel::Warning, "target-ejected" };
+inline constexpr LogEvent targetReturned { 508, LogLevel::Info, "target-returned" };
+inline constexpr LogEvent targetLeaving { 509, LogLevel::Info, "target-leaving" };
+// 6xx: steering
+inline constexpr LogEvent snapshotPublished { 601, LogLevel::Info, "snapshot-published" };
+inline constexpr LogEvent shiftStepTaken { 602, LogLevel::Info, "shift-step-taken" };
+inline constexpr LogEvent shiftPaused { 603, LogLevel::Warning, "shift-paused" };
+inline constexpr LogEvent shiftFinished { 604, LogLevel::Info, "shift-finished" };
+// 7xx: administration
+inline constexpr LogEvent changeAccepted { 701, LogLevel::Info, "change-accepted" };
+inline constexpr LogEvent changeLost { 702, LogLevel::Info, "change-lost" };
+inline constexpr LogEvent changeUnresolved { 703, LogLevel::Warning, "change-unresolved" };
+inline constexpr LogEvent operatorRejected { 704, LogLevel::Warning, "operator-rejected" };
+} // namespace log
+
+struct LogField
+{
+    const char *name;
+    std::string value;
+};
+
+// One line of the log. Never holds a key, a digest, a ticket or a secret.
+struct LogRecord
+{
+    LogEvent event;
+    std::vector<LogField> fields;
+};
+
+} // namespace bluebellshift::core
--- /dev/null
+++ b/bluebellshift/core/message.h
@@ -0,0 +1,134 @@
+// The messages between the daemons of two VMs. Each carries the incarnations
+// of both ends, so that nothing meant for an earlier run is taken for this one.
+//
+// Fields may be added at the end with a default; a peer one version older
+// ignores what it does not know.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "bluebellshift/core/answer.h"
+#include "bluebellshift/core/ids.h"
+#include "bluebellshift/core/object.h"
+#include "bluebellshift/core/units.h"
+
+namespace bluebellshift::core {
+
+// What one VM has given another of one account, in total since both joined.
+// Totals only grow, so that a lost, repeated or reordered message does no harm.
+struct Credit
+{
+    AccountId account;
+    std::int64_t shareGiven = 0;  // parts per billion of the account
+    std::int64_t tokensGiven = 0; // micro-tokens that came with it
+};
+
+// How much a VM wants of an account.
+struct Want
+{
+    AccountId account;
+    std::int64_t share = 0;  // parts per billion
+    std::int64_t tokens = 0; // micro-tokens; 0 when not urgent
+};
+
+// What an account holds, as a hint for whom to ask.
+struct Holding
+{
+    AccountId account;
+    std::int64_t spareShare = 0; // parts per billion
+};
+
+// The closing of all accounts with an expelled VM; final once sent.
+struct ClosedAccount
+{
+    AccountId account;
+    std::int64_t netReceived = 0; // parts per billion; negative when more was given
+};
+
+struct Closing
+{
+    VmId vm;
+    Incarnation incarnation;
+    std::vector<ClosedAccount> accounts;
+};
+
+struct Heartbeat
+{
+    std::uint64_t sequence = 0;
+    std::uint64_t echoedSequence = 0; // the newest heartbeat received from the addressee
+    Duration echoDelay;               // how long ago it was received
+    Revision viewRevision;
+    Duration viewAge;             // how long ago the view was known to be the store's newest
+    bool platformFailing = false; // the newest finished call to the platform failed
+    Duration platformFailureAge;  // how long ago that failed call began
+    bool isReady = false;
+    bool isLeaving = false;
+    std::uint32_t requestsInFlight = 0;
+    std::vector<Credit> credits; // changed totals, and those not yet known to have arrived
+    std::vector<Holding> holdings;
+    std::vector<Closing> closings;
+};
+
+// Asks the addressee to lend.
+struct BorrowRequest
+{
+    std::vector<Want> wants;
+};
+
+// Answers a BorrowRequest at once, ahead of the next heartbeat.
+struct BorrowReply
+{
+    std::vector<Credit> credits;
+    std::vector<Holding> holdings;
+};
+
+// Asks for the objects changed since a revision.
+struct ViewRequest
+{
+    Revision after;
+};
+
+struct ViewReply
+{
+    Revision revision;
+    Duration age;            // how long ago it was known to be the newest
+    bool isComplete = false; // all objects, not only those changed
+    std::vector<Object> objects;
+};
+
+// A caller's request passed to the home VM of its ticket.
+struct RelayRequest
+{
+    std::uint64_t correlation = 0;
+    std::string method;
+    std::string path; // with the query
+    ServiceId service;
+    TeamId team;
+    KeyDigest keyDigest;
+    std::string ticket;
+    std::vector<Header> headers;
+    std::string body;
+    Duration timeLeft;
+};
+
+struct RelayReply
+{
+    std::uint64_t correlation = 0;
+    bool isAnswer = false;
+    Answer answer;
+    Refusal refusal;
+};
+
+// The caller of a relayed request has gone away.
+struct RelayCancel
+{
+    std::uint64_t correlation = 0;
+};
+
+using Message = std::variant<Heartbeat, BorrowRequest, BorrowReply, ViewRequest, ViewReply,
+                             RelayRequest, RelayReply, RelayCancel>;
+
+} // namespace bluebellshift::core
--- /dev/null
+++ b/bluebellshift/core/options.h
@@ -0,0 +1,36 @@
+// What one daemon's reducer is told at its start.
+#pragma once
+
+#include <string>
+
+#include "bluebellshift/core/ids.h"
+#include "bluebellshift/core/units.h"
+
+namespace bluebellshift::core {
+
+struct CoreOptions
+{
+    VmId vm;
+    Incarnation incarnation; // random, never used before by this VM
+    RegionId region;
+    FailureDomainId failureDomain;
+    std::string ticketSecret; // random bytes, made anew for each incarnation
+
+    // How old a view may be before keyed requests are refused. Also how long
+    // shares of an expelled VM stay untouched.
+    Duration freshnessLease = Duration::millis(2500);
+    Duration heartbeatInterval = Duration::millis(500);
+    Duration suspicionTimeout = Duration::millis(1600); // without a heartbeat
+    Duration platformRetryFirst = Duration::millis(200);
+    Duration platformRetryMost = Duration::seconds(10);
+    double clockDrift = 0.001; // two clocks differ by at most this fraction
+
+    Duration queueWaitMost = Duration::millis(400); // for a token or a slot
+    std::size_t queueLengthMost = 256; // requests waiting, for each team
+    Duration ticketValidFor = Duration::seconds(60);
+    std::size_t recordBytesMost = 16 * 1024 * 1024; // answers kept for tickets
+    std::size_t answerBytesMost = 1024 * 1024; // one answer
+    Duration shutdownMost = Duration::seconds(30);
+};
+
+} // namespace bluebellshift::core
