--- /dev/null
+++ b/bluebellshift/base/clock.cpp
@@ -0,0 +1,31 @@
+// CLOCK_BOOTTIME goes on while the machine sleeps or is paused; CLOCK_MONOTONIC
+// stops, so a lease checked against it could outlive its end.
+#include "bluebellshift/base/clock.h"
+
+#include <ctime>
+
+#include "bluebellshift/base/secrets.h"
+
+namespace bluebellshift::base {
+
+namespace {
+
+std::int64_t readMicros(clockid_t clock)
+{
+    timespec time {};
+    clock_gettime(clock, &time);
+    return static_cast<std::int64_t>(time.tv_sec) * 1'000'000 + time.tv_nsec / 1000;
+}
+
+} // namespace
+
+Clock systemClock()
+{
+    Clock clock;
+    clock.now = [] { return core::Instant::fromMicros(readMicros(CLOCK_BOOTTIME)); };
+    clock.wallTime = [] { return core::WallTime::fromMicros(readMicros(CLOCK_REALTIME)); };
+    clock.random = [] { return randomNumber(); };
+    return clock;
+}
+
+} // namespace bluebellshift::base
--- a/bluebellshift/core/effect.h
+++ b/bluebellshift/core/effect.h
@@ -21,7 +21,7 @@
 
 class SteeringSnapshot;
 
-// Wake the reducer at or soon after an instant. The earliest one set counts.
+// Send TimerFired at or soon after an instant; one may serve several timers.
 struct SetTimer
 {
     Instant at;
@@ -33,6 +33,14 @@
     Message message;
 };
 
+// Read what changed after a revision, waiting until something does. Ends in
+// PlatformChanged or PlatformFailed; at most one is under way.
+struct WatchObjects
+{
+    Revision after; // 0: all objects
+    Duration wait;
+};
+
 struct ReadObject
 {
     CallId call;
@@ -105,6 +113,37 @@
     Object object; // Done: as stored; Conflict: what is stored instead
 };
 
+// Ends an ObjectsAsked.
+struct ObjectsTold
+{
+    RequestId request;
+    std::vector<Object> objects;
+};
+
+// What one VM knows of another.
+struct PeerReport
+{
+    VmId vm;
+    Revision viewRevision;
+    bool isAlive = false;
+    bool isReady = false;
+    bool isLeaving = false;
+    Duration age; // since its last heartbeat
+};
+
+// Ends a StatusAsked.
+struct StatusTold
+{
+    RequestId request;
+    VmId vm;
+    Revision viewRevision;
+    bool isFresh = false;
+    bool isReady = false;
+    std::string reason; // why not ready
+    std::string bundle; // the version in force
+    std::vector<PeerReport> peers;
+};
+
 struct ProbeTarget
 {
     TargetId target;
@@ -122,11 +161,12 @@
     std::vector<Vm> peers;
 };
 
-// Whether the daemon serves keyed requests, for /readyz.
+// Whether the daemon serves, for /readyz and look-ups.
 struct SetReady
 {
     bool isReady = false;
     std::string reason; // why not
+    Instant validUntil; // the end of the freshness lease: not ready after this
 };
 
 struct WriteLog
@@ -140,10 +180,10 @@
     int requestsCut = 0;
 };
 
-using Effect =
-    std::variant<SetTimer, SendPeer, ReadObject, WriteObject, ForwardRequest, CancelForward,
-                 RelayToHome, AnswerCaller, RefuseCaller, GiveTicket, ChangeEnded, ProbeTarget,
-                 PublishSnapshot, SetPeers, SetReady, WriteLog, Exit>;
+using Effect = std::variant<SetTimer, SendPeer, WatchObjects, ReadObject, WriteObject,
+                            ForwardRequest, CancelForward, RelayToHome, AnswerCaller, RefuseCaller,
+                            GiveTicket, ChangeEnded, ObjectsTold, StatusTold, ProbeTarget,
+                            PublishSnapshot, SetPeers, SetReady, WriteLog, Exit>;
 
 using Effects = std::vector<Effect>;
 
--- a/bluebellshift/core/event.h
+++ b/bluebellshift/core/event.h
@@ -130,6 +130,20 @@
     WallTime at;
 };
 
+// An operator reads objects of the view: one by name, or all of a kind.
+struct ObjectsAsked
+{
+    RequestId request;
+    std::string kind;
+    std::string name; // empty: all
+};
+
+// An operator asks how this VM and its peers are.
+struct StatusAsked
+{
+    RequestId request;
+};
+
 struct ShutdownAsked
 {
 };
--- a/bluebellshift/core/options.h
+++ b/bluebellshift/core/options.h
@@ -2,8 +2,10 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
 #include "bluebellshift/core/ids.h"
+#include "bluebellshift/core/roster.h"
 #include "bluebellshift/core/units.h"
 
 namespace bluebellshift::core {
@@ -16,9 +18,12 @@
     FailureDomainId failureDomain;
     std::string ticketSecret; // random bytes, made anew for each incarnation
 
+    std::vector<Vm> seeds; // VMs to ask for the view while this one has none
+
     // How old a view may be before keyed requests are refused. Also how long
     // shares of an expelled VM stay untouched.
     Duration freshnessLease = Duration::millis(2500);
+    Duration watchWait = Duration::millis(1000); // how long the store holds a watch
     Duration heartbeatInterval = Duration::millis(500);
     Duration suspicionTimeout = Duration::millis(1600); // without a heartbeat
     Duration platformRetryFirst = Duration::millis(200);
@@ -26,10 +31,10 @@
     double clockDrift = 0.001; // two clocks differ by at most this fraction
 
     Duration queueWaitMost = Duration::millis(400); // for a token or a slot
-    std::size_t queueLengthMost = 256; // requests waiting, for each team
+    std::size_t queueLengthMost = 256;              // requests waiting, for each team
     Duration ticketValidFor = Duration::seconds(60);
     std::size_t recordBytesMost = 16 * 1024 * 1024; // answers kept for tickets
-    std::size_t answerBytesMost = 1024 * 1024; // one answer
+    std::size_t answerBytesMost = 1024 * 1024;      // one answer
     Duration shutdownMost = Duration::seconds(30);
 };
 
--- /dev/null
+++ b/bluebellshift/daemon/requestrunner.cpp
@@ -0,0 +1,109 @@
+#include "bluebellshift/daemon/requestrunner.h"
+
+#include "bluebellshift/base/secrets.h"
+
+namespace bluebellshift::daemon {
+
+namespace {
+
+constexpr core::Duration callerCheckInterval = core::Duration::millis(25);
+constexpr std::size_t ticketIdLength = 24; // hex digits
+constexpr char ticketIdHeader[] = "Bluebellshift-Ticket-Id";
+constexpr char deadlineHeader[] = "Bluebellshift-Deadline-Ms";
+
+// Keeps the instructions that end a request; the other two never get here.
+struct ToRequestEnd
+{
+    RequestEnd operator()(core::ForwardRequest) const { return core::RefuseCaller {}; }
+    RequestEnd operator()(core::RelayToHome) const { return core::RefuseCaller {}; }
+    template<typename End> RequestEnd operator()(End end) const { return end; }
+};
+
+} // namespace
+
+std::string ticketIdOf(const std::string &ticket)
+{
+    return base::sha256Hex(ticket).substr(0, ticketIdLength);
+}
+
+RequestRunner::RequestRunner(http::Forwarder &forwarder, base::Clock clock, Hooks hooks)
+    : forwarder_(forwarder)
+    , clock_(std::move(clock))
+    , hooks_(std::move(hooks))
+{
+}
+
+RequestEnd RequestRunner::run(PendingRequest &pending, const std::function<bool()> &isCallerGone)
+{
+    bool toldGone = false;
+    for (;;) {
+        std::optional<Instruction> instruction = pending.wait(callerCheckInterval);
+        if (!toldGone && isCallerGone()) {
+            toldGone = true;
+            hooks_.post(core::CallerGone { pending.id() });
+        }
+        if (!instruction.has_value())
+            continue;
+        if (const auto *forwardRequest = std::get_if<core::ForwardRequest>(&*instruction))
+            forward(pending, *forwardRequest, isCallerGone);
+        else if (const auto *relayToHome = std::get_if<core::RelayToHome>(&*instruction))
+            relay(pending, *relayToHome);
+        else
+            return std::visit(ToRequestEnd {}, *std::move(instruction));
+    }
+}
+
+void RequestRunner::forward(PendingRequest &pending, const core::ForwardRequest &instruction,
+                            const std::function<bool()> &isCallerGone)
+{
+    const CallerRequest &request = pending.request();
+    http::ForwardAttempt attempt;
+    attempt.endpoint = instruction.endpoint;
+    attempt.method = request.method;
+    attempt.pathAndQuery = request.pathAndQuery;
+    attempt.headers = request.headers;
+    attempt.body = request.body;
+    attempt.validUntil = instruction.validUntil;
+    attempt.deadline = instruction.deadline;
+    attempt.mayReuseConnection = instruction.mayReuseConnection;
+    const core::Duration timeLeft = instruction.deadline - clock_.now();
+    attempt.headers.push_back({ deadlineHeader, std::to_string(timeLeft.toMillis()) });
+    if (!request.ticket.empty())
+        attempt.headers.push_back({ ticketIdHeader, ticketIdOf(request.ticket) });
+
+    bool toldGone = false;
+    http::Forwarder::Result result = forwarder_.send(attempt, [&] {
+        if (!toldGone && isCallerGone()) {
+            toldGone = true;
+            hooks_.post(core::CallerGone { pending.id() });
+        }
+        return pending.isForwardCancelled();
+    });
+
+    core::AttemptEnded ended;
+    ended.request = pending.id();
+    ended.attempt = instruction.attempt;
+    ended.outcome = result.outcome;
+    ended.answer = std::move(result.answer);
+    ended.reportedBusySlots = result.reportedBusySlots;
+    hooks_.post(std::move(ended));
+}
+
+void RequestRunner::relay(const PendingRequest &pending, const core::RelayToHome &instruction)
+{
+    const CallerRequest &request = pending.request();
+    core::RelayRequest message;
+    message.correlation = pending.id().number();
+    message.method = request.method;
+    message.path = request.pathAndQuery;
+    message.service = request.service;
+    message.team = instruction.team;
+    message.keyDigest = request.keyDigest;
+    message.ticket = request.ticket;
+    message.headers = request.headers;
+    message.body = request.body;
+    message.timeLeft = instruction.deadline - clock_.now();
+    hooks_.sendPeer(instruction.home, std::move(message));
+}
+
+} // namespace bluebellshift::daemon
--- /dev/null
+++ b/bluebellshift/http/forwarder.cpp
@@ -0,0 +1,340 @@
+// Each connection is one libcurl easy handle inside a multi handle of its own,
+// so that the thread can watch for cancellation while it waits. An answer is
+// whole only if its length was announced (Content-Length or chunks) and met;
+// an answer that ends with the connection could have been cut anywhere.
+//
+// The lease is checked once more after the connection is up and before the
+// first byte of the request, where a paused VM wakes up.
+#include "bluebellshift/http/forwarder.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <strings.h>
+
+#include <curl/curl.h>
+
+namespace bluebellshift::http {
+
+using core::AttemptOutcome;
+
+namespace {
+
+constexpr int pollMillis = 20;
+constexpr int statusNoContent = 204;
+constexpr int statusNotModified = 304;
+constexpr int statusServiceUnavailable = 503;
+constexpr char loadReportHeader[] = "Load-Report";
+constexpr char notRunHeader[] = "Not-Run";
+
+bool equalsIgnoringCase(const std::string &a, const char *b)
+{
+    return strcasecmp(a.c_str(), b) == 0;
+}
+
+std::string trimmed(const std::string &text)
+{
+    const auto begin = text.find_first_not_of(" \t\r\n");
+    if (begin == std::string::npos)
+        return {};
+    const auto end = text.find_last_not_of(" \t\r\n");
+    return text.substr(begin, end - begin + 1);
+}
+
+// What the callbacks of one transfer share.
+struct Transfer
+{
+    const ForwardAttempt *attempt = nullptr;
+    const base::Clock *clock = nullptr;
+    std::size_t bytesMost = 0;
+    std::shared_ptr<core::Answer> answer = std::make_shared<core::Answer>();
+    bool lengthAnnounced = false;
+    bool tooLarge = false;
+    bool leaseEnded = false;
+};
+
+const std::string *findHeader(const core::Answer &answer, const char *name)
+{
+    for (const core::Header &header : answer.headers) {
+        if (equalsIgnoringCase(header.name, name))
+            return &header.value;
+    }
+    return nullptr;
+}
+
+std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *user)
+{
+    auto *transfer = static_cast<Transfer *>(user);
+    const std::string line(data, size * count);
+    if (line.compare(0, 5, "HTTP/") == 0) {
+        transfer->answer->headers.clear();
+        transfer->lengthAnnounced = false;
+        return size * count;
+    }
+    const auto colon = line.find(':');
+    if (colon == std::string::npos)
+        return size * count;
+    core::Header header { trimmed(line.substr(0, colon)), trimmed(line.substr(colon + 1)) };
+    if (equalsIgnoringCase(header.name, "Content-Length"))
+        transfer->lengthAnnounced = true;
+    if (equalsIgnoringCase(header.name, "Transfer-Encoding")
+        && equalsIgnoringCase(header.value, "chunked"))
+        transfer->lengthAnnounced = true;
+    transfer->answer->headers.push_back(std::move(header));
+    return size * count;
+}
+
+std::size_t onBody(char *data, std::size_t size, std::size_t count, void *user)
+{
+    auto *transfer = static_cast<Transfer *>(user);
+    const std::size_t bytes = size * count;
+    if (transfer->answer->body.size() + bytes > transfer->bytesMost) {
+        transfer->tooLarge = true;
+        return 0;
+    }
+    transfer->answer->body.append(data, bytes);
+    return bytes;
+}
+
+int onConnected(void *user, char *, char *, int, int)
+{
+    auto *transfer = static_cast<Transfer *>(user);
+    const core::Instant now = transfer->clock->now();
+    if (now <= transfer->attempt->validUntil && now < transfer->attempt->deadline)
+        return CURL_PREREQFUNC_OK;
+    transfer->leaseEnded = true;
+    return CURL_PREREQFUNC_ABORT;
+}
+
+bool needsNoLength(const ForwardAttempt &attempt, long status)
+{
+    return attempt.method == "HEAD" || status == statusNoContent || status == statusNotModified;
+}
+
+int parseBusySlots(const core::Answer &answer)
+{
+    const std::string *report = findHeader(answer, loadReportHeader);
+    if (report == nullptr)
+        return -1;
+    char *end = nullptr;
+    const long busy = std::strtol(report->c_str(), &end, 10);
+    return end == report->c_str() || busy < 0 ? -1 : static_cast<int>(std::min(busy, 1'000'000L));
+}
+
+std::string endpointText(const core::Endpoint &endpoint)
+{
+    return endpoint.address + ":" + std::to_string(endpoint.port);
+}
+
+} // namespace
+
+// One libcurl handle and its connection.
+class Forwarder::Connection
+{
+public:
+    Connection()
+        : easy_(curl_easy_init())
+        , multi_(curl_multi_init())
+    {
+    }
+    ~Connection()
+    {
+        curl_easy_cleanup(easy_);
+        curl_multi_cleanup(multi_);
+        curl_slist_free_all(headers_);
+    }
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
+
+    void prepare(const ForwardAttempt &attempt, const ForwarderOptions &options, Transfer *transfer,
+                 core::Duration timeLeft);
+    // Returns CURLE_ABORTED_BY_CALLBACK when cancelled.
+    CURLcode run(const std::function<bool()> &isCancelled);
+
+    // Whether any byte of the request may have left.
+    bool sentSomething() const
+    {
+        long bytes = 0;
+        curl_easy_getinfo(easy_, CURLINFO_REQUEST_SIZE, &bytes);
+        return bytes > 0;
+    }
+    long status() const
+    {
+        long status = 0;
+        curl_easy_getinfo(easy_, CURLINFO_RESPONSE_CODE, &status);
+        return status;
+    }
+
+private:
+    CURL *easy_;
+    CURLM *multi_;
+    curl_slist *headers_ = nullptr;
+};
+
+void Forwarder::Connection::prepare(const ForwardAttempt &attempt, const ForwarderOptions &options,
+                                    Transfer *transfer, core::Duration timeLeft)
+{
+    curl_easy_reset(easy_);
+    curl_slist_free_all(headers_);
+    headers_ = nullptr;
+    for (const core::Header &header : attempt.headers) {
+        // A ';' in place of ':' is libcurl's way to send a header without value.
+        const std::string line =
+            header.value.empty() ? header.name + ";" : header.name + ": " + header.value;
+        headers_ = curl_slist_append(headers_, line.c_str());
+    }
+    headers_ = curl_slist_append(headers_, "Expect:");
+
+    const std::string url = "http://" + endpointText(attempt.endpoint) + attempt.pathAndQuery;
+    curl_easy_setopt(easy_, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(easy_, CURLOPT_PATH_AS_IS, 1L);
+    curl_easy_setopt(easy_, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(easy_, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy_, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy_, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(easy_, CURLOPT_HTTPHEADER, headers_);
+    curl_easy_setopt(easy_, CURLOPT_HTTP_TRANSFER_DECODING, 1L);
+    curl_easy_setopt(easy_, CURLOPT_CONNECTTIMEOUT_MS, options.connectTimeout.toMillis());
+    curl_easy_setopt(easy_, CURLOPT_TIMEOUT_MS, std::max<long>(1, timeLeft.toMillis()));
+    if (!attempt.mayReuseConnection) {
+        curl_easy_setopt(easy_, CURLOPT_FRESH_CONNECT, 1L);
+        curl_easy_setopt(easy_, CURLOPT_FORBID_REUSE, 1L);
+    }
+    if (attempt.method == "HEAD") {
+        curl_easy_setopt(easy_, CURLOPT_NOBODY, 1L);
+    } else if (!attempt.body.empty() || attempt.method == "POST" || attempt.method == "PUT") {
+        curl_easy_setopt(easy_, CURLOPT_POSTFIELDSIZE_LARGE,
+                         static_cast<curl_off_t>(attempt.body.size()));
+        curl_easy_setopt(easy_, CURLOPT_POSTFIELDS, attempt.body.data());
+    }
+    curl_easy_setopt(easy_, CURLOPT_CUSTOMREQUEST, attempt.method.c_str());
+    curl_easy_setopt(easy_, CURLOPT_HEADERFUNCTION, onHeader);
+    curl_easy_setopt(easy_, CURLOPT_HEADERDATA, transfer);
+    curl_easy_setopt(easy_, CURLOPT_WRITEFUNCTION, onBody);
+    curl_easy_setopt(easy_, CURLOPT_WRITEDATA, transfer);
+    curl_easy_setopt(easy_, CURLOPT_PREREQFUNCTION, onConnected);
+    curl_easy_setopt(easy_, CURLOPT_PREREQDATA, transfer);
+}
+
+CURLcode Forwarder::Connection::run(const std::function<bool()> &isCancelled)
+{
+    curl_multi_add_handle(multi_, easy_);
+    CURLcode result = CURLE_OK;
+    int running = 1;
+    while (running > 0) {
+        curl_multi_perform(multi_, &running);
+        if (running == 0)
+            break;
+        if (isCancelled()) {
+            result = CURLE_ABORTED_BY_CALLBACK;
+            break;
+        }
+        curl_multi_poll(multi_, nullptr, 0, pollMillis, nullptr);
+    }
+    int left = 0;
+    while (CURLMsg *message = curl_multi_info_read(multi_, &left)) {
+        if (message->msg == CURLMSG_DONE && result == CURLE_OK)
+            result = message->data.result;
+    }
+    curl_multi_remove_handle(multi_, easy_);
+    return result;
+}
+
+Forwarder::Forwarder(ForwarderOptions options, base::Clock clock)
+    : options_(options)
+    , clock_(std::move(clock))
+{
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+}
+
+Forwarder::~Forwarder() = default;
+
+std::unique_ptr<Forwarder::Connection> Forwarder::takeConnection(const ForwardAttempt &attempt)
+{
+    if (attempt.mayReuseConnection) {
+        std::lock_guard<std::mutex> lock(mutex_);
+        auto found = idle_.find(endpointText(attempt.endpoint));
+        if (found != idle_.end() && !found->second.empty()) {
+            std::unique_ptr<Connection> connection = std::move(found->second.back());
+            found->second.pop_back();
+            return connection;
+        }
+    }
+    return std::make_unique<Connection>();
+}
+
+void Forwarder::keepConnection(const ForwardAttempt &attempt,
+                               std::unique_ptr<Connection> connection)
+{
+    std::lock_guard<std::mutex> lock(mutex_);
+    auto &idle = idle_[endpointText(attempt.endpoint)];
+    if (idle.size() < options_.idleConnectionsMost)
+        idle.push_back(std::move(connection));
+}
+
+namespace {
+
+// How a transfer ended, from libcurl's code and what the callbacks saw.
+AttemptOutcome outcomeOf(CURLcode code, bool sentSomething, const Transfer &transfer, bool isWhole)
+{
+    if (code == CURLE_OK)
+        return isWhole ? AttemptOutcome::Answered : AttemptOutcome::Cut;
+    if (transfer.leaseEnded)
+        return AttemptOutcome::NeverSent;
+    if (code == CURLE_COULDNT_CONNECT)
+        return AttemptOutcome::ConnectFailed;
+    if (!sentSomething)
+        return AttemptOutcome::NeverSent;
+    if (code == CURLE_ABORTED_BY_CALLBACK)
+        return AttemptOutcome::Cancelled;
+    if (transfer.tooLarge)
+        return AttemptOutcome::TooLarge;
+    if (code == CURLE_OPERATION_TIMEDOUT)
+        return AttemptOutcome::TimedOut;
+    return AttemptOutcome::Cut;
+}
+
+// A target that sheds promises by a header that it did not run the request.
+bool isShed(const core::Answer &answer)
+{
+    if (answer.status != statusServiceUnavailable)
+        return false;
+    const std::string *promise = findHeader(answer, notRunHeader);
+    return promise != nullptr && equalsIgnoringCase(*promise, "true");
+}
+
+} // namespace
+
+Forwarder::Result Forwarder::send(const ForwardAttempt &attempt,
+                                  const std::function<bool()> &isCancelled)
+{
+    Result result;
+    const core::Duration timeLeft = attempt.deadline - clock_.now();
+    if (timeLeft <= core::Duration())
+        return result;
+
+    Transfer transfer;
+    transfer.attempt = &attempt;
+    transfer.clock = &clock_;
+    transfer.bytesMost = options_.answerBytesMost;
+
+    std::unique_ptr<Connection> connection = takeConnection(attempt);
+    connection->prepare(attempt, options_, &transfer, timeLeft);
+    const CURLcode code = connection->run(isCancelled);
+
+    const long status = connection->status();
+    const bool isWhole = transfer.lengthAnnounced || needsNoLength(attempt, status);
+    result.outcome = outcomeOf(code, connection->sentSomething(), transfer, isWhole);
+    if (result.outcome != AttemptOutcome::Answered)
+        return result;
+
+    transfer.answer->status = static_cast<int>(status);
+    result.reportedBusySlots = parseBusySlots(*transfer.answer);
+    if (isShed(*transfer.answer))
+        result.outcome = AttemptOutcome::Shed;
+    result.answer = std::move(transfer.answer);
+    if (attempt.mayReuseConnection)
+        keepConnection(attempt, std::move(connection));
+    return result;
+}
+
+} // namespace bluebellshift::http
