Add the platform client and the platform's stand-in

Cause: the daemon needs the platform's object API, and tests need a platform that can fail.

Change: platform::PlatformClient with its HTTP implementation on libcurl; standin::PlatformStore (logic), PlatformService (threads, faults, counts), FakePlatform, PlatformServer and the program bluebellshift-platform.

--- /dev/null
+++ b/bluebellshift/standin/platformmain.cpp
@@ -0,0 +1,66 @@
+// bluebellshift-platform: the stand-in for the platform's object API.
+#include <fmt/core.h>
+#include <popt.h>
+
+#include <cstdlib>
+
+#include "bluebellshift/standin/platformserver.h"
+#include "bluebellshift/standin/stopsignal.h"
+
+using namespace bluebellshift;
+
+namespace {
+
+struct Settings
+{
+    char *address = nullptr;
+    int port = 7000;
+    int listLagMillis = 0;
+    int watchMostMillis = 30'000;
+};
+
+// Returns false after printing what is wrong.
+bool readCommandLine(int argc, const char **argv, Settings &settings)
+{
+    const poptOption table[] = {
+        { "address", 0, POPT_ARG_STRING, &settings.address, 0, "IP number to listen on",
+          "127.0.0.1" },
+        { "port", 0, POPT_ARG_INT, &settings.port, 0, "port to listen on", "7000" },
+        { "list-lag-ms", 0, POPT_ARG_INT, &settings.listLagMillis, 0,
+          "from PUT /standin/vms to the object vms/list", "0" },
+        { "watch-max-ms", 0, POPT_ARG_INT, &settings.watchMostMillis, 0,
+          "the longest that a watch is held", "30000" },
+        POPT_AUTOHELP POPT_TABLEEND,
+    };
+    poptContext context = poptGetContext("bluebellshift-platform", argc, argv, table, 0);
+    const int code = poptGetNextOpt(context);
+    if (code < -1)
+        fmt::print(stderr, "{}: {}\n", poptBadOption(context, 0), poptStrerror(code));
+    poptFreeContext(context);
+    return code == -1;
+}
+
+} // namespace
+
+int main(int argc, const char **argv)
+{
+    Settings settings;
+    if (!readCommandLine(argc, argv, settings))
+        return 2;
+    standin::blockStopSignals();
+    standin::PlatformServiceOptions options;
+    options.listLag = core::Duration::millis(settings.listLagMillis);
+    options.watchMost = core::Duration::millis(settings.watchMostMillis);
+    standin::PlatformService service(options);
+    const std::string address = settings.address == nullptr ? "127.0.0.1" : settings.address;
+    standin::PlatformServer server(service, { address, static_cast<std::uint16_t>(settings.port) });
+    const absl::Status started = server.start();
+    if (!started.ok()) {
+        fmt::print(stderr, "{}\n", std::string(started.message()));
+        return 1;
+    }
+    fmt::print(stderr, "bluebellshift-platform listens on {}:{}\n", address, server.port());
+    standin::waitForStopSignal();
+    std::free(settings.address);
+    return 0;
+}
--- /dev/null
+++ b/bluebellshift/standin/platformservice.cpp
@@ -0,0 +1,176 @@
+// One mutex over the store; a held watch waits on a condition variable that
+// every change signals. The VM list that the platform publishes is applied
+// lazily, by whichever call looks at the store after the lag has passed; a held
+// watch wakes for it. That needs no thread of its own.
+#include "bluebellshift/standin/platformservice.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bluebellshift::standin {
+
+using core::Duration;
+using core::Object;
+using core::Revision;
+
+namespace {
+
+const std::string vmsName = "list";
+
+std::chrono::microseconds chronoOf(Duration duration)
+{
+    return std::chrono::microseconds(duration.toMicros());
+}
+
+} // namespace
+
+PlatformService::PlatformService(PlatformServiceOptions options)
+    : options_(options)
+    , store_(options.deletionsMost)
+{
+}
+
+PlatformService::~PlatformService()
+{
+    close();
+}
+
+// Counts the call and applies the faults that all calls share. Returns false
+// when the call gets no reply.
+bool PlatformService::begin(Lock &lock, std::uint64_t PlatformCounts::*counter)
+{
+    ++(counts_.*counter);
+    if (faults_.slow > Duration()) {
+        const auto until = Clock::now() + chronoOf(faults_.slow);
+        changed_.wait_until(lock, until, [&] { return isClosed_ || Clock::now() >= until; });
+    }
+    applyDueVms(Clock::now());
+    return !isClosed_ && !faults_.isDown;
+}
+
+const PlatformStore &PlatformService::replica() const
+{
+    return staleReplica_ ? *staleReplica_ : store_;
+}
+
+std::optional<std::optional<Object>> PlatformService::read(const std::string &kind,
+                                                           const std::string &name)
+{
+    Lock lock(mutex_);
+    if (!begin(lock, &PlatformCounts::reads))
+        return std::nullopt;
+    return replica().read(kind, name);
+}
+
+std::optional<StoreWrite> PlatformService::write(const std::string &kind, const std::string &name,
+                                                 Revision expected, const std::string &value)
+{
+    return change([&](PlatformStore &store) { return store.write(kind, name, expected, value); });
+}
+
+std::optional<StoreWrite> PlatformService::remove(const std::string &kind, const std::string &name,
+                                                  Revision expected)
+{
+    return change([&](PlatformStore &store) { return store.remove(kind, name, expected); });
+}
+
+std::optional<StoreWrite> PlatformService::change(const Change &change)
+{
+    Lock lock(mutex_);
+    if (!begin(lock, &PlatformCounts::writes))
+        return std::nullopt;
+    StoreWrite result = change(store_);
+    if (!result.isDone)
+        ++counts_.conflicts;
+    else
+        changed_.notify_all();
+    if (faults_.loseReplies == 0)
+        return result;
+    --faults_.loseReplies;
+    ++counts_.repliesLost;
+    return std::nullopt;
+}
+
+std::optional<StoreChanges> PlatformService::list()
+{
+    Lock lock(mutex_);
+    if (!begin(lock, &PlatformCounts::lists))
+        return std::nullopt;
+    return replica().list();
+}
+
+std::optional<WatchReply> PlatformService::watch(Revision after, Duration wait)
+{
+    Lock lock(mutex_);
+    const auto begun = Clock::now();
+    if (!begin(lock, &PlatformCounts::watches))
+        return std::nullopt;
+    const auto until = begun + chronoOf(std::min(wait, options_.watchMost));
+    while (!isClosed_ && !faults_.isDown && !faults_.areWatchesCut) {
+        const auto now = Clock::now();
+        applyDueVms(now);
+        if (store_.revision() > after || now >= until)
+            break;
+        const bool hasDue = pendingVms_.has_value() && !faults_.isListStale;
+        changed_.wait_until(lock, hasDue ? std::min(until, pendingVmsAt_) : until);
+    }
+    if (isClosed_ || faults_.isDown || faults_.areWatchesCut)
+        return std::nullopt;
+    WatchReply reply;
+    reply.changes = store_.changesAfter(after);
+    const auto held = Clock::now() - begun;
+    reply.waited =
+        Duration::micros(std::chrono::duration_cast<std::chrono::microseconds>(held).count());
+    return reply;
+}
+
+void PlatformService::publishVms(const std::string &value)
+{
+    const Lock lock(mutex_);
+    pendingVms_ = value;
+    pendingVmsAt_ = Clock::now() + chronoOf(options_.listLag);
+    changed_.notify_all();
+}
+
+void PlatformService::applyDueVms(Clock::time_point now)
+{
+    if (!pendingVms_.has_value() || faults_.isListStale || now < pendingVmsAt_)
+        return;
+    const std::optional<Object> stored = store_.read(core::kind::vms, vmsName);
+    const Revision version = stored ? stored->version : Revision();
+    store_.write(core::kind::vms, vmsName, version, *pendingVms_);
+    pendingVms_.reset();
+    changed_.notify_all();
+}
+
+void PlatformService::setFaults(const PlatformFaults &faults)
+{
+    const Lock lock(mutex_);
+    faults_ = faults;
+    if (!faults.isReplicaStale)
+        staleReplica_.reset();
+    else if (!staleReplica_)
+        staleReplica_ = std::make_unique<PlatformStore>(store_);
+    changed_.notify_all();
+}
+
+PlatformFaults PlatformService::faults() const
+{
+    const Lock lock(mutex_);
+    return faults_;
+}
+
+PlatformCounts PlatformService::counts() const
+{
+    const Lock lock(mutex_);
+    return counts_;
+}
+
+void PlatformService::close()
+{
+    const Lock lock(mutex_);
+    isClosed_ = true;
+    changed_.notify_all();
+}
+
+} // namespace bluebellshift::standin
--- /dev/null
+++ b/bluebellshift/standin/platformstore.cpp
@@ -0,0 +1,114 @@
+// Only the newest state of each object is kept, indexed by version, so that the
+// changes after a revision are a range of the index: O(log n + changes). A
+// deleted object stays as a tombstone until there are too many of them. A client
+// older than a dropped tombstone would miss it and gets all objects instead.
+#include "bluebellshift/standin/platformstore.h"
+
+namespace bluebellshift::standin {
+
+using core::Object;
+using core::Revision;
+
+PlatformStore::PlatformStore(std::size_t deletionsMost)
+    : deletionsMost_(deletionsMost)
+{
+}
+
+std::optional<Object> PlatformStore::read(const std::string &kind, const std::string &name) const
+{
+    const auto found = objects_.find({ kind, name });
+    if (found == objects_.end() || found->second.deleted)
+        return std::nullopt;
+    return found->second;
+}
+
+StoreWrite PlatformStore::current(const std::string &kind, const std::string &name) const
+{
+    StoreWrite result;
+    result.object.kind = kind;
+    result.object.name = name;
+    if (const std::optional<Object> stored = read(kind, name))
+        result.object = *stored;
+    return result;
+}
+
+StoreWrite PlatformStore::write(const std::string &kind, const std::string &name, Revision expected,
+                                const std::string &value)
+{
+    StoreWrite result = current(kind, name);
+    if (result.object.version != expected)
+        return result;
+    result.object.value = value;
+    put(result.object);
+    result.object.version = revision_;
+    result.isDone = true;
+    return result;
+}
+
+StoreWrite PlatformStore::remove(const std::string &kind, const std::string &name,
+                                 Revision expected)
+{
+    StoreWrite result = current(kind, name);
+    if (result.object.version == Revision() || result.object.version != expected)
+        return result;
+    result.object.value.clear();
+    result.object.deleted = true;
+    put(result.object);
+    result.object.version = revision_;
+    result.isDone = true;
+    forgetOldDeletions();
+    return result;
+}
+
+void PlatformStore::put(Object object)
+{
+    const Key key { object.kind, object.name };
+    const auto old = objects_.find(key);
+    if (old != objects_.end()) {
+        byVersion_.erase(old->second.version);
+        deletions_.erase(old->second.version);
+    }
+    revision_ = Revision(revision_.number() + 1);
+    object.version = revision_;
+    byVersion_[revision_] = key;
+    if (object.deleted)
+        deletions_[revision_] = key;
+    objects_[key] = std::move(object);
+}
+
+void PlatformStore::forgetOldDeletions()
+{
+    while (deletions_.size() > deletionsMost_) {
+        const auto oldest = deletions_.begin();
+        forgotten_ = oldest->first;
+        byVersion_.erase(oldest->first);
+        objects_.erase(oldest->second);
+        deletions_.erase(oldest);
+    }
+}
+
+StoreChanges PlatformStore::changesAfter(Revision after) const
+{
+    if (after == Revision() || after < forgotten_ || after > revision_)
+        return list();
+    StoreChanges changes;
+    changes.revision = revision_;
+    for (auto it = byVersion_.upper_bound(after); it != byVersion_.end(); ++it)
+        changes.objects.push_back(objects_.at(it->second));
+    return changes;
+}
+
+StoreChanges PlatformStore::list() const
+{
+    StoreChanges changes;
+    changes.revision = revision_;
+    changes.isComplete = true;
+    for (const auto &[version, key] : byVersion_) {
+        const Object &object = objects_.at(key);
+        if (!object.deleted)
+            changes.objects.push_back(object);
+    }
+    return changes;
+}
+
+} // namespace bluebellshift::standin
