--- a/bluebellshift/core/answer.h
+++ b/bluebellshift/core/answer.h
@@ -59,6 +59,10 @@
     HomeUnreachable,
 };
 
+// The names that callers and logs see, such as "ticket-missing" and "not-run".
+const char *toText(RefusalCode code);
+const char *toText(Run run);
+
 struct Refusal
 {
     RefusalCode code = RefusalCode::None;
--- a/bluebellshift/core/event.h
+++ b/bluebellshift/core/event.h
@@ -68,7 +68,8 @@
     Duration timeLeft;               // zero when the caller named no deadline
     std::uint32_t clientAddress = 0; // IPv4, host byte order
     std::size_t bodyBytes = 0;
-    VmId relayedBy; // empty when it came from a caller
+    std::uint64_t contentDigest = 0; // xxHash of the query and the body
+    VmId relayedBy;                  // empty when it came from a caller
     std::uint64_t relayCorrelation = 0;
 };
 
@@ -106,6 +107,8 @@
     AttemptOutcome outcome = AttemptOutcome::NeverSent;
     AnswerPointer answer;       // Answered and Shed
     int reportedBusySlots = -1; // from the target's load report; -1 when there was none
+    bool answerBegun = true;    // Cut: at least one byte of an answer came
+    bool targetLeaving = false; // the target said so with its answer
 };
 
 // A probe of a target's health returned.
--- /dev/null
+++ b/bluebellshift/core/once.cpp
@@ -0,0 +1,186 @@
+// A hash table of records and an index by expiry.
+//
+// "Certainly never begun" must hold for the ticket's whole history, yet records
+// can't be kept for ever. The table therefore remembers the latest expiry among
+// the records that it dropped. A ticket that expires after that instant and has
+// no record was never begun; of any earlier one without a record nothing is
+// claimed. The one instant replaces a list of dropped tickets.
+//
+// Room for the largest answer is reserved before a request leaves, because an
+// answer that can't be kept would turn a retry's outcome into "unknown".
+// Reserving on arrival was weighed: it would let requests that only wait for a
+// slot use up the table.
+//
+// Cost: O(log records) for begin and expire, O(1) otherwise.
+#include "bluebellshift/core/once.h"
+
+#include <algorithm>
+
+namespace bluebellshift::core {
+
+namespace {
+
+std::size_t sizeOf(const Answer &answer)
+{
+    std::size_t bytes = answer.body.size();
+    for (const Header &header : answer.headers)
+        bytes += sizeof(Header) + header.name.size() + header.value.size();
+    return bytes;
+}
+
+} // namespace
+
+OnceTable::OnceTable(const CoreOptions &options)
+    : bytesMost_(options.recordBytesMost)
+    , answerBytesMost_(options.answerBytesMost)
+{
+}
+
+OnceVerdict OnceTable::begin(const Ticket &ticket, std::uint64_t content, RequestId request,
+                             Instant now)
+{
+    const auto known = records_.find(ticket.number);
+    if (known != records_.end())
+        return beginKnown(known->second, content, request);
+    if (ticket.expiry <= now) {
+        const bool mayHaveRecord = ticket.expiry <= forgottenUntil_;
+        return mayHaveRecord ? OnceVerdict::Unknown : OnceVerdict::Expired;
+    }
+    if (bytesUsed_ + recordOverhead > bytesMost_)
+        return OnceVerdict::Full;
+
+    Record record;
+    record.expiry = ticket.expiry;
+    record.content = content;
+    bytesUsed_ += record.bytes;
+    records_.emplace(ticket.number, std::move(record));
+    byExpiry_.emplace(ticket.expiry, ticket.number);
+    return OnceVerdict::Begin;
+}
+
+OnceVerdict OnceTable::beginKnown(Record &record, std::uint64_t content, RequestId request)
+{
+    if (record.content != content)
+        return OnceVerdict::OtherContent;
+    if (record.state == OnceState::Done)
+        return OnceVerdict::Replay;
+    if (record.state == OnceState::Unknown)
+        return OnceVerdict::Unknown;
+    if (record.waiting.size() >= waitersMost)
+        return OnceVerdict::TooManyWaiting;
+    record.waiting.push_back(request);
+    return OnceVerdict::Join;
+}
+
+bool OnceTable::reserveAnswer(TicketNumber number)
+{
+    const auto known = records_.find(number);
+    if (known == records_.end())
+        return false;
+    const std::size_t wanted = recordOverhead + answerBytesMost_;
+    Record &record = known->second;
+    if (record.bytes >= wanted)
+        return true;
+    if (bytesUsed_ - record.bytes + wanted > bytesMost_)
+        return false;
+    resize(record, wanted);
+    return true;
+}
+
+void OnceTable::releaseAnswer(TicketNumber number)
+{
+    const auto known = records_.find(number);
+    if (known != records_.end() && known->second.state == OnceState::InProgress)
+        resize(known->second, recordOverhead);
+}
+
+std::vector<RequestId> OnceTable::finish(TicketNumber number, AnswerPointer answer)
+{
+    return settle(number, OnceState::Done, std::move(answer));
+}
+
+std::vector<RequestId> OnceTable::fail(TicketNumber number)
+{
+    return settle(number, OnceState::Unknown, nullptr);
+}
+
+std::vector<RequestId> OnceTable::settle(TicketNumber number, OnceState state, AnswerPointer answer)
+{
+    const auto known = records_.find(number);
+    if (known == records_.end())
+        return {};
+    Record &record = known->second;
+    record.state = state;
+    record.answer = std::move(answer);
+    resize(record, recordOverhead + (record.answer ? sizeOf(*record.answer) : 0));
+    return std::exchange(record.waiting, {});
+}
+
+std::vector<RequestId> OnceTable::abandon(TicketNumber number)
+{
+    const auto known = records_.find(number);
+    if (known == records_.end())
+        return {};
+    std::vector<RequestId> waiting = std::move(known->second.waiting);
+    bytesUsed_ -= known->second.bytes;
+    byExpiry_.erase({ known->second.expiry, number });
+    records_.erase(known);
+    return waiting;
+}
+
+void OnceTable::leave(TicketNumber number, RequestId request)
+{
+    const auto known = records_.find(number);
+    if (known == records_.end())
+        return;
+    std::vector<RequestId> &waiting = known->second.waiting;
+    waiting.erase(std::remove(waiting.begin(), waiting.end(), request), waiting.end());
+}
+
+RequestId OnceTable::promote(TicketNumber number)
+{
+    const auto known = records_.find(number);
+    if (known == records_.end() || known->second.waiting.empty())
+        return RequestId();
+    const RequestId oldest = known->second.waiting.front();
+    leave(number, oldest);
+    return oldest;
+}
+
+AnswerPointer OnceTable::answer(TicketNumber number) const
+{
+    const auto known = records_.find(number);
+    return known == records_.end() ? nullptr : known->second.answer;
+}
+
+OnceState OnceTable::state(const Ticket &ticket) const
+{
+    const auto known = records_.find(ticket.number);
+    if (known != records_.end())
+        return known->second.state;
+    return ticket.expiry <= forgottenUntil_ ? OnceState::Unknown : OnceState::NeverBegun;
+}
+
+void OnceTable::expire(Instant now)
+{
+    auto next = byExpiry_.begin();
+    while (next != byExpiry_.end() && next->first + recordKeptFor <= now) {
+        const auto known = records_.find(next->second);
+        if (known->second.state == OnceState::InProgress) {
+            ++next; // its outcome is still awaited
+            continue;
+        }
+        forgottenUntil_ = std::max(forgottenUntil_, next->first);
+        bytesUsed_ -= known->second.bytes;
+        records_.erase(known);
+        next = byExpiry_.erase(next);
+    }
+}
+
+void OnceTable::resize(Record &record, std::size_t bytes)
+{
+    bytesUsed_ = bytesUsed_ - record.bytes + bytes;
+    record.bytes = bytes;
+}
+
+} // namespace bluebellshift::core
--- /dev/null
+++ b/bluebellshift/core/once.h
@@ -0,0 +1,120 @@
+// The home's memory of the requests that run on its tickets.
+//
+//   OnceTable once(options);
+//   switch (once.begin(ticket, content, request, now)) {
+//   case OnceVerdict::Begin: ... // this request runs; others with the ticket join
+//   case OnceVerdict::Replay: return AnswerCaller { request, once.answer(ticket.number) };
+//   ...
+//   }
+//   once.reserveAnswer(ticket.number); // just before the request leaves
+//   ...
+//   once.finish(ticket.number, answer); // or fail(), or abandon()
+//
+// A ticket's states:
+//
+//   fresh ── begin ──> in progress ── finish ──> done, with its answer
+//     ^                   │  └────── fail ─────> unknown, it may have run
+//     └──── abandon ──────┘ (it provably never ran)
+//
+// A record stays until its ticket has expired and `recordKeptFor` has passed.
+// The table never drops a record to make room; it refuses new work instead.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "bluebellshift/core/answer.h"
+#include "bluebellshift/core/options.h"
+#include "bluebellshift/core/ticket.h"
+#include "bluebellshift/core/units.h"
+
+namespace bluebellshift::core {
+
+enum class OnceVerdict {
+    Begin,          // never begun until now; the caller of begin() runs it
+    Join,           // in progress; the request waits for the same outcome
+    TooManyWaiting, // in progress, and waitersMost requests wait already
+    Replay,         // done; answer() has the answer
+    Unknown,        // it may have run
+    Expired,        // past its expiry and certainly never begun
+    OtherContent,   // the ticket was used for another request
+    Full,           // no room for a record; certainly never begun
+};
+
+// Whether a ticket's request has run, over the ticket's whole history here.
+enum class OnceState { NeverBegun, InProgress, Done, Unknown };
+
+class OnceTable
+{
+public:
+    static constexpr std::size_t waitersMost = 16;                   // for each ticket
+    static constexpr std::size_t recordOverhead = 256;               // bytes, beside the answer
+    static constexpr Duration recordKeptFor = Duration::seconds(10); // after expiry
+
+    explicit OnceTable(const CoreOptions &options);
+
+    // Decides what to do with a request that shows a verified ticket. `content`
+    // is a digest of what the request asks for; a retry must have the same.
+    OnceVerdict begin(const Ticket &ticket, std::uint64_t content, RequestId request, Instant now);
+
+    // Makes room for the largest answer. False: the table is full, the request
+    // may not be sent.
+    bool reserveAnswer(TicketNumber number);
+
+    // The request was not sent after all.
+    void releaseAnswer(TicketNumber number);
+
+    // The run ended with a whole answer. Returns the requests that joined.
+    std::vector<RequestId> finish(TicketNumber number, AnswerPointer answer);
+
+    // The run ended, or was given up, and may have had its effect.
+    std::vector<RequestId> fail(TicketNumber number);
+
+    // The run ended and provably had no effect; the ticket is fresh again.
+    std::vector<RequestId> abandon(TicketNumber number);
+
+    // A joined request stops waiting.
+    void leave(TicketNumber number, RequestId request);
+
+    // The oldest joined request, which takes the place of the one that began;
+    // RequestId() when none joined.
+    RequestId promote(TicketNumber number);
+
+    AnswerPointer answer(TicketNumber number) const;
+    OnceState state(const Ticket &ticket) const;
+
+    // Drops records that are past their time.
+    void expire(Instant now);
+
+    std::size_t bytesUsed() const { return bytesUsed_; }
+    std::size_t recordCount() const { return records_.size(); }
+
+private:
+    struct Record
+    {
+        OnceState state = OnceState::InProgress;
+        Instant expiry;
+        std::uint64_t content = 0;
+        std::size_t bytes = recordOverhead;
+        AnswerPointer answer;
+        std::vector<RequestId> waiting;
+    };
+
+    OnceVerdict beginKnown(Record &record, std::uint64_t content, RequestId request);
+    std::vector<RequestId> settle(TicketNumber number, OnceState state, AnswerPointer answer);
+    void resize(Record &record, std::size_t bytes);
+
+    std::size_t bytesMost_;
+    std::size_t answerBytesMost_;
+    std::size_t bytesUsed_ = 0;
+    std::unordered_map<TicketNumber, Record> records_;
+    std::set<std::pair<Instant, TicketNumber>> byExpiry_;
+    Instant forgottenUntil_ = Instant::never(); // the latest expiry of a dropped record
+};
+
+} // namespace bluebellshift::core
--- a/bluebellshift/core/options.h
+++ b/bluebellshift/core/options.h
@@ -25,11 +25,13 @@
     Duration platformRetryMost = Duration::seconds(10);
     double clockDrift = 0.001; // two clocks differ by at most this fraction
 
-    Duration queueWaitMost = Duration::millis(400); // for a token or a slot
-    std::size_t queueLengthMost = 256; // requests waiting, for each team
-    Duration ticketValidFor = Duration::seconds(60);
-    std::size_t recordBytesMost = 16 * 1024 * 1024; // answers kept for tickets
-    std::size_t answerBytesMost = 1024 * 1024; // one answer
+    Duration queueWaitMost = Duration::millis(400);  // for a token or a slot
+    std::size_t queueLengthMost = 256;               // requests waiting, for each team
+    Duration ticketValidFor = Duration::seconds(20); // less than shutdownMost
+    std::size_t recordBytesMost = 64 * 1024 * 1024;  // answers kept for tickets
+    std::size_t answerBytesMost = 1024 * 1024;       // one answer
+    double retryRatioMost = 0.1;                     // retries to requests
+    int attemptsMost = 3;                            // of one request, the first included
     Duration shutdownMost = Duration::seconds(30);
 };
 
