Let VMs prove to each other that they hold a common key

Cause: an unauthenticated peer must get nothing, and keys must be renewed without a stop.

Conclusion: the mesh of connections can be built on it.

--- /dev/null
+++ b/bluebellshift/shell/cbor.cpp
@@ -0,0 +1,104 @@
+// nlohmann's own tree builder throws for hostile lengths and its reader recurses
+// for each nested array. The SAX handler below stops the reader first.
+#include "bluebellshift/shell/cbor.h"
+
+#include <string>
+#include <vector>
+
+namespace bluebellshift::shell {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t nestingMost = 8;
+constexpr std::size_t arrayEntriesMost = 4096;
+constexpr std::size_t valuesMost = 262'144;
+
+// Builds the tree of a document; stops at whatever is out of bounds.
+class TreeBuilder
+{
+public:
+    using number_integer_t = json::number_integer_t;
+    using number_unsigned_t = json::number_unsigned_t;
+    using number_float_t = json::number_float_t;
+    using string_t = json::string_t;
+    using binary_t = json::binary_t;
+
+    json takeTree() { return std::move(root_); }
+
+    bool null() { return add(nullptr) != nullptr; }
+    bool boolean(bool value) { return add(value) != nullptr; }
+    bool number_integer(number_integer_t value) { return add(value) != nullptr; }   // NOLINT
+    bool number_unsigned(number_unsigned_t value) { return add(value) != nullptr; } // NOLINT
+    bool number_float(number_float_t value, const string_t & /*text*/)              // NOLINT
+    {
+        return add(value) != nullptr;
+    }
+    bool string(string_t &value)
+    {
+        return add(json::binary({ value.begin(), value.end() })) != nullptr;
+    }
+    bool binary(binary_t &value) { return add(std::move(value)) != nullptr; }
+    bool start_object(std::size_t /*size*/) { return false; } // NOLINT
+    bool key(string_t & /*key*/) { return false; }
+    bool end_object() { return false; } // NOLINT
+    bool start_array(std::size_t size)  // NOLINT
+    {
+        const bool isUnsized = size == static_cast<std::size_t>(-1);
+        if (open_.size() >= nestingMost || isUnsized || size > arrayEntriesMost)
+            return false;
+        json *array = add(json::array());
+        if (array == nullptr)
+            return false;
+        open_.push_back(array);
+        return true;
+    }
+    bool end_array() // NOLINT
+    {
+        open_.pop_back();
+        return true;
+    }
+    template<typename Exception>
+    bool parse_error(std::size_t /*at*/, const std::string & /*token*/, // NOLINT
+                     const Exception & /*error*/)
+    {
+        return false;
+    }
+
+private:
+    // Only the innermost open array grows, so pointers to the others stay valid.
+    json *add(json value)
+    {
+        if (++values_ > valuesMost)
+            return nullptr;
+        if (open_.empty()) {
+            root_ = std::move(value);
+            return &root_;
+        }
+        open_.back()->push_back(std::move(value));
+        return &open_.back()->back();
+    }
+
+    json root_;
+    std::vector<json *> open_;
+    std::size_t values_ = 0;
+};
+
+} // namespace
+
+absl::StatusOr<json> parseCbor(std::string_view bytes)
+{
+    TreeBuilder builder;
+    if (!json::sax_parse(bytes.begin(), bytes.end(), &builder, json::input_format_t::cbor))
+        return absl::InvalidArgumentError("not bounded CBOR");
+    return builder.takeTree();
+}
+
+std::string writeCbor(const json &value)
+{
+    std::string bytes;
+    json::to_cbor(value, bytes);
+    return bytes;
+}
+
+} // namespace bluebellshift::shell
--- /dev/null
+++ b/bluebellshift/shell/crypto.cpp
@@ -0,0 +1,161 @@
+// Failures of the library's primitives on valid arguments mean that no secret
+// can be kept, so they stop the process.
+#include "bluebellshift/shell/crypto.h"
+
+#include <array>
+#include <cstdlib>
+#include <cstring>
+
+#include <fmt/format.h>
+#include <gnutls/crypto.h>
+#include <gnutls/gnutls.h>
+
+namespace bluebellshift::shell {
+namespace {
+
+constexpr std::size_t nonceBytes = 12;
+
+void stopUnless(bool holds, const char *what)
+{
+    if (holds)
+        return;
+    fmt::print(stderr, "GnuTLS failed: {}\n", what);
+    std::abort();
+}
+
+int hexDigit(char c)
+{
+    if (c >= '0' && c <= '9')
+        return c - '0';
+    if (c >= 'a' && c <= 'f')
+        return c - 'a' + 10;
+    if (c >= 'A' && c <= 'F')
+        return c - 'A' + 10;
+    return -1;
+}
+
+std::array<unsigned char, nonceBytes> frameNonce(std::uint64_t number)
+{
+    std::array<unsigned char, nonceBytes> nonce {};
+    for (std::size_t i = 0; i < sizeof(number); ++i)
+        nonce[nonceBytes - 1 - i] = static_cast<unsigned char>(number >> (8 * i));
+    return nonce;
+}
+
+} // namespace
+
+std::string randomBytes(std::size_t count)
+{
+    std::string bytes(count, '\0');
+    stopUnless(gnutls_rnd(GNUTLS_RND_KEY, bytes.data(), count) == 0, "gnutls_rnd");
+    return bytes;
+}
+
+std::uint64_t randomNumber()
+{
+    std::uint64_t number = 0;
+    stopUnless(gnutls_rnd(GNUTLS_RND_NONCE, &number, sizeof(number)) == 0, "gnutls_rnd");
+    return number;
+}
+
+std::string toHex(std::string_view bytes)
+{
+    static const char digits[] = "0123456789abcdef";
+    std::string hex;
+    hex.reserve(bytes.size() * 2);
+    for (const char c : bytes) {
+        const auto byte = static_cast<unsigned char>(c);
+        hex += digits[byte >> 4];
+        hex += digits[byte & 15];
+    }
+    return hex;
+}
+
+absl::StatusOr<std::string> fromHex(std::string_view hex)
+{
+    std::string bytes;
+    for (std::size_t i = 0; i + 1 < hex.size(); i += 2) {
+        const int high = hexDigit(hex[i]);
+        const int low = hexDigit(hex[i + 1]);
+        if (high < 0 || low < 0)
+            return absl::InvalidArgumentError("not hexadecimal digits");
+        bytes += static_cast<char>(high * 16 + low);
+    }
+    if (hex.size() % 2 != 0)
+        return absl::InvalidArgumentError("an odd number of hexadecimal digits");
+    return bytes;
+}
+
+std::string sha256(std::string_view bytes)
+{
+    std::string digest(digestBytes, '\0');
+    stopUnless(gnutls_hash_fast(GNUTLS_DIG_SHA256, bytes.data(), bytes.size(), digest.data()) == 0,
+               "gnutls_hash_fast");
+    return digest;
+}
+
+std::string hmacSha256(std::string_view key, std::string_view bytes)
+{
+    std::string mac(digestBytes, '\0');
+    stopUnless(gnutls_hmac_fast(GNUTLS_MAC_SHA256, key.data(), key.size(), bytes.data(),
+                                bytes.size(), mac.data())
+                   == 0,
+               "gnutls_hmac_fast");
+    return mac;
+}
+
+bool equalConstantTime(std::string_view a, std::string_view b)
+{
+    return a.size() == b.size() && gnutls_memcmp(a.data(), b.data(), a.size()) == 0;
+}
+
+struct FrameSealer::Cipher
+{
+    gnutls_aead_cipher_hd_t handle = nullptr;
+    ~Cipher() { gnutls_aead_cipher_deinit(handle); }
+};
+
+FrameSealer::FrameSealer(const std::string &key)
+    : cipher_(std::make_unique<Cipher>())
+{
+    std::string copy = key;
+    const gnutls_datum_t datum { reinterpret_cast<unsigned char *>(copy.data()),
+                                 static_cast<unsigned>(copy.size()) };
+    stopUnless(gnutls_aead_cipher_init(&cipher_->handle, GNUTLS_CIPHER_AES_256_GCM, &datum) == 0,
+               "gnutls_aead_cipher_init");
+}
+
+FrameSealer::~FrameSealer() = default;
+FrameSealer::FrameSealer(FrameSealer &&) noexcept = default;
+FrameSealer &FrameSealer::operator=(FrameSealer &&) noexcept = default;
+
+std::string FrameSealer::seal(std::string_view frame)
+{
+    const auto nonce = frameNonce(next_++);
+    std::string sealed(frame.size() + overheadBytes, '\0');
+    std::size_t length = sealed.size();
+    const int result = gnutls_aead_cipher_encrypt(cipher_->handle, nonce.data(), nonce.size(),
+                                                  nullptr, 0, overheadBytes, frame.data(),
+                                                  frame.size(), sealed.data(), &length);
+    stopUnless(result == 0 && length == sealed.size(), "gnutls_aead_cipher_encrypt");
+    return sealed;
+}
+
+absl::StatusOr<std::string> FrameSealer::open(std::string_view sealed)
+{
+    if (sealed.size() < overheadBytes)
+        return absl::PermissionDeniedError("frame is shorter than its authentication tag");
+    const auto nonce = frameNonce(next_);
+    std::string frame(sealed.size() - overheadBytes + 1, '\0');
+    std::size_t length = sealed.size() - overheadBytes;
+    const int result = gnutls_aead_cipher_decrypt(cipher_->handle, nonce.data(), nonce.size(),
+                                                  nullptr, 0, overheadBytes, sealed.data(),
+                                                  sealed.size(), frame.data(), &length);
+    if (result != 0)
+        return absl::PermissionDeniedError("frame does not open as the next of this session");
+    ++next_;
+    frame.resize(length);
+    return frame;
+}
+
+} // namespace bluebellshift::shell
--- a/bluebellshift/shell/messagecodec.h
+++ b/bluebellshift/shell/messagecodec.h
@@ -27,7 +27,6 @@
 inline constexpr int protocolVersionLeast = 1;
 
 inline constexpr std::size_t messageBytesMost = 4 * 1024 * 1024;
-inline constexpr std::size_t messageListMost = 4096; // entries in one list
 
 std::string encodeMessage(const core::Message &message);
 
--- /dev/null
+++ b/bluebellshift/shell/messagefields.h
@@ -0,0 +1,112 @@
+// The members of the messages between VMs, in the order of their encoding.
+// Private to the codecs.
+#pragma once
+
+#include "bluebellshift/core/message.h"
+#include "bluebellshift/shell/structcodec.h"
+
+namespace bluebellshift::shell {
+
+template<> struct Fields<core::Credit>
+{
+    static constexpr auto list = std::make_tuple(&core::Credit::account, &core::Credit::shareGiven,
+                                                 &core::Credit::tokensGiven);
+};
+template<> struct Fields<core::Want>
+{
+    static constexpr auto list =
+        std::make_tuple(&core::Want::account, &core::Want::share, &core::Want::tokens);
+};
+template<> struct Fields<core::Holding>
+{
+    static constexpr auto list =
+        std::make_tuple(&core::Holding::account, &core::Holding::spareShare);
+};
+template<> struct Fields<core::ClosedAccount>
+{
+    static constexpr auto list =
+        std::make_tuple(&core::ClosedAccount::account, &core::ClosedAccount::netReceived);
+};
+template<> struct Fields<core::Closing>
+{
+    static constexpr auto list =
+        std::make_tuple(&core::Closing::vm, &core::Closing::incarnation, &core::Closing::accounts);
+};
+template<> struct Fields<core::Object>
+{
+    static constexpr auto list =
+        std::make_tuple(&core::Object::kind, &core::Object::name, &core::Object::version,
+                        &core::Object::value, &core::Object::deleted);
+};
+template<> struct Fields<core::Header>
+{
+    static constexpr auto list = std::make_tuple(&core::Header::name, &core::Header::value);
+};
+template<> struct Fields<core::Answer>
+{
+    static constexpr auto list =
+        std::make_tuple(&core::Answer::status, &core::Answer::headers, &core::Answer::body);
+};
+template<> struct Fields<core::Refusal>
+{
+    static constexpr auto list =
+        std::make_tuple(&core::Refusal::code, &core::Refusal::run, &core::Refusal::message,
+                        &core::Refusal::retryAfterMillis);
+};
+template<> struct Fields<core::Heartbeat>
+{
+    using T = core::Heartbeat;
+    static constexpr auto list = std::make_tuple(
+        &T::sequence, &T::echoedSequence, &T::echoDelay, &T::viewRevision, &T::viewAge,
+        &T::platformFailing, &T::platformFailureAge, &T::isReady, &T::isLeaving,
+        &T::requestsInFlight, &T::credits, &T::holdings, &T::closings);
+};
+template<> struct Fields<core::BorrowRequest>
+{
+    static constexpr auto list = std::make_tuple(&core::BorrowRequest::wants);
+};
+template<> struct Fields<core::BorrowReply>
+{
+    static constexpr auto list =
+        std::make_tuple(&core::BorrowReply::credits, &core::BorrowReply::holdings);
+};
+template<> struct Fields<core::ViewRequest>
+{
+    static constexpr auto list = std::make_tuple(&core::ViewRequest::after);
+};
+template<> struct Fields<core::ViewReply>
+{
+    using T = core::ViewReply;
+    static constexpr auto list =
+        std::make_tuple(&T::revision, &T::age, &T::isComplete, &T::objects);
+};
+template<> struct Fields<core::RelayRequest>
+{
+    using T = core::RelayRequest;
+    static constexpr auto list =
+        std::make_tuple(&T::correlation, &T::method, &T::path, &T::service, &T::team, &T::keyDigest,
+                        &T::ticket, &T::headers, &T::body, &T::timeLeft);
+};
+template<> struct Fields<core::RelayReply>
+{
+    using T = core::RelayReply;
+    static constexpr auto list =
+        std::make_tuple(&T::correlation, &T::isAnswer, &T::answer, &T::refusal);
+};
+template<> struct Fields<core::RelayCancel>
+{
+    static constexpr auto list = std::make_tuple(&core::RelayCancel::correlation);
+};
+
+template<> struct EnumRange<core::Run>
+{
+    static constexpr core::Run last = core::Run::Unknown;
+    static constexpr core::Run unknown = core::Run::Unknown;
+};
+template<> struct EnumRange<core::RefusalCode>
+{
+    static constexpr core::RefusalCode last = core::RefusalCode::HomeUnreachable;
+    static constexpr core::RefusalCode unknown = core::RefusalCode::OutcomeUnknown;
+};
+
+} // namespace bluebellshift::shell
--- /dev/null
+++ b/bluebellshift/shell/peerhandshake.h
@@ -0,0 +1,83 @@
+// How two VMs prove to each other that they hold a common key, without sockets.
+//
+//   acceptor                                        dialler
+//   start()          --- challenge: a nonce  --->   receive()
+//   receive()        <-- hello and proof     ---
+//                    --- hello and proof     --->   receive()
+//   isDone()                                        isDone()
+//
+// A proof is an HMAC-SHA256 under the named key over both nonces, both VM ids,
+// both incarnations, the versions and the role. The keys of the session's two
+// directions come from the same material. The acceptor tells nothing but a
+// random nonce before the dialler has proved itself.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "bluebellshift/core/ids.h"
+#include "bluebellshift/shell/peerkeys.h"
+
+namespace bluebellshift::shell {
+
+inline constexpr std::size_t handshakeFrameMost = 512; // bytes
+
+struct PeerIdentity
+{
+    core::VmId vm;
+    core::Incarnation incarnation;
+    int version = 0;
+    int versionLeast = 0; // the oldest version that it understands
+};
+
+class PeerHandshake
+{
+public:
+    // `keys` must not be empty; `nonce` is 32 random bytes used only here.
+    static PeerHandshake accept(PeerIdentity self, std::vector<PeerKey> keys, std::string nonce);
+    // Only `expected` is accepted at the other end.
+    static PeerHandshake dial(PeerIdentity self, core::VmId expected, std::vector<PeerKey> keys,
+                              std::string nonce);
+
+    // The acceptor's first frame.
+    std::string start() const { return nonce_; }
+    // Takes the other end's frame and returns the one to send, empty for none.
+    // PermissionDenied: the other end did not prove itself; InvalidArgument:
+    // not a handshake; FailedPrecondition: no common version.
+    absl::StatusOr<std::string> receive(const std::string &frame);
+
+    bool isDone() const { return isDone_; }
+    // The following hold once done.
+    const PeerIdentity &peer() const { return peer_; }
+    const std::string &keyId() const { return keyId_; }
+    const std::string &sendKey() const { return sendKey_; }
+    const std::string &receiveKey() const { return receiveKey_; }
+
+private:
+    PeerHandshake(bool isDialler, PeerIdentity self, core::VmId expected, std::vector<PeerKey> keys,
+                  std::string nonce);
+    struct Hello;
+    std::string makeHello(const core::VmId &to) const;
+    static absl::StatusOr<Hello> parseHello(const std::string &frame);
+    absl::Status checkHello(const Hello &hello) const;
+    absl::StatusOr<std::string> answerChallenge(const std::string &frame);
+    absl::StatusOr<std::string> checkDialler(const std::string &frame);
+    absl::StatusOr<std::string> checkAcceptor(const std::string &frame);
+    void finish(const Hello &hello, const std::string &secret, const std::string &transcript);
+
+    bool isDialler_;
+    PeerIdentity self_;
+    core::VmId expected_;
+    std::vector<PeerKey> keys_;
+    std::string nonce_;
+    std::string challenge_;    // dialler: the acceptor's nonce
+    std::string diallerHello_; // without its proof
+    std::string keyId_;
+    bool isDone_ = false;
+    PeerIdentity peer_;
+    std::string sendKey_;
+    std::string receiveKey_;
+};
+
+} // namespace bluebellshift::shell
--- /dev/null
+++ b/bluebellshift/shell/structcodec.h
@@ -0,0 +1,210 @@
+// Structs as positional JSON arrays, for CBOR. Private to the codecs.
+//
+// A struct lists its members once, as pointers to members; encoder and decoder
+// both walk that list:
+//
+//   template<> struct Fields<core::Want>
+//   {
+//       static constexpr auto list
+//           = std::make_tuple(&core::Want::account, &core::Want::share);
+//   };
+//
+// Trailing fields that hold their default are left out. The decoder ignores
+// entries beyond those it knows and reads missing ones as their default.
+#pragma once
+
+#include <cstdint>
+#include <limits>
+#include <string>
+#include <tuple>
+#include <type_traits>
+#include <utility>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "bluebellshift/core/ids.h"
+#include "bluebellshift/core/units.h"
+
+namespace bluebellshift::shell {
+
+using nlohmann::json;
+
+inline constexpr std::size_t listEntriesMost = 4096;
+
+// Fields<T>::list names the members of T in the order of their encoding.
+template<typename T> struct Fields;
+
+// `last` is the enum's last value; `unknown` is what a later version's value is
+// read as.
+template<typename E> struct EnumRange;
+
+template<typename T> json toJson(const T &value);
+
+template<typename T> json toJson(const std::vector<T> &list)
+{
+    json array = json::array();
+    for (const T &entry : list)
+        array.push_back(toJson(entry));
+    return array;
+}
+
+inline json toJson(const std::string &text)
+{
+    return json::binary({ text.begin(), text.end() });
+}
+
+template<typename Tag> json toJson(const core::TextId<Tag> &id)
+{
+    return toJson(id.text());
+}
+
+template<typename Tag> json toJson(const core::NumberId<Tag> &id)
+{
+    return id.number();
+}
+
+inline json toJson(const core::Duration &duration)
+{
+    return duration.toMicros();
+}
+
+inline bool isDefault(const json &value)
+{
+    if (value.is_binary())
+        return value.get_binary().empty();
+    if (value.is_number_integer())
+        return value == 0;
+    return value.is_boolean() ? !value.get<bool>() : value.empty();
+}
+
+template<typename T> void appendFields(const T &value, json *array)
+{
+    std::apply([&](auto... member) { (array->push_back(toJson(value.*member)), ...); },
+               Fields<T>::list);
+    while (!array->empty() && isDefault(array->back()))
+        array->erase(array->size() - 1);
+}
+
+template<typename T> json toJson(const T &value)
+{
+    if constexpr (std::is_enum_v<T>) {
+        return static_cast<int>(value);
+    } else if constexpr (std::is_arithmetic_v<T>) {
+        return value;
+    } else {
+        json array = json::array();
+        appendFields(value, &array);
+        return array;
+    }
+}
+
+// Each fromJson returns false if `value` cannot be a T.
+template<typename T> bool fromJson(const json &value, T *result);
+
+template<typename T> bool fromJson(const json &value, std::vector<T> *list)
+{
+    if (!value.is_array() || value.size() > listEntriesMost)
+        return false;
+    list->resize(value.size());
+    for (std::size_t i = 0; i < value.size(); ++i) {
+        if (!fromJson(value[i], &(*list)[i]))
+            return false;
+    }
+    return true;
+}
+
+inline bool fromJson(const json &value, std::string *text)
+{
+    if (!value.is_binary())
+        return false;
+    text->assign(value.get_binary().begin(), value.get_binary().end());
+    return true;
+}
+
+template<typename Tag> bool fromJson(const json &value, core::TextId<Tag> *id)
+{
+    std::string text;
+    if (!fromJson(value, &text))
+        return false;
+    *id = core::TextId<Tag>(std::move(text));
+    return true;
+}
+
+template<typename Tag> bool fromJson(const json &value, core::NumberId<Tag> *id)
+{
+    if (!value.is_number_unsigned())
+        return false;
+    *id = core::NumberId<Tag>(value.get<std::uint64_t>());
+    return true;
+}
+
+// Sums with an instant must not overflow.
+inline constexpr std::int64_t durationMicrosMost = std::int64_t { 1 } << 60;
+
+inline bool fromJson(const json &value, core::Duration *duration)
+{
+    if (!value.is_number_integer())
+        return false;
+    if (value.is_number_unsigned() && value.get<std::uint64_t>() > durationMicrosMost)
+        return false;
+    const auto micros = value.get<std::int64_t>();
+    if (micros < -durationMicrosMost || micros > durationMicrosMost)
+        return false;
+    *duration = core::Duration::micros(micros);
+    return true;
+}
+
+template<typename T> bool integerFromJson(const json &value, T *result)
+{
+    if (!value.is_number_integer())
+        return false;
+    if (value.is_number_unsigned()) {
+        const auto number = value.get<std::uint64_t>();
+        if (number > static_cast<std::uint64_t>(std::numeric_limits<T>::max()))
+            return false;
+        *result = static_cast<T>(number);
+        return true;
+    }
+    const auto number = value.get<std::int64_t>();
+    if (std::is_unsigned_v<T> || number < static_cast<std::int64_t>(std::numeric_limits<T>::min()))
+        return false;
+    *result = static_cast<T>(number);
+    return true;
+}
+
+// `skip` entries of the array come before the first field.
+template<typename T> bool readFields(const json &array, std::size_t skip, T *result)
+{
+    if (!array.is_array())
+        return false;
+    std::size_t next = skip;
+    const auto readOne = [&](auto member) {
+        const std::size_t index = next++;
+        return index >= array.size() || fromJson(array[index], &(result->*member));
+    };
+    return std::apply([&](auto... member) { return (readOne(member) && ...); }, Fields<T>::list);
+}
+
+template<typename T> bool fromJson(const json &value, T *result)
+{
+    if constexpr (std::is_same_v<T, bool>) {
+        if (!value.is_boolean())
+            return false;
+        *result = value.get<bool>();
+        return true;
+    } else if constexpr (std::is_enum_v<T>) {
+        std::uint32_t number = 0;
+        if (!integerFromJson(value, &number))
+            return false;
+        const bool isKnown = number <= static_cast<std::uint32_t>(EnumRange<T>::last);
+        *result = isKnown ? static_cast<T>(number) : EnumRange<T>::unknown;
+        return true;
+    } else if constexpr (std::is_integral_v<T>) {
+        return integerFromJson(value, result);
+    } else {
+        return readFields(value, 0, result);
+    }
+}
+
+} // namespace bluebellshift::shell
