--- a/bluebellshift/core/bundle.h
+++ b/bluebellshift/core/bundle.h
@@ -36,11 +36,21 @@
     double fraction = 0; // of the service's traffic; the fractions sum to 1
 };
 
+// Where one team's part of a service goes, when it differs from the service's.
+struct TeamSplit
+{
+    TeamId team;
+    std::vector<RegionShare> split;
+};
+
 struct Service
 {
     ServiceId id;
     std::vector<Route> routes;
     std::vector<RegionShare> split;
+    std::vector<TeamSplit> teamSplits;
+    double trafficFraction = 1;  // of all requests; the services' fractions sum to 1
+    double answerBytes = 16384;  // typical, for the links
     double shiftCapFraction = 1; // of the traffic; the most that may move in one window
     Duration shiftWindow = Duration::seconds(60);
     Duration cacheTime = Duration::seconds(5); // how long a caller may keep a look-up's answer
@@ -51,6 +61,7 @@
 {
     RegionId id;
     double capacityPerSecond = 0; // requests a second
+    double callerFraction = 0;    // of all requests, how many enter at this region's VMs
     std::vector<FailureDomainId> failureDomains;
 };
 
--- a/bluebellshift/core/logevent.h
+++ b/bluebellshift/core/logevent.h
@@ -59,6 +59,9 @@
 inline constexpr LogEvent shiftStepTaken { 602, LogLevel::Info, "shift-step-taken" };
 inline constexpr LogEvent shiftPaused { 603, LogLevel::Warning, "shift-paused" };
 inline constexpr LogEvent shiftFinished { 604, LogLevel::Info, "shift-finished" };
+inline constexpr LogEvent regionHeldOut { 605, LogLevel::Warning, "region-held-out" };
+inline constexpr LogEvent regionAdmitted { 606, LogLevel::Info, "region-admitted" };
+inline constexpr LogEvent regionReturning { 607, LogLevel::Info, "region-returning" };
 // 7xx: administration
 inline constexpr LogEvent changeAccepted { 701, LogLevel::Info, "change-accepted" };
 inline constexpr LogEvent changeLost { 702, LogLevel::Info, "change-lost" };
--- /dev/null
+++ b/bluebellshift/core/shift.cpp
@@ -0,0 +1,304 @@
+// A step is due when this VM has itself seen the earlier one in force everywhere
+// and has then waited for the answers that callers kept, and for one window.
+// Nothing but the object's version is compared between VMs: each counts the wait
+// on its own clock, from an instant that is certainly late enough. So
+//  - two steps never take effect within one window, whatever any VM believes;
+//  - a VM that restarts waits anew and takes no step early;
+//  - a step is written over one version only, so it is neither repeated nor
+//    skipped, whoever else writes and whichever reply is lost.
+//
+// With t(k) the write of step k, d(k) the instant by which every VM steers by it
+// and every kept answer from before has run out: t(k+1) >= d(k) + window. Between
+// t(k) and d(k) the fleet is at a mix of steps k-1 and k; between d(k) and t(k+1)
+// exactly at k. A window therefore holds one step's movement at most, and a step
+// is at most stepOfCap of the cap. Smaller steps spaced closer give the same rate
+// and finish no earlier.
+//
+// VMs try a write in an order that each computes alike, half a second apart, so
+// that a step costs one write, not one for each VM.
+#include "bluebellshift/core/shift.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "fmt/format.h"
+
+namespace bluebellshift::core {
+
+namespace {
+
+constexpr Duration rankDelay = Duration::millis(500); // between the tries of two VMs
+
+std::string progress(const Rollout &rollout)
+{
+    std::string text;
+    for (const ServiceShift &shift : rollout.services)
+        text += fmt::format("{}{} {}/{}", text.empty() ? "" : ", ", shift.service.text(),
+                            shift.step, shift.steps);
+    return text;
+}
+
+std::string joined(const std::vector<RegionId> &regions)
+{
+    std::string text;
+    for (const RegionId &region : regions)
+        text += (text.empty() ? "" : ", ") + region.text();
+    return text;
+}
+
+bool isStepsDone(const Rollout &rollout)
+{
+    return std::all_of(rollout.services.begin(), rollout.services.end(),
+                       [](const ServiceShift &shift) { return shift.isDone(); });
+}
+
+} // namespace
+
+Shift::Shift(const CoreOptions &options, ShiftHooks hooks)
+    : options_(options)
+    , hooks_(std::move(hooks))
+{
+}
+
+Effects Shift::onViewChanged(BundlePointer inForce, BundlePointer previous, const Rollout &rollout,
+                             Revision version, Instant now)
+{
+    bundle_ = std::move(inForce);
+    previous_ = std::move(previous);
+    if (version != version_)
+        dueSince_ = Instant::never();
+    restartWatches(rollout, version);
+    rollout_ = rollout;
+    version_ = version;
+    observeAll(now);
+    return {};
+}
+
+// A watch goes on while what it watches stays; another service's step does not
+// make this one wait again.
+void Shift::restartWatches(const Rollout &rollout, Revision version)
+{
+    for (const ServiceShift &shift : rollout.services) {
+        Watch &watch = watches_[shift.service];
+        if (watch.serial == rollout.serial && watch.step == shift.step)
+            continue;
+        watch = Watch { rollout.serial, shift.step, version, Instant::never() };
+    }
+    if (returningWatch_.step < 0 || rollout.returning != rollout_.returning)
+        returningWatch_ = Watch { rollout.serial, 0, version, Instant::never() };
+}
+
+void Shift::observeAll(Instant now)
+{
+    for (auto &item : watches_)
+        observe(item.second, now);
+    observe(returningWatch_, now);
+}
+
+void Shift::observe(Watch &watch, Instant now) const
+{
+    const bool isKnown = watch.inForceSince != Instant::never();
+    if (!isKnown && hooks_.isInForceEverywhere(watch.firstSeen, now))
+        watch.inForceSince = now;
+}
+
+bool Shift::hasRunOut(const Watch &watch, Duration wait, Instant now) const
+{
+    return watch.inForceSince != Instant::never() && now - watch.inForceSince >= wait;
+}
+
+bool Shift::stepIsDue(const ServiceShift &shift, Instant now) const
+{
+    const Service *service = bundle_->findService(shift.service);
+    const auto watch = watches_.find(shift.service);
+    if (shift.isDone() || service == nullptr || watch == watches_.end())
+        return false;
+    if (shift.step == 0 && rollout_.isSettled)
+        return true;
+    const Duration wait = movementWait(*service, previous_.get(), options_.clockDrift);
+    return hasRunOut(watch->second, wait, now) && hasRunOut(returningWatch_, wait, now);
+}
+
+bool Shift::isAllDone(Instant now) const
+{
+    if (!isStepsDone(rollout_) || !rollout_.returning.empty())
+        return false;
+    const Duration wait = longestMovementWait(*bundle_, previous_.get(), options_.clockDrift);
+    for (const ServiceShift &shift : rollout_.services) {
+        if (!hasRunOut(watches_.at(shift.service), wait, now))
+            return false;
+    }
+    return hasRunOut(returningWatch_, wait, now);
+}
+
+// Time for every VM to ramp up from nothing. A VM that is not done by then, or
+// lost the region again, asks anew.
+Duration Shift::returnTime() const
+{
+    const Duration wait = longestMovementWait(*bundle_, previous_.get(), options_.clockDrift);
+    std::int64_t steps = 1;
+    for (const RegionId &region : rollout_.returning) {
+        const double step = rampStep(*bundle_, region);
+        steps = std::max(steps, static_cast<std::int64_t>(std::ceil(1 / step)));
+    }
+    return wait * (steps + 1);
+}
+
+std::optional<Rollout> Shift::dueChange(Instant now) const
+{
+    if (std::optional<Rollout> next = dueReturn(now))
+        return next;
+    if (rollout_.state != RolloutState::Moving)
+        return std::nullopt;
+    if (!isStepsDone(rollout_)) {
+        if (const std::optional<std::string> why = hooks_.whyUnhealthy(now))
+            return pauseRollout(rollout_, *why, {}, {});
+    }
+    return dueStep(now);
+}
+
+// Lists the regions that wait to ramp up. No traffic moves by this alone, so it
+// is due at any time; from then on the roll-out is not settled.
+std::optional<Rollout> Shift::dueReturn(Instant now) const
+{
+    Rollout next = rollout_;
+    for (const RegionId &region : hooks_.regionsToReturn()) {
+        const auto &listed = next.returning;
+        if (std::find(listed.begin(), listed.end(), region) == listed.end())
+            next.returning.push_back(region);
+    }
+    const bool isAdded = next.returning.size() > rollout_.returning.size();
+    if (!isAdded && (next.returning.empty() || !hasRunOut(returningWatch_, returnTime(), now)))
+        return std::nullopt;
+    if (!isAdded)
+        next.returning.clear();
+    next.isSettled = false;
+    if (next.state == RolloutState::Done)
+        next.state = RolloutState::Moving;
+    return next;
+}
+
+std::optional<Rollout> Shift::dueStep(Instant now) const
+{
+    if (!rollout_.returning.empty())
+        return std::nullopt;
+    Rollout next = rollout_;
+    bool isDue = false;
+    for (ServiceShift &shift : next.services) {
+        if (!stepIsDue(shift, now))
+            continue;
+        ++shift.step;
+        isDue = true;
+    }
+    if (isAllDone(now)) {
+        next.state = RolloutState::Done;
+        isDue = true;
+    }
+    if (!isDue)
+        return std::nullopt;
+    return next;
+}
+
+Effects Shift::onTimer(Instant now, WallTime wallTime)
+{
+    if (bundle_ == nullptr || version_ == Revision())
+        return {};
+    observeAll(now);
+    if (writing_ || reading_)
+        return {};
+    if (mustRead_) {
+        reading_ = hooks_.newCall();
+        return { ReadObject { *reading_, kind::rollout, rolloutName } };
+    }
+    if (writtenOver_ == version_)
+        return {};
+    std::optional<Rollout> next = dueChange(now);
+    if (!next) {
+        dueSince_ = Instant::never();
+        return {};
+    }
+    if (dueSince_ == Instant::never())
+        dueSince_ = now;
+    if (now - dueSince_ < rankDelay * hooks_.rank(version_))
+        return {};
+    return write(*std::move(next), now, wallTime);
+}
+
+Effects Shift::write(Rollout next, Instant now, WallTime wallTime)
+{
+    next.changedBy = "vm/" + options_.vm.text();
+    next.changedAt = wallTime;
+    written_ = std::move(next);
+    writtenOver_ = version_;
+    writing_ = hooks_.newCall();
+    return { WriteObject { *writing_, kind::rollout, rolloutName, version_,
+                           encodeRollout(written_) } };
+}
+
+Effects Shift::onPlatformReplied(const PlatformReplied &reply)
+{
+    if (writing_ == reply.call) {
+        writing_.reset();
+        return onWritten(reply);
+    }
+    if (reading_ == reply.call) {
+        reading_.reset();
+        return onRead(reply);
+    }
+    return {};
+}
+
+Effects Shift::onWritten(const PlatformReplied &reply)
+{
+    switch (reply.outcome) {
+    case PlatformOutcome::Done:
+        return logChange(written_);
+    case PlatformOutcome::Conflict:
+    case PlatformOutcome::Missing:
+        return {}; // the view will bring what is stored instead
+    case PlatformOutcome::Unknown:
+        mustRead_ = true;
+        return {};
+    case PlatformOutcome::Unreachable:
+        writtenOver_ = Revision();
+        return {};
+    }
+    return {};
+}
+
+// Settles a write whose reply was lost. If it has not taken effect it may still
+// do so later: the next write expects the same version, so one of them fails.
+Effects Shift::onRead(const PlatformReplied &reply)
+{
+    if (reply.outcome == PlatformOutcome::Unknown || reply.outcome == PlatformOutcome::Unreachable)
+        return {};
+    mustRead_ = false;
+    if (reply.outcome != PlatformOutcome::Done)
+        return {};
+    if (reply.object.version == writtenOver_) {
+        writtenOver_ = Revision();
+        return {};
+    }
+    if (reply.object.value == encodeRollout(written_))
+        return logChange(written_);
+    return {};
+}
+
+Effects Shift::logChange(const Rollout &next) const
+{
+    std::vector<LogField> fields { { "bundle", next.bundle }, { "steps", progress(next) } };
+    if (!next.returning.empty()) {
+        fields.push_back({ "returning", joined(next.returning) });
+        return { WriteLog { { log::regionReturning, fields } } };
+    }
+    if (next.state == RolloutState::Paused) {
+        fields.push_back({ "reason", next.reason });
+        return { WriteLog { { log::shiftPaused, fields } } };
+    }
+    if (next.state == RolloutState::Done)
+        return { WriteLog { { log::shiftFinished, fields } } };
+    return { WriteLog { { log::shiftStepTaken, fields } } };
+}
+
+} // namespace bluebellshift::core
--- /dev/null
+++ b/bluebellshift/core/shift.h
@@ -0,0 +1,95 @@
+// Takes the steps of a roll-out, one conditional write each.
+//
+//   Shift shift(options, hooks);
+//   Effects effects = shift.onViewChanged(bundle, previous, rollout, version, now);
+//   effects = shift.onTimer(now, wallTime);
+//   effects = shift.onPlatformReplied(reply);
+//
+// Every VM runs one. They agree on nothing but the object `rollout/current`.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "bluebellshift/core/bundle.h"
+#include "bluebellshift/core/effect.h"
+#include "bluebellshift/core/event.h"
+#include "bluebellshift/core/options.h"
+#include "bluebellshift/core/rollout.h"
+
+namespace bluebellshift::core {
+
+struct ShiftHooks
+{
+    // Whether every VM that may steer has installed this revision: each one alive
+    // has said so, and the lease of each other has lapsed.
+    std::function<bool(Revision, Instant now)> isInForceEverywhere;
+    // Why no more traffic should move now; nothing when all is well.
+    std::function<std::optional<std::string>(Instant now)> whyUnhealthy;
+    // Regions that are up again and wait to ramp up (Steer::regionsToReturn).
+    std::function<std::vector<RegionId>()> regionsToReturn;
+    // The position of this VM in the order in which VMs try a write; 0 is first.
+    std::function<int(Revision)> rank;
+    std::function<CallId()> newCall;
+};
+
+class Shift
+{
+public:
+    Shift(const CoreOptions &options, ShiftHooks hooks);
+
+    // Installs the roll-out of a view. `version` is that of the object `rollout/current`.
+    Effects onViewChanged(BundlePointer inForce, BundlePointer previous, const Rollout &rollout,
+                          Revision version, Instant now);
+
+    // Takes the next step if it is due; call about once a second.
+    Effects onTimer(Instant now, WallTime wallTime);
+
+    // Ignores replies to calls that are not its own.
+    Effects onPlatformReplied(const PlatformReplied &reply);
+
+private:
+    // What this VM knows of one change of the object: when it was in force everywhere.
+    struct Watch
+    {
+        std::uint64_t serial = 0;
+        int step = -1;
+        Revision firstSeen;                      // the object's version that brought it
+        Instant inForceSince = Instant::never(); // as observed here
+    };
+
+    void restartWatches(const Rollout &rollout, Revision version);
+    void observeAll(Instant now);
+    void observe(Watch &watch, Instant now) const;
+    bool hasRunOut(const Watch &watch, Duration wait, Instant now) const;
+    bool stepIsDue(const ServiceShift &shift, Instant now) const;
+    bool isAllDone(Instant now) const;
+    Duration returnTime() const;
+    std::optional<Rollout> dueChange(Instant now) const;
+    std::optional<Rollout> dueReturn(Instant now) const;
+    std::optional<Rollout> dueStep(Instant now) const;
+    Effects write(Rollout next, Instant now, WallTime wallTime);
+    Effects onWritten(const PlatformReplied &reply);
+    Effects onRead(const PlatformReplied &reply);
+    Effects logChange(const Rollout &next) const;
+
+    CoreOptions options_;
+    ShiftHooks hooks_;
+    BundlePointer bundle_;
+    BundlePointer previous_;
+    Rollout rollout_;
+    Revision version_;
+    std::map<ServiceId, Watch> watches_;
+    Watch returningWatch_;                // of the list of returning regions
+    Instant dueSince_ = Instant::never(); // since when the next change could be written
+    std::optional<CallId> writing_;
+    std::optional<CallId> reading_;
+    bool mustRead_ = false; // a write's reply was lost
+    Rollout written_;       // the content of the last write
+    Revision writtenOver_;  // the version it expected; not written over twice
+};
+
+} // namespace bluebellshift::core
--- /dev/null
+++ b/bluebellshift/core/steer.cpp
@@ -0,0 +1,251 @@
+// Splits. Requests are laid over the regions by a sequence of golden-ratio steps
+// rather than by independent draws: after n requests each region's count is
+// within a few requests of its fraction, where draws would be off by the square
+// root of n. So the traffic that moves is the step, not the step and its noise.
+//
+// Failed regions. A region whose targets fail here is left out at once; its
+// requests go to the other regions of the split, as far as the ledger has tokens
+// for them. When it is up again its caches are cold, so its admitted fraction
+// grows from 0 in steps, each within the cap of every service, one for each
+// window, and only up to the warmth that is measured. Steps of a ramp and steps
+// of a roll-out must not add up within one window. They exclude each other
+// through the roll-out's object: a ramp moves only while the object lists its
+// region as returning, and no step is taken while it lists one (see shift.cpp).
+// Within one VM the ramp also waits a window after the VM's own last movement.
+//
+// Ways weighed: a ramp on each VM's own clock alone (rejected: added to a step it
+// exceeds the cap), and the ramp's fraction in the object (rejected: a region may
+// be down for some VMs only, after a cut between regions, and the rest would
+// have moved without need).
+#include "bluebellshift/core/steer.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <utility>
+
+#include "bluebellshift/core/capacity.h"
+#include "fmt/format.h"
+
+namespace bluebellshift::core {
+
+namespace {
+
+constexpr double goldenStep = 0.6180339887498949; // the sequence n * this mod 1 is the most even
+constexpr double fullyAdmitted = 1 - 1e-9;
+
+// splitmix64: turns one random number into several.
+std::uint64_t nextRandom(std::uint64_t &state)
+{
+    state += 0x9e3779b97f4a7c15ULL;
+    std::uint64_t mixed = state;
+    mixed = (mixed ^ (mixed >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    mixed = (mixed ^ (mixed >> 27)) * 0x94d049bb133111ebULL;
+    return mixed ^ (mixed >> 31);
+}
+
+double uniform(std::uint64_t random)
+{
+    return static_cast<double>(random >> 11) / 9007199254740992.0; // 2^53
+}
+
+bool sameEndpoints(const std::vector<WeightedVm> &a, const std::vector<WeightedVm> &b)
+{
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                      [](const WeightedVm &x, const WeightedVm &y) {
+                          return x.vm.id == y.vm.id && x.vm.region == y.vm.region
+                              && x.vm.callers == y.vm.callers && x.weight == y.weight;
+                      });
+}
+
+// Returns the index of the region at a position from 0 to 1 along the weights.
+std::size_t pick(const std::vector<RegionShare> &split, double position)
+{
+    double sum = 0;
+    for (const RegionShare &share : split)
+        sum += share.fraction;
+    double left = position * sum;
+    for (std::size_t i = 0; i < split.size(); ++i) {
+        left -= split[i].fraction;
+        if (left < 0)
+            return i;
+    }
+    return split.size() - 1;
+}
+
+} // namespace
+
+Steer::Steer(const CoreOptions &options, SteerHooks hooks)
+    : options_(options)
+    , hooks_(std::move(hooks))
+{
+    if (!hooks_.regionHealth)
+        hooks_.regionHealth = [](const RegionId &) { return RegionHealth(); };
+}
+
+Effects Steer::onViewChanged(BundlePointer inForce, BundlePointer previous, const Rollout &rollout,
+                             const std::vector<Vm> &vms, const std::vector<VmId> &serving,
+                             Instant now)
+{
+    noteMovement(inForce, rollout, now);
+    // A bundle never changes under its version, so what was built on it stays.
+    const bool isNewBundle = bundle_ == nullptr || bundle_->version != inForce->version;
+    if (isNewBundle)
+        bundle_ = std::move(inForce);
+    previous_ = std::move(previous);
+    rollout_ = rollout;
+
+    const std::set<VmId> served(serving.begin(), serving.end());
+    std::vector<WeightedVm> named;
+    for (const Vm &vm : vms) {
+        if (!vm.isLeaving && served.count(vm.id) > 0)
+            named.push_back({ vm, 1 });
+    }
+    if (!isNewBundle && sameEndpoints(named, named_))
+        return {};
+    named_ = std::move(named);
+    Effects effects;
+    effects.push_back(PublishSnapshot { builder_.build(bundle_, named_) });
+    effects.push_back(WriteLog {
+        { log::snapshotPublished,
+          { { "bundle", bundle_->version }, { "vms", fmt::format("{}", named_.size()) } } } });
+    return effects;
+}
+
+// Remembers when this VM's traffic last moved by a step. A VM that has steered
+// nothing yet moves nothing.
+void Steer::noteMovement(const BundlePointer &inForce, const Rollout &rollout, Instant now)
+{
+    if (bundle_ == nullptr)
+        return;
+    const bool isNew = rollout.serial != rollout_.serial || inForce->version != bundle_->version;
+    for (const ServiceShift &shift : rollout.services) {
+        const ServiceShift *before = rollout_.findService(shift.service);
+        if (isNew || before == nullptr || before->step != shift.step)
+            lastMoved_ = now;
+    }
+}
+
+Effects Steer::onTimer(Instant now)
+{
+    Effects effects;
+    if (bundle_ == nullptr)
+        return effects;
+    for (const Region &region : bundle_->regions) {
+        const RegionHealth health = hooks_.regionHealth(region.id);
+        RegionRamp &ramp = ramps_[region.id];
+        if (!health.isUp) {
+            if (ramp.isUp)
+                effects.push_back(
+                    WriteLog { { log::regionHeldOut, { { "region", region.id.text() } } } });
+            ramp.isUp = false;
+            ramp.admitted = 0;
+            continue;
+        }
+        ramp.isUp = true;
+        if (ramp.admitted < fullyAdmitted)
+            growAdmitted(region.id, ramp, health.warmth, now, effects);
+    }
+    return effects;
+}
+
+void Steer::growAdmitted(const RegionId &region, RegionRamp &ramp, double warmth, Instant now,
+                         Effects &effects)
+{
+    const auto &returning = rollout_.returning;
+    if (std::find(returning.begin(), returning.end(), region) == returning.end())
+        return;
+    if (now - lastMoved_ < movementWait())
+        return;
+    const double step = rampStep(*bundle_, region);
+    const double next = std::min(1.0, ramp.admitted + step);
+    if (next > std::max(warmth, step))
+        return;
+    ramp.admitted = next;
+    lastMoved_ = now;
+    effects.push_back(WriteLog { { log::regionAdmitted,
+                                   { { "region", region.text() },
+                                     { "admitted", fmt::format("{:.3f}", next) },
+                                     { "warmth", fmt::format("{:.3f}", warmth) } } } });
+}
+
+Duration Steer::movementWait() const
+{
+    return longestMovementWait(*bundle_, previous_.get(), options_.clockDrift);
+}
+
+std::vector<RegionId> Steer::regionOrder(const ServiceId &serviceId, std::uint64_t random,
+                                         Instant now, const TeamId &team)
+{
+    const Service *service = bundle_ == nullptr ? nullptr : bundle_->findService(serviceId);
+    if (service == nullptr)
+        return {};
+    std::vector<RegionShare> split = splitInForce(*service, rollout_.findService(serviceId), team);
+    // In the order of names, so that a step moves only the bounds between regions.
+    std::sort(split.begin(), split.end(),
+              [](const RegionShare &a, const RegionShare &b) { return a.region < b.region; });
+
+    std::vector<RegionId> order;
+    std::vector<RegionId> cold;
+    double position = nextPosition(serviceId, team, random);
+    while (!split.empty()) {
+        const std::size_t index = pick(split, position);
+        const RegionShare share = split[index];
+        split.erase(split.begin() + static_cast<std::ptrdiff_t>(index));
+        position = uniform(nextRandom(random));
+        if (share.fraction <= 0 || !isUp(share.region))
+            continue;
+        if (uniform(nextRandom(random)) < admitted(share.region))
+            order.push_back(share.region);
+        else
+            cold.push_back(share.region);
+    }
+    // With nowhere else to go, a cold region is better than a refusal; the
+    // ledger still keeps it within its capacity.
+    return order.empty() ? cold : order;
+}
+
+double Steer::nextPosition(const ServiceId &service, const TeamId &team, std::uint64_t random)
+{
+    const auto [found, isNew] = positions_.try_emplace({ service, team }, uniform(random));
+    if (!isNew)
+        found->second = std::fmod(found->second + goldenStep, 1.0);
+    return found->second;
+}
+
+bool Steer::isUp(const RegionId &region) const
+{
+    const auto found = ramps_.find(region);
+    return found == ramps_.end() || found->second.isUp;
+}
+
+double Steer::admitted(const RegionId &region) const
+{
+    const auto found = ramps_.find(region);
+    return found == ramps_.end() ? 1 : found->second.admitted;
+}
+
+std::vector<Debit> Steer::debits(const ServiceId &serviceId, const RegionId &region,
+                                 std::size_t requestBytes) const
+{
+    std::vector<Debit> result { { regionAccount(region), 1 } };
+    const Service *service = bundle_ == nullptr ? nullptr : bundle_->findService(serviceId);
+    if (service == nullptr || region == options_.region)
+        return result;
+    result.push_back({ linkAccount(options_.region, region), static_cast<double>(requestBytes) });
+    result.push_back({ linkAccount(region, options_.region), service->answerBytes });
+    return result;
+}
+
+std::vector<RegionId> Steer::regionsToReturn() const
+{
+    std::vector<RegionId> regions;
+    for (const auto &[region, ramp] : ramps_) {
+        const bool exists = bundle_ != nullptr && bundle_->findRegion(region) != nullptr;
+        if (exists && ramp.isUp && ramp.admitted < fullyAdmitted)
+            regions.push_back(region);
+    }
+    return regions;
+}
+
+} // namespace bluebellshift::core
