--- a/bluebellshift/shell/crypto.cpp
+++ b/bluebellshift/shell/crypto.cpp
@@ -44,20 +44,6 @@
 
 } // namespace
 
-std::string randomBytes(std::size_t count)
-{
-    std::string bytes(count, '\0');
-    stopUnless(gnutls_rnd(GNUTLS_RND_KEY, bytes.data(), count) == 0, "gnutls_rnd");
-    return bytes;
-}
-
-std::uint64_t randomNumber()
-{
-    std::uint64_t number = 0;
-    stopUnless(gnutls_rnd(GNUTLS_RND_NONCE, &number, sizeof(number)) == 0, "gnutls_rnd");
-    return number;
-}
-
 std::string toHex(std::string_view bytes)
 {
     static const char digits[] = "0123456789abcdef";
@@ -86,14 +72,6 @@
     return bytes;
 }
 
-std::string sha256(std::string_view bytes)
-{
-    std::string digest(digestBytes, '\0');
-    stopUnless(gnutls_hash_fast(GNUTLS_DIG_SHA256, bytes.data(), bytes.size(), digest.data()) == 0,
-               "gnutls_hash_fast");
-    return digest;
-}
-
 std::string hmacSha256(std::string_view key, std::string_view bytes)
 {
     std::string mac(digestBytes, '\0');
--- a/bluebellshift/shell/crypto.h
+++ b/bluebellshift/shell/crypto.h
@@ -1,5 +1,5 @@
-// Digests, message authentication, authenticated encryption and randomness, by
-// GnuTLS. All byte sequences are held in std::string.
+// Message authentication and authenticated encryption, by GnuTLS. All byte
+// sequences are held in std::string.
 #pragma once
 
 #include <cstdint>
@@ -13,15 +13,10 @@
 
 inline constexpr std::size_t digestBytes = 32; // SHA-256
 
-// Cryptographically strong random bytes.
-std::string randomBytes(std::size_t count);
-std::uint64_t randomNumber();
-
 std::string toHex(std::string_view bytes);
 // InvalidArgument if `hex` is not an even number of hexadecimal digits.
 absl::StatusOr<std::string> fromHex(std::string_view hex);
 
-std::string sha256(std::string_view bytes);
 std::string hmacSha256(std::string_view key, std::string_view bytes);
 // Takes the same time whether and wherever the two differ.
 bool equalConstantTime(std::string_view a, std::string_view b);
--- a/bluebellshift/shell/testing/peerhandshaketest.cpp
+++ b/bluebellshift/shell/testing/peerhandshaketest.cpp
@@ -4,8 +4,10 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include "bluebellshift/base/secrets.h"
 #include "bluebellshift/shell/crypto.h"
 
+using bluebellshift::base::randomBytes;
 using namespace bluebellshift::core;
 using namespace bluebellshift::shell;
 
