Add the targets' stand-in and the contract tests of targets and libcurl

Cause: tests need targets that shed, lag, mislead, cut and cross answers, and that count how often each ticket ran.

Change: standin::FakeTarget (behaviour), TargetServer and the program bluebellshift-target. The HTTP server of the stand-ins can close without a byte, cut a body, send a stray second answer, and notices a client that leaves. curlresendtest records that libcurl repeats a POST on a reused connection, and that the platform client's writes are sent once.

--- /dev/null
+++ b/bluebellshift/standin/faketarget.cpp
@@ -0,0 +1,179 @@
+// A request takes a slot, is counted as run, waits for the service time and
+// gives the slot back before its answer is composed, so the load report of an
+// answer does not count the request itself. The lock is not held while waiting.
+#include "bluebellshift/standin/faketarget.h"
+
+#include <fmt/core.h>
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "bluebellshift/standin/jsonreply.h"
+
+namespace bluebellshift::standin {
+
+using core::Duration;
+using core::Instant;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr std::uint64_t hashSeed = 0;
+
+// The answer that a crossed one carries when there was no earlier request.
+const char strangersBody[] = R"({"caller":"stranger","target":"nowhere"})";
+
+std::string rawReplyOf(const std::string &body)
+{
+    return fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", body.size(), body);
+}
+
+} // namespace
+
+std::string hashOf(const std::string &body)
+{
+    return fmt::format("{:016x}", XXH64(body.data(), body.size(), hashSeed));
+}
+
+FakeTarget::FakeTarget(TargetSettings settings, RunRecord &runs, std::function<Instant()> clock)
+    : settings_(std::move(settings))
+    , runs_(runs)
+    , clock_(std::move(clock))
+    , faultsSetAt_(clock_())
+{
+}
+
+HttpReply FakeTarget::serve(const HttpRequest &request)
+{
+    if (request.path == "/health")
+        return probe();
+    bool isStruck = false;
+    {
+        const Lock lock(mutex_);
+        ++counts_.requests;
+        if (!request.header("Authorization").empty())
+            ++counts_.withKey;
+        if (faults_.isShedding || busy_ >= settings_.slots)
+            return shed();
+        ++busy_;
+        counts_.busyMost = std::max(counts_.busyMost, busy_);
+        isStruck = counts_.requests % std::max(1U, faults_.every) == 0;
+    }
+    runs_.add(request.header(ticketIdHeader));
+    return run(request, isStruck);
+}
+
+HttpReply FakeTarget::probe()
+{
+    const Lock lock(mutex_);
+    ++counts_.probes;
+    loadReport(); // brings reportedBusy_ up to date
+    return jsonReply(200,
+                     { { "healthy", !faults_.isUnhealthy },
+                       { "leaving", faults_.isLeaving },
+                       { "busy_slots", reportedBusy_ },
+                       { "slots", settings_.slots } });
+}
+
+HttpReply FakeTarget::shed()
+{
+    ++counts_.shed;
+    HttpReply reply = jsonReply(503, { { "error", "no free slot" } });
+    reply.headers.push_back({ notRunHeader, "true" });
+    reply.headers.push_back({ loadReportHeader, loadReport() });
+    return reply;
+}
+
+Duration FakeTarget::serviceTime() const
+{
+    const bool isCold = clock_() < faultsSetAt_ + faults_.coldFor;
+    const double factor = faults_.slowFactor * (isCold ? faults_.coldFactor : 1);
+    const double micros = static_cast<double>(settings_.serviceTime.toMicros()) * factor;
+    return Duration::micros(static_cast<std::int64_t>(micros));
+}
+
+std::string FakeTarget::loadReport()
+{
+    const Instant now = clock_();
+    if (now - reportedAt_ >= faults_.reportLag) {
+        reportedBusy_ = busy_;
+        reportedAt_ = now;
+    }
+    if (faults_.isReportMisleading)
+        reportedBusy_ = 0;
+    return fmt::format("{}/{}", reportedBusy_, settings_.slots);
+}
+
+HttpReply FakeTarget::run(const HttpRequest &request, bool isStruck)
+{
+    Lock lock(mutex_);
+    TargetFaults faults = faults_;
+    if (!isStruck) {
+        faults.isClosing = faults.isCutting = faults.isCrossing = faults.isStraying = false;
+        faults.oversizeBytes = 0;
+    }
+    const Duration work = serviceTime() + faults.late;
+    lock.unlock();
+    const bool isConnected = request.waitWhileConnected(work);
+    lock.lock();
+    --busy_;
+    if (!isConnected)
+        ++counts_.cancelled;
+    return answer(request, faults);
+}
+
+HttpReply FakeTarget::answer(const HttpRequest &request, const TargetFaults &faults)
+{
+    Json names = Json::array();
+    for (const core::Header &header : request.headers)
+        names.push_back(header.name);
+    HttpReply reply = jsonReply(faults.status,
+                                { { "target", settings_.id.text() },
+                                  { "region", settings_.region.text() },
+                                  { "method", request.method },
+                                  { "url", request.url },
+                                  { "caller", request.header(callerIdHeader) },
+                                  { "length", request.body.size() },
+                                  { "hash", hashOf(request.body) },
+                                  { "headers", std::move(names) } });
+    const std::string requestId = request.header(requestIdHeader);
+    if (!requestId.empty())
+        reply.headers.push_back({ requestIdHeader, requestId });
+    HttpReply other = std::exchange(previous_, reply);
+    if (other.body.empty())
+        other.body = strangersBody;
+    if (faults.isCrossing)
+        reply = other;
+    if (faults.isStraying)
+        reply.strayBytes = rawReplyOf(other.body);
+    if (faults.isCutting)
+        reply.delivery = Delivery::Cut;
+    if (faults.isClosing)
+        reply.delivery = Delivery::Nothing;
+    reply.body.append(faults.oversizeBytes, ' ');
+    reply.headers.push_back({ loadReportHeader, loadReport() });
+    return reply;
+}
+
+void FakeTarget::setFaults(const TargetFaults &faults)
+{
+    const Lock lock(mutex_);
+    faults_ = faults;
+    faultsSetAt_ = clock_();
+}
+
+TargetFaults FakeTarget::faults() const
+{
+    const Lock lock(mutex_);
+    return faults_;
+}
+
+TargetCounts FakeTarget::counts() const
+{
+    const Lock lock(mutex_);
+    return counts_;
+}
+
+} // namespace bluebellshift::standin
--- a/bluebellshift/standin/httpserver.cpp
+++ b/bluebellshift/standin/httpserver.cpp
@@ -3,10 +3,13 @@
 // kernel can choose the port. And connections are tracked with their sockets:
 // ulfius cannot close a connection without a reply, so Delivery::Nothing shuts
 // the socket down under it, which the library then sees as a client that left.
+// The same table serves to notice a client that leaves while its request is
+// worked on, and to send bytes that belong to no request.
 #include "bluebellshift/standin/httpserver.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <strings.h>
 #include <sys/socket.h>
 #include <ulfius.h>
@@ -49,22 +52,45 @@
     void add(const sockaddr *client, int socket)
     {
         const std::lock_guard<std::mutex> lock(mutex_);
-        sockets_[keyOf(client)] = socket;
+        connections_[keyOf(client)] = { socket, std::string() };
     }
     void remove(const sockaddr *client)
     {
         const std::lock_guard<std::mutex> lock(mutex_);
-        sockets_.erase(keyOf(client));
+        connections_.erase(keyOf(client));
     }
-    void shutDown(const sockaddr *client)
+    // Returns -1 when there is no such connection.
+    int socketOf(const sockaddr *client)
     {
         const std::lock_guard<std::mutex> lock(mutex_);
-        const auto found = sockets_.find(keyOf(client));
-        if (found != sockets_.end())
-            shutdown(found->second, SHUT_RDWR);
+        const auto found = connections_.find(keyOf(client));
+        return found == connections_.end() ? -1 : found->second.socket;
+    }
+    void sendAfterReply(const sockaddr *client, const std::string &bytes)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        const auto found = connections_.find(keyOf(client));
+        if (found != connections_.end())
+            found->second.bytesAfterReply = bytes;
+    }
+    void replyWasSent(const sockaddr *client)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        const auto found = connections_.find(keyOf(client));
+        if (found == connections_.end() || found->second.bytesAfterReply.empty())
+            return;
+        const std::string bytes = std::move(found->second.bytesAfterReply);
+        found->second.bytesAfterReply.clear();
+        send(found->second.socket, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
     }
 
 private:
+    struct Connection
+    {
+        int socket = -1;
+        std::string bytesAfterReply;
+    };
+
     static std::uint64_t keyOf(const sockaddr *client)
     {
         const auto *in = reinterpret_cast<const sockaddr_in *>(client);
@@ -72,23 +98,45 @@
     }
 
     std::mutex mutex_;
-    std::map<std::uint64_t, int> sockets_;
+    std::map<std::uint64_t, Connection> connections_;
 };
 
+const sockaddr *clientOf(MHD_Connection *connection)
+{
+    const auto *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+    return info == nullptr ? nullptr : info->client_addr;
+}
+
 void connectionChanged(void *user, MHD_Connection *connection, void **,
                        MHD_ConnectionNotificationCode code)
 {
     auto *sockets = static_cast<OpenSockets *>(user);
-    const auto *client = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+    const sockaddr *client = clientOf(connection);
     if (client == nullptr)
         return;
     if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
-        sockets->remove(client->client_addr);
+        sockets->remove(client);
         return;
     }
     const auto *socket = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
     if (socket != nullptr)
-        sockets->add(client->client_addr, socket->connect_fd);
+        sockets->add(client, socket->connect_fd);
+}
+
+void requestCompleted(void *user, MHD_Connection *connection, void **request,
+                      MHD_RequestTerminationCode code)
+{
+    mhd_request_completed(nullptr, connection, request, code);
+    const sockaddr *client = clientOf(connection);
+    if (client != nullptr)
+        static_cast<OpenSockets *>(user)->replyWasSent(client);
+}
+
+// Waits for the client to close, which a request on the way does not look like.
+bool waitWhileOpen(int socket, core::Duration duration)
+{
+    pollfd entry { socket, POLLRDHUP, 0 };
+    return poll(&entry, 1, static_cast<int>(duration.toMillis())) <= 0;
 }
 
 // A body that ends early.
@@ -130,6 +178,7 @@
 {
     HttpRequest request;
     request.method = from->http_verb;
+    request.url = from->http_url;
     request.path = percentDecoded(from->url_path);
     for (const char **key = u_map_enum_keys(from->map_url); *key != nullptr; ++key)
         request.query[*key] = u_map_get(from->map_url, *key);
@@ -220,8 +269,7 @@
     ulfius.allowed_post_processor = U_POST_PROCESS_NONE;
     ulfius_set_default_endpoint(&ulfius, &Instance::serve, this);
     MHD_OptionItem options[] = {
-        { MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<intptr_t>(&mhd_request_completed),
-          nullptr },
+        { MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<intptr_t>(&requestCompleted), &sockets },
         { MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<intptr_t>(&ulfius_uri_logger), nullptr },
         { MHD_OPTION_NOTIFY_CONNECTION, reinterpret_cast<intptr_t>(&connectionChanged), &sockets },
         { MHD_OPTION_LISTEN_SOCKET, listener, nullptr },
@@ -236,12 +284,20 @@
     return absl::OkStatus();
 }
 
-int HttpServer::Instance::serve(const _u_request *request, _u_response *response, void *user)
+int HttpServer::Instance::serve(const _u_request *from, _u_response *response, void *user)
 {
     auto *instance = static_cast<Instance *>(user);
-    const HttpReply reply = instance->handler(requestOf(request));
+    OpenSockets &sockets = instance->sockets;
+    const int socket = sockets.socketOf(from->client_address);
+    HttpRequest request = requestOf(from);
+    request.waitWhileConnected = [socket](core::Duration duration) {
+        return waitWhileOpen(socket, duration);
+    };
+    const HttpReply reply = instance->handler(request);
     if (reply.delivery == Delivery::Nothing)
-        instance->sockets.shutDown(request->client_address);
+        shutdown(socket, SHUT_RDWR);
+    if (!reply.strayBytes.empty())
+        sockets.sendAfterReply(from->client_address, reply.strayBytes);
     fillResponse(response, reply);
     return U_CALLBACK_COMPLETE;
 }
--- a/bluebellshift/standin/httpserver.h
+++ b/bluebellshift/standin/httpserver.h
@@ -18,16 +18,21 @@
 #include "absl/status/status.h"
 #include "bluebellshift/core/answer.h"
 #include "bluebellshift/core/roster.h"
+#include "bluebellshift/core/units.h"
 
 namespace bluebellshift::standin {
 
 struct HttpRequest
 {
     std::string method;
+    std::string url;                          // as received, with the query
     std::string path;                         // percent-decoded, without the query
     std::map<std::string, std::string> query; // percent-decoded
     std::vector<core::Header> headers;
     std::string body;
+    // Blocks for a length of time. Returns false early when the client closes
+    // its connection.
+    std::function<bool(core::Duration)> waitWhileConnected;
 
     // Ignores case; returns "" when there is no such header.
     std::string header(const std::string &name) const;
@@ -48,6 +53,7 @@
     std::vector<core::Header> headers;
     std::string body;
     Delivery delivery = Delivery::Whole;
+    std::string strayBytes; // sent after the reply on the same connection
 };
 
 using HttpHandler = std::function<HttpReply(const HttpRequest &)>;
--- a/bluebellshift/standin/platformmain.cpp
+++ b/bluebellshift/standin/platformmain.cpp
@@ -23,13 +23,12 @@
 bool readCommandLine(int argc, const char **argv, Settings &settings)
 {
     const poptOption table[] = {
-        { "address", 0, POPT_ARG_STRING, &settings.address, 0, "IP number to listen on",
-          "127.0.0.1" },
-        { "port", 0, POPT_ARG_INT, &settings.port, 0, "port to listen on", "7000" },
+        { "address", 0, POPT_ARG_STRING, &settings.address, 0, "IP number to listen on", nullptr },
+        { "port", 0, POPT_ARG_INT, &settings.port, 0, "port to listen on", nullptr },
         { "list-lag-ms", 0, POPT_ARG_INT, &settings.listLagMillis, 0,
-          "from PUT /standin/vms to the object vms/list", "0" },
+          "from PUT /standin/vms to the object vms/list", nullptr },
         { "watch-max-ms", 0, POPT_ARG_INT, &settings.watchMostMillis, 0,
-          "the longest that a watch is held", "30000" },
+          "the longest that a watch is held", nullptr },
         POPT_AUTOHELP POPT_TABLEEND,
     };
     poptContext context = poptGetContext("bluebellshift-platform", argc, argv, table, 0);
--- a/bluebellshift/standin/platformserver.cpp
+++ b/bluebellshift/standin/platformserver.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "bluebellshift/platform/platformclient.h"
+#include "bluebellshift/standin/jsonreply.h"
 
 namespace bluebellshift::standin {
 
@@ -19,21 +20,6 @@
 
 const std::string objectsPath = "/v1/objects";
 
-HttpReply jsonReply(int status, const Json &json)
-{
-    HttpReply reply;
-    reply.status = status;
-    reply.headers = { { "Content-Type", "application/json" } };
-    // A value may hold bytes that are no UTF-8.
-    reply.body = json.dump(-1, ' ', false, Json::error_handler_t::replace);
-    return reply;
-}
-
-HttpReply errorReply(int status, const std::string &message)
-{
-    return jsonReply(status, { { "error", message } });
-}
-
 HttpReply noReply()
 {
     HttpReply reply;
@@ -146,25 +132,19 @@
 {
     if (request.method == "GET")
         return jsonReply(200, jsonOf(service.faults()));
-    const Json json = Json::parse(request.body, nullptr, false);
-    if (!json.is_object())
-        return errorReply(400, "the body is no JSON object");
     PlatformFaults faults;
-    const Json known = jsonOf(faults);
-    for (const auto &[name, value] : json.items()) {
-        if (!known.contains(name))
-            return errorReply(400, "fault \"" + name + "\" does not exist");
-        if (known[name].is_boolean() ? !value.is_boolean() : !value.is_number_unsigned())
-            return errorReply(400, "fault \"" + name + "\" has a value of the wrong type");
-    }
-    faults.isDown = json.value("down", false);
-    faults.slow = Duration::millis(json.value("slow_ms", std::int64_t(0)));
-    faults.loseReplies = json.value("lose_replies", 0U);
-    faults.isListStale = json.value("stale_list", false);
-    faults.isReplicaStale = json.value("stale_reads", false);
-    faults.areWatchesCut = json.value("cut_watches", false);
+    Json json = jsonOf(faults);
+    const absl::Status status = updateKnownFields(request.body, json);
+    if (!status.ok())
+        return errorReply(400, std::string(status.message()));
+    faults.isDown = json["down"];
+    faults.slow = Duration::millis(json["slow_ms"]);
+    faults.loseReplies = json["lose_replies"];
+    faults.isListStale = json["stale_list"];
+    faults.isReplicaStale = json["stale_reads"];
+    faults.areWatchesCut = json["cut_watches"];
     service.setFaults(faults);
-    return jsonReply(200, jsonOf(faults));
+    return jsonReply(200, json);
 }
 
 HttpReply serveVms(PlatformService &service, const HttpRequest &request)
--- /dev/null
+++ b/bluebellshift/standin/runrecord.h
@@ -0,0 +1,33 @@
+// Counts how often each ticket ran, over all targets of one process.
+//
+//   RunRecord runs;
+//   runs.add("ticket-1");
+//   runs.repeated(); // tickets that ran more than once
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace bluebellshift::standin {
+
+class RunRecord
+{
+public:
+    using Counts = std::map<std::string, std::uint32_t>;
+
+    // Counts one run; an empty ticket is a run without a ticket.
+    void add(const std::string &ticket);
+
+    std::uint64_t total() const;
+    Counts byTicket() const;
+    Counts repeated() const;
+
+private:
+    mutable std::mutex mutex_;
+    std::uint64_t total_ = 0;
+    Counts byTicket_;
+};
+
+} // namespace bluebellshift::standin
--- /dev/null
+++ b/bluebellshift/standin/testing/rawsocket.h
@@ -0,0 +1,69 @@
+// Plain sockets on the loopback interface, for tests of what really travels.
+//
+//   RawConnection connection(port);
+//   connection.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+//   RawReply reply = connection.readReply();
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace bluebellshift::standin {
+
+struct RawReply
+{
+    int status = 0;   // 0: the connection closed before the status line was whole
+    std::string head; // status line and headers
+    std::string body; // as much as arrived of what Content-Length states
+    bool isWhole = false;
+
+    // Returns "" when there is no such header.
+    std::string header(const std::string &name) const;
+};
+
+class RawConnection
+{
+public:
+    explicit RawConnection(std::uint16_t port);
+    // Takes over a connected socket.
+    static RawConnection adopt(int socket);
+    ~RawConnection();
+    RawConnection(RawConnection &&other) noexcept;
+    RawConnection &operator=(const RawConnection &) = delete;
+
+    void send(const std::string &bytes);
+    RawReply readReply();
+    // Reads up to and including `end`; returns what came when the peer closes.
+    std::string readUntil(const std::string &end);
+    std::string readBytes(std::size_t count);
+    // Waits for the next byte. Returns false when the peer closed.
+    bool waitForBytes();
+    void close();
+
+private:
+    RawConnection() = default;
+    bool readMore();
+
+    int socket_ = -1;
+    std::string buffer_;
+};
+
+class RawListener
+{
+public:
+    RawListener();
+    ~RawListener();
+    RawListener(const RawListener &) = delete;
+    RawListener &operator=(const RawListener &) = delete;
+
+    std::uint16_t port() const { return port_; }
+    RawConnection accept();
+    // Returns whether a connection is waiting.
+    bool hasConnection() const;
+
+private:
+    int socket_ = -1;
+    std::uint16_t port_ = 0;
+};
+
+} // namespace bluebellshift::standin
