--- a/bluebellshift/core/dispatch.cpp
+++ b/bluebellshift/core/dispatch.cpp
@@ -107,6 +107,11 @@
         return refuse(arrived.request, *admission.refusal, effects);
     if (arrived.timeLeft == Duration())
         pending.deadline = now + admission.service->requestTimeout;
+    if (pending.deadline <= now)
+        return refuse(arrived.request,
+                      { RefusalCode::DeadlinePassed, runBefore(pending),
+                        "the request's deadline passed before it arrived", 0 },
+                      effects);
     if (admission.relayTo)
         return relay(pending, *admission.relayTo, effects);
     if (pending.runsOnce && !beginOnce(pending, now, effects))
@@ -115,6 +120,17 @@
     wait(pending, now, effects);
 }
 
+// What is known of the run of a request that has just arrived.
+Run Dispatch::runBefore(const Pending &arriving) const
+{
+    if (arriving.arrived.ticket.empty())
+        return Run::NotRun;
+    if (!arriving.ticket)
+        return Run::Unknown; // the ticket's home knows
+    const bool isFresh = once_.state(*arriving.ticket) == OnceState::NeverBegun;
+    return isFresh ? Run::NotRun : Run::Unknown;
+}
+
 void Dispatch::relay(Pending &pending, const VmId &home, Effects &effects)
 {
     const RequestId request = pending.arrived.request;
--- a/bluebellshift/core/dispatch.h
+++ b/bluebellshift/core/dispatch.h
@@ -156,6 +156,7 @@
     void setTimer(Instant now, Effects &effects);
     void finishEvent(Instant now, Effects &effects);
 
+    Run runBefore(const Pending &arriving) const;
     Run runOf(const Pending &pending) const;
     Pending *find(RequestId request);
     void writeLog(const LogEvent &event, const Pending &pending, std::vector<LogField> fields,
--- /dev/null
+++ b/bluebellshift/core/testing/dispatchbench.h
@@ -0,0 +1,141 @@
+// One Dispatch with everything around it under a test's control.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "bluebellshift/core/dispatch.h"
+#include "bluebellshift/core/testing/fakebudget.h"
+
+namespace bluebellshift::core::testing {
+
+inline const ServiceId rota("rota");
+inline const TeamId multan("multan");
+inline const TeamId sukkur("sukkur");
+inline const RegionId punjab("punjab");
+inline const RegionId sindh("sindh");
+
+// What is the same on every VM: the bundle, the keys in force, the targets.
+struct World
+{
+    World()
+    {
+        Service service;
+        service.id = rota;
+        service.routes = { { "/", true, true },
+                           { "/turns", false, true },
+                           { "/swap", false, false } };
+        service.requestTimeout = Duration::seconds(4);
+        bundle = std::make_shared<Bundle>();
+        bundle->services = { service };
+        bundle->teams = { { multan, 10, 10 }, { sukkur, 10, 10 } };
+        keys = { { KeyDigest("m"), multan }, { KeyDigest("s"), sukkur } };
+        for (const char *id : { "t1", "t2", "t3", "t4" }) {
+            Target target;
+            target.id = TargetId(id);
+            target.service = rota;
+            target.region = targets.size() < 2 ? punjab : sindh;
+            target.slots = 2;
+            targets.push_back(target);
+        }
+    }
+
+    std::shared_ptr<Bundle> bundle;
+    std::map<KeyDigest, TeamId> keys;
+    std::vector<Target> targets;
+};
+
+// One VM's incarnation.
+struct Bench
+{
+    explicit Bench(World &sharedWorld, const std::string &vm = "punjab-a-1",
+                   std::uint64_t incarnation = 1)
+        : world(sharedWorld)
+    {
+        options.vm = VmId(vm);
+        options.incarnation = Incarnation(incarnation);
+        options.region = punjab;
+        options.ticketSecret = vm + std::to_string(incarnation);
+        for (const Target &target : world.targets)
+            budget.set(slotAccount(target.id), target.slots);
+    }
+
+    // Call once the options are as wanted.
+    Dispatch &start()
+    {
+        DispatchHooks hooks;
+        hooks.authenticate = [this](const KeyDigest &key) -> std::optional<TeamId> {
+            const auto team = world.keys.find(key);
+            return team == world.keys.end() ? std::nullopt : std::optional(team->second);
+        };
+        hooks.bundle = [this] { return world.bundle; };
+        hooks.targetsOf = [this](const ServiceId &) -> const std::vector<Target> & {
+            return world.targets;
+        };
+        hooks.budget = budget.hooks();
+        hooks.regionOrder = [this](const ServiceId &, std::uint64_t, Instant) { return regions; };
+        hooks.mayServe = [this](Instant) { return isFresh; };
+        hooks.validUntil = [](Instant now) { return now + Duration::seconds(1); };
+        hooks.isVmAlive = [this](const VmId &, Incarnation) { return isPeerAlive; };
+        dispatch = std::make_unique<Dispatch>(options, hooks);
+        return *dispatch;
+    }
+
+    RequestArrived request(const std::string &path, const std::string &key = "m",
+                           const std::string &ticket = "")
+    {
+        RequestArrived arrived;
+        arrived.request = RequestId(++requests);
+        arrived.service = rota;
+        arrived.method = "POST";
+        arrived.path = path;
+        arrived.hasKey = !key.empty();
+        arrived.keyDigest = KeyDigest(key);
+        arrived.ticket = ticket;
+        return arrived;
+    }
+
+    std::string ticket(const std::string &key = "m");
+
+    World &world;
+    CoreOptions options;
+    FakeBudget budget;
+    std::vector<RegionId> regions { punjab, sindh };
+    bool isFresh = true;
+    bool isPeerAlive = true;
+    Instant now = Instant::fromMicros(1'000'000'000);
+    std::uint64_t requests = 0;
+    std::unique_ptr<Dispatch> dispatch;
+};
+
+// The effects of one kind.
+template<typename Kind> std::vector<Kind> only(const Effects &effects)
+{
+    std::vector<Kind> found;
+    for (const Effect &effect : effects) {
+        if (const Kind *kind = std::get_if<Kind>(&effect))
+            found.push_back(*kind);
+    }
+    return found;
+}
+
+inline std::string Bench::ticket(const std::string &key)
+{
+    TicketAsked asked { RequestId(++requests), rota, !key.empty(), KeyDigest(key) };
+    return only<GiveTicket>(dispatch->onTicketAsked(asked, now, requests)).at(0).ticket;
+}
+
+inline AttemptEnded ended(const ForwardRequest &forward, AttemptOutcome outcome,
+                          const std::string &body = "")
+{
+    AttemptEnded end;
+    end.request = forward.request;
+    end.attempt = forward.attempt;
+    end.outcome = outcome;
+    if (outcome == AttemptOutcome::Answered)
+        end.answer = std::make_shared<const Answer>(Answer { 200, {}, body });
+    return end;
+}
+
+} // namespace bluebellshift::core::testing
--- /dev/null
+++ b/bluebellshift/core/testing/targetchoosertest.cpp
@@ -0,0 +1,158 @@
+#include <CppUTest/TestHarness.h>
+
+#include "bluebellshift/core/testing/dispatchbench.h"
+
+using namespace bluebellshift::core;
+using namespace bluebellshift::core::testing;
+
+TEST_GROUP(TargetChooser)
+{
+    void setup() override
+    {
+        chooser_.update(world_.targets, now_);
+    }
+
+    Ranking rank(const RegionId &region = punjab)
+    {
+        return chooser_.rank(world_.targets, region, {}, random_++, now_);
+    }
+
+    std::string best()
+    {
+        return rank().usable.at(0)->id.text();
+    }
+
+    void end(const char *target, AttemptOutcome outcome, int tookMillis = 10, int busySlots = -1,
+             bool isLeaving = false)
+    {
+        chooser_.onSent(TargetId(target), now_);
+        const Instant sentAt = now_;
+        now_ = now_ + Duration::millis(tookMillis);
+        AttemptEnded ended;
+        ended.outcome = outcome;
+        ended.answer = std::make_shared<const Answer>(Answer { 200, {}, "" });
+        ended.reportedBusySlots = busySlots;
+        ended.targetLeaving = isLeaving;
+        chooser_.onEnded(TargetId(target), sentAt, ended, world_.targets, now_, changes_);
+    }
+
+    RuledOut ruledOut(const char *target)
+    {
+        for (const Considered &considered : rank().considered) {
+            if (considered.target->id == TargetId(target))
+                return considered.ruledOut;
+        }
+        return RuledOut::No;
+    }
+
+    World world_;
+    FakeBudget budget_;
+    TargetChooser chooser_ { budget_.hooks() };
+    Instant now_ = Instant::fromMicros(1'000'000'000);
+    std::uint64_t random_ = 0;
+    std::vector<LogRecord> changes_;
+};
+
+TEST(TargetChooser, OwnRequestsInFlightCountFirst)
+{
+    chooser_.onSent(TargetId("t1"), now_);
+    for (int i = 0; i < 8; ++i)
+        STRCMP_EQUAL("t2", best().c_str());
+}
+
+TEST(TargetChooser, AReportCountsLessWithItsAge)
+{
+    end("t1", AttemptOutcome::Answered, 10, 2);
+    end("t2", AttemptOutcome::Answered, 10, 0);
+    STRCMP_EQUAL("t2", best().c_str());
+    chooser_.onSent(TargetId("t2"), now_);
+    STRCMP_EQUAL("t2", best().c_str()); // one of ours against two reported
+    now_ = now_ + TargetChooser::reportUsefulFor;
+    chooser_.onEnded(TargetId("t9"), now_, {}, world_.targets, now_, changes_);
+    STRCMP_EQUAL("t1", best().c_str());
+}
+
+TEST(TargetChooser, ASlowTargetIsAvoidedWhateverItReports)
+{
+    for (int i = 0; i < 50; ++i)
+        end("t2", AttemptOutcome::Answered, 10, 0);
+    end("t1", AttemptOutcome::Answered, 100, 0);
+    chooser_.onSent(TargetId("t2"), now_);
+    STRCMP_EQUAL("t2", best().c_str());
+    now_ = now_ + Duration::seconds(60); // what was measured has faded
+    STRCMP_EQUAL("t1", best().c_str());
+}
+
+TEST(TargetChooser, ALeavingTargetIsRuledOutByWhateverWayItIsKnown)
+{
+    end("t1", AttemptOutcome::Answered, 10, 0, true);
+    CHECK(ruledOut("t1") == RuledOut::Leaving);
+    chooser_.onProbeEnded({ TargetId("t1"), true, false, 0 }, now_, changes_);
+    CHECK(ruledOut("t1") == RuledOut::No);
+    chooser_.onProbeEnded({ TargetId("t1"), false, true, 0 }, now_, changes_);
+    CHECK(ruledOut("t1") == RuledOut::Leaving);
+    world_.targets[1].isLeaving = true;
+    CHECK(ruledOut("t2") == RuledOut::Leaving);
+    CHECK(rank().usable.empty());
+}
+
+TEST(TargetChooser, NeverEjectsAWholeRegion)
+{
+    for (const char *target : { "t1", "t2" }) {
+        for (int i = 0; i < TargetChooser::failuresToEject; ++i)
+            end(target, AttemptOutcome::ConnectFailed);
+    }
+    CHECK(ruledOut("t1") == RuledOut::Ejected);
+    CHECK(ruledOut("t2") == RuledOut::No);
+    world_.targets[1].isLeaving = true; // only the ejected one is left
+    CHECK(ruledOut("t1") == RuledOut::No);
+    world_.targets[1].isLeaving = false;
+
+    CHECK(!chooser_.takeProbes(world_.targets, now_).empty());
+    chooser_.onProbeEnded({ TargetId("t1"), true, false, 0 }, now_, changes_);
+    CHECK(ruledOut("t1") == RuledOut::No);
+    end("t1", AttemptOutcome::ConnectFailed); // one more is enough
+    CHECK(ruledOut("t1") == RuledOut::Ejected);
+}
+
+TEST(TargetChooser, SheddingIsHonouredForLongerEachTime)
+{
+    end("t1", AttemptOutcome::Shed);
+    CHECK(ruledOut("t1") == RuledOut::Shedding);
+    now_ = now_ + TargetChooser::shedFirst;
+    CHECK(ruledOut("t1") == RuledOut::No);
+    end("t1", AttemptOutcome::Shed);
+    now_ = now_ + TargetChooser::shedFirst;
+    CHECK(ruledOut("t1") == RuledOut::Shedding);
+}
+
+TEST(TargetChooser, ALaterTargetIsRampedUp)
+{
+    Target cold = world_.targets[0];
+    cold.id = TargetId("t5");
+    cold.slots = 4;
+    world_.targets.push_back(cold);
+    chooser_.update(world_.targets, now_);
+    chooser_.onSent(TargetId("t5"), now_);
+    CHECK(ruledOut("t5") == RuledOut::Warming);
+    chooser_.onSent(TargetId("t1"), now_);
+    chooser_.onSent(TargetId("t2"), now_);
+    CHECK(ruledOut("t1") == RuledOut::No); // those of the first list are warm
+    now_ = now_ + TargetChooser::rampTime;
+    CHECK(ruledOut("t5") == RuledOut::No);
+}
+
+TEST(TargetChooser, ProbesOnlyWhatIsUsedAndQuiet)
+{
+    for (const Target &target : world_.targets)
+        budget_.set(slotAccount(target.id), 0);
+    CHECK(chooser_.takeProbes(world_.targets, now_).empty());
+    budget_.set(slotAccount(TargetId("t3")), 1);
+    CHECK_EQUAL(1U, chooser_.takeProbes(world_.targets, now_).size());
+    CHECK(chooser_.takeProbes(world_.targets, now_).empty()); // one is under way
+    chooser_.onProbeEnded({ TargetId("t3"), true, false, 0 }, now_, changes_);
+    now_ = now_ + Duration::seconds(1);
+    CHECK(chooser_.takeProbes(world_.targets, now_).empty());
+    now_ = now_ + Duration::seconds(1);
+    CHECK_EQUAL(1U, chooser_.takeProbes(world_.targets, now_).size());
+}
