--- a/bluebellshift/core/accounts.h
+++ b/bluebellshift/core/accounts.h
@@ -16,7 +16,7 @@
 {
     AccountId account;
     double ratePerSecond = 0; // tokens
-    double burst = 0; // tokens; the whole quantity of a count account
+    double burst = 0;         // tokens; the whole quantity of a count account
 
     bool isCount() const { return ratePerSecond == 0; }
 };
--- /dev/null
+++ b/bluebellshift/core/freshness.cpp
@@ -0,0 +1,145 @@
+// Ages are counted on this VM's own clock from before the peer was asked, so a
+// delayed or repeated message claims less, never more.
+//
+// The extension needs more than half of the members, this VM included, because
+// a writer of ledger/members waits until at least half of them have installed
+// the version before. An expelled VM's majority therefore always contains one
+// that holds a newer revision, and such a word does not count. One voter has to
+// be near the store but not share this VM's failure domain: a region that is
+// cut off cannot extend its own lease. Cost: O(members) for each question.
+#include "bluebellshift/core/freshness.h"
+
+#include <algorithm>
+
+namespace bluebellshift::core {
+
+namespace {
+
+// A failed call stays evidence of an outage for this many leases, since its
+// successor may still be waiting for its time-out.
+constexpr std::int64_t failureLeases = 2;
+
+Duration scaled(Duration duration, double factor)
+{
+    return Duration::micros(static_cast<std::int64_t>(duration.toMicros() * factor));
+}
+
+} // namespace
+
+Freshness::Freshness(const CoreOptions &options)
+    : options_(options)
+    , lease_(scaled(options.freshnessLease, 1 - options.clockDrift))
+{
+}
+
+void Freshness::install(Revision revision)
+{
+    if (revision > revision_)
+        revision_ = revision;
+    newestHeard_ = std::max(newestHeard_, revision);
+}
+
+void Freshness::confirm(Revision revision, Instant asOf)
+{
+    newestHeard_ = std::max(newestHeard_, revision);
+    if (revision > revision_ || revision_ == Revision())
+        return; // about a view that this VM does not hold
+    asOf_ = std::max(asOf_, asOf);
+}
+
+void Freshness::platformFailed(Instant begunAt)
+{
+    isFailing_ = true;
+    failedCallBegan_ = std::max(failedCallBegan_, begunAt);
+}
+
+void Freshness::platformAnswered()
+{
+    isFailing_ = false;
+}
+
+void Freshness::peerSaid(const Voter &peer, const PeerWord &word)
+{
+    Duration age = scaled(word.viewAge, 1 + options_.clockDrift);
+    confirm(word.revision, word.sentAfter - age);
+    auto [it, isNew] = words_.try_emplace(peer, word);
+    if (!isNew && it->second.sentAfter <= word.sentAfter)
+        it->second = word;
+}
+
+void Freshness::setVoters(const MemberList &list, const std::vector<Vm> &vms,
+                          const RegionId &storeRegion)
+{
+    Voter self { options_.vm, options_.incarnation };
+    std::vector<Voter> voters = list.voters();
+    voterCount_ = voters.size();
+    isVoter_ = false;
+    others_.clear();
+    for (const Voter &voter : voters) {
+        if (voter == self) {
+            isVoter_ = true;
+            continue;
+        }
+        Place place;
+        for (const Vm &vm : vms) {
+            if (vm.id == voter.vm)
+                place.isNearStore =
+                    vm.region == storeRegion && vm.failureDomain != options_.failureDomain;
+        }
+        others_[voter] = place;
+    }
+    for (auto it = words_.begin(); it != words_.end();)
+        it = others_.count(it->first) == 0 ? words_.erase(it) : std::next(it);
+}
+
+Instant Freshness::wordValidUntil(const PeerWord &word) const
+{
+    if (!word.platformFailing || word.revision > revision_)
+        return Instant::never();
+    Duration failureAge = scaled(word.platformFailureAge, 1 + options_.clockDrift);
+    return std::min(word.sentAfter + lease_, word.sentAfter - failureAge + lease_ * failureLeases);
+}
+
+Instant Freshness::extendedUntil() const
+{
+    if (!isVoter_ || !isFailing_ || newestHeard_ > revision_ || asOf_ == Instant::never())
+        return Instant::never();
+    std::vector<Instant> ends;
+    Instant nearStore = Instant::never();
+    for (const auto &[voter, place] : others_) {
+        auto word = words_.find(voter);
+        if (word == words_.end())
+            continue;
+        Instant end = wordValidUntil(word->second);
+        ends.push_back(end);
+        if (place.isNearStore)
+            nearStore = std::max(nearStore, end);
+    }
+    std::size_t needed = voterCount_ / 2; // with this VM, more than half
+    if (ends.size() < needed)
+        return Instant::never();
+    Instant end = std::min(failedCallBegan_ + lease_ * failureLeases, nearStore);
+    if (needed == 0)
+        return end;
+    std::sort(ends.begin(), ends.end(), [](Instant a, Instant b) { return a > b; });
+    return std::min(end, ends[needed - 1]);
+}
+
+Instant Freshness::freshUntil(Instant now) const
+{
+    if (asOf_ == Instant::never())
+        return Instant::never();
+    return std::max(asOf_ + lease_, extendedUntil());
+}
+
+Duration Freshness::viewAge(Instant now) const
+{
+    return now - asOf_;
+}
+
+Duration Freshness::platformFailureAge(Instant now) const
+{
+    return isFailing_ ? now - failedCallBegan_ : Duration();
+}
+
+} // namespace bluebellshift::core
--- /dev/null
+++ b/bluebellshift/core/ledger.h
@@ -0,0 +1,204 @@
+// This VM's shares of every limit, and the lending of shares between VMs.
+//
+//   Ledger ledger(options);
+//   ledger.setMembers(list, now);
+//   ledger.setLimits({ { teamAccount(team), 50, 100 } }, now);
+//   if (!ledger.takeAll({ { teamAccount(team), 1 } }, now))
+//       forward();
+//
+// A share is counted in parts per billion of an account. The shares of all VMs,
+// live or dead, and those under way sum to the whole, for each account and at
+// all times. A rate account is a token bucket of `share` times rate and burst;
+// a count account (rate 0) is `share` times the quantity, in whole tokens.
+// docs/design/ledger.md proves the bound on what all VMs spend together.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "bluebellshift/core/accounts.h"
+#include "bluebellshift/core/ids.h"
+#include "bluebellshift/core/members.h"
+#include "bluebellshift/core/message.h"
+#include "bluebellshift/core/options.h"
+#include "bluebellshift/core/units.h"
+
+namespace bluebellshift::core {
+
+// What the ledger needs to know of a peer to lend to it or borrow from it.
+struct LedgerPeer
+{
+    VmId vm;
+    int distance = 0; // 0: same failure domain, 1: same region, 2: other region
+    bool isAlive = false;
+    bool isLeaving = false;
+    Revision viewRevision; // the newest that it is known to hold
+};
+
+// A message to a peer that the ledger wants sent.
+struct LedgerRequest
+{
+    VmId to;
+    BorrowRequest request;
+};
+
+class Ledger
+{
+public:
+    explicit Ledger(const CoreOptions &options);
+
+    // The accounts and limits of the bundle in force. Shares outlive limits: an
+    // account that returns has the shares that it had. Tokens are clipped.
+    void setLimits(const std::vector<AccountLimit> &limits, Instant now);
+    // Installs the member list: closes the accounts with expelled VMs, takes
+    // over folded grants, and starts from nothing when this VM's own membership
+    // is new. The version must not go back.
+    void setMembers(const MemberList &list, Instant now);
+    void setPeers(const std::vector<LedgerPeer> &peers);
+    // A VM that leaves lends whatever is asked and reserves nothing.
+    void setLeaving() { isLeaving_ = true; }
+
+    // The contracts of BudgetHooks. Time that runs back counts as no time.
+    std::optional<AccountId> takeAll(const std::vector<Debit> &debits, Instant now);
+    void giveBack(const Debit &debit, Instant now);
+    // `debit.tokens` is all that waits at this VM for the account; it replaces
+    // what was said before. Nothing waits any more after zero.
+    void want(const Debit &debit, Instant now);
+    double available(const AccountId &account, Instant now) const;
+
+    // Lends from idle shares. What is lent is in unacknowledgedCredits of `to`
+    // from now on. Returns what is left to lend, as a hint.
+    std::vector<Holding> lend(const VmId &to, const std::vector<Want> &wants, Instant now);
+    // Gives idle shares to VMs that have fewer, without being asked. They travel
+    // with the next heartbeat.
+    void spread(Instant now);
+    // Takes credits unless they are of another membership of either end.
+    void receive(const VmId &from, std::uint64_t senderEpoch, std::uint64_t receiverEpoch,
+                 const std::vector<Credit> &credits, Instant now);
+    void hint(const VmId &from, const std::vector<Holding> &holdings);
+    void forgetPeer(const VmId &vm);
+
+    // Requests to borrow that are due: for waiting requests, and ahead of need.
+    std::vector<LedgerRequest> dueRequests(Instant now);
+
+    // Totals that the peer may not have. Every message that takes a sequence
+    // number must carry them all.
+    std::vector<Credit> unacknowledgedCredits(const VmId &to, std::uint64_t sequence);
+    std::vector<Closing> unacknowledgedClosings(const VmId &to, std::uint64_t sequence);
+    // Hints that changed since the last call for this peer.
+    std::vector<Holding> changedHoldings(const VmId &to, Instant now);
+    // The peer has received everything up to this sequence number or newer totals.
+    void acknowledge(const VmId &by, std::uint64_t sequence);
+
+    // The closing with each expelled member, final once its version is installed.
+    std::vector<Closing> closings() const;
+    std::uint64_t epoch() const { return epoch_; }
+    std::uint64_t epochOf(const VmId &peer) const;
+    bool isMember() const { return epoch_ != 0; }
+
+    // For tests and metrics.
+    std::int64_t share(const AccountId &account) const;
+    std::int64_t microTokens(const AccountId &account, Instant now) const;
+    // Share that `to` has been given and not yet received cannot be known here;
+    // returns what was given to and received from one membership of a peer.
+    std::int64_t given(const AccountId &account, const VmId &peer, std::uint64_t epoch) const;
+    std::int64_t received(const AccountId &account, const VmId &peer, std::uint64_t epoch) const;
+
+private:
+    struct MemberKey
+    {
+        VmId vm;
+        std::uint64_t epoch = 0;
+
+        friend bool operator<(const MemberKey &a, const MemberKey &b)
+        {
+            return a.vm == b.vm ? a.epoch < b.epoch : a.vm < b.vm;
+        }
+    };
+    // The totals exchanged with one membership of a peer.
+    struct Edge
+    {
+        std::int64_t given = 0;
+        std::int64_t tokensGiven = 0;
+        std::int64_t received = 0;
+        std::int64_t tokensReceived = 0;
+        std::uint64_t sentSequence = 0; // the first that carried these totals; 0: none yet
+        bool isAcknowledged = true;
+    };
+    // A request to borrow that has no reply yet.
+    struct Asked
+    {
+        Instant at = Instant::never();
+        std::int64_t share = 0; // what it may bring
+    };
+    struct Account
+    {
+        bool hasLimit = false;
+        bool isCount = false;
+        std::int64_t rate = 0;  // micro-tokens a second
+        std::int64_t burst = 0; // micro-tokens
+        std::int64_t grant = 0; // parts per billion
+        std::int64_t share = 0; // grant plus the edges' balance
+        std::map<MemberKey, Edge> edges;
+        std::int64_t tokens = 0;    // micro-tokens, of a rate account
+        std::int64_t remainder = 0; // of the last minting, in 1e-15 micro-tokens
+        std::int64_t inUse = 0;     // micro-tokens, of a count account
+        Instant settledAt = Instant::never();
+        // Policy only; never part of the bound.
+        std::int64_t waiting = 0; // micro-tokens
+        double demand = 0;        // micro-tokens a second, smoothed
+        double taken = 0;         // micro-tokens since the demand was last smoothed
+        Instant smoothedAt = Instant::never();
+        Instant nextAheadAt = Instant::never();
+        Instant nextSpreadAt = Instant::never();
+        std::map<VmId, std::int64_t> spare; // hints of peers, parts per billion
+        std::map<VmId, Asked> asked;
+        std::map<VmId, std::int64_t> told; // the hint that a peer last got
+    };
+    struct PeerState
+    {
+        std::uint64_t epoch = 0;
+        Revision since; // lends only to a peer that holds this version or newer
+        LedgerPeer place;
+        bool isPlaced = false;
+        std::uint64_t closingsSequence = 0;
+        bool areClosingsAcknowledged = true;
+    };
+
+    Account &account(const AccountId &id);
+    const Account *findAccount(const AccountId &id) const;
+    void recompute(Account &account);
+    static std::int64_t capacity(const Account &account, std::int64_t share);
+    static std::int64_t spendable(const Account &account);
+    void settle(Account &account, Instant now) const;
+    void smooth(Account &account, Instant now) const;
+    void resetShares(Instant now);
+    void dropEdges(const MemberList &list);
+    bool mayLendTo(const PeerState &peer) const;
+    std::int64_t neededShare(const Account &account) const;
+    std::int64_t reservedTokens(const Account &account) const;
+    std::int64_t spareShare(const Account &account) const;
+    void give(Account &account, const MemberKey &to, std::int64_t share, std::int64_t tokens);
+    void lendRate(Account &account, const MemberKey &to, const Want &want);
+    void lendCount(Account &account, const MemberKey &to, std::int64_t tokens);
+    std::optional<Want> shortage(const AccountId &id, Account &account, Instant now);
+    void planRequests(const AccountId &id, Account &account, const Want &want, Instant now,
+                      std::map<VmId, BorrowRequest> &requests);
+    void spreadRate(Account &account);
+    void spreadCount(Account &account);
+    std::vector<VmId> lendable() const;
+    std::vector<VmId> byDistance(const Account &account) const;
+
+    CoreOptions options_;
+    std::map<AccountId, Account> accounts_;
+    std::map<VmId, PeerState> peers_;
+    MemberList list_;
+    std::uint64_t epoch_ = 0; // of this VM's membership; 0: none
+    std::int64_t baseGrant_ = 0;
+    bool isLeaving_ = false;
+};
+
+} // namespace bluebellshift::core
--- a/bluebellshift/core/message.h
+++ b/bluebellshift/core/message.h
@@ -51,7 +51,7 @@
 struct Closing
 {
     VmId vm;
-    Incarnation incarnation;
+    std::uint64_t epoch = 0; // of the expelled membership
     std::vector<ClosedAccount> accounts;
 };
 
@@ -70,6 +70,9 @@
     std::vector<Credit> credits; // changed totals, and those not yet known to have arrived
     std::vector<Holding> holdings;
     std::vector<Closing> closings;
+    std::uint64_t senderEpoch = 0;   // the sender's membership in the ledger; 0: none
+    std::uint64_t receiverEpoch = 0; // the addressee's, as far as the sender knows
+    std::vector<VmId> suspects;      // VMs that the sender does not hear
 };
 
 // Asks the addressee to lend.
@@ -83,6 +86,9 @@
 {
     std::vector<Credit> credits;
     std::vector<Holding> holdings;
+    std::uint64_t sequence = 0; // from the same counter as heartbeats
+    std::uint64_t senderEpoch = 0;
+    std::uint64_t receiverEpoch = 0;
 };
 
 // Asks for the objects changed since a revision.
--- a/bluebellshift/core/options.h
+++ b/bluebellshift/core/options.h
@@ -26,10 +26,10 @@
     double clockDrift = 0.001; // two clocks differ by at most this fraction
 
     Duration queueWaitMost = Duration::millis(400); // for a token or a slot
-    std::size_t queueLengthMost = 256; // requests waiting, for each team
+    std::size_t queueLengthMost = 256;              // requests waiting, for each team
     Duration ticketValidFor = Duration::seconds(60);
     std::size_t recordBytesMost = 16 * 1024 * 1024; // answers kept for tickets
-    std::size_t answerBytesMost = 1024 * 1024; // one answer
+    std::size_t answerBytesMost = 1024 * 1024;      // one answer
     Duration shutdownMost = Duration::seconds(30);
 };
 
--- /dev/null
+++ b/bluebellshift/core/reclaim.h
@@ -0,0 +1,91 @@
+// Keeps the object ledger/members in step with who is alive: joins, expels, and
+// folds the shares of expelled VMs into those of the living.
+//
+//   std::optional<Effect> effect = reclaim.step(facts, now, random);
+//
+// Every change is one conditional write. The desired list is computed anew from
+// the current one each time, so a lost reply is resolved by reading the object:
+// what took effect is simply no longer desired.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "bluebellshift/core/effect.h"
+#include "bluebellshift/core/event.h"
+#include "bluebellshift/core/ids.h"
+#include "bluebellshift/core/ledger.h"
+#include "bluebellshift/core/members.h"
+#include "bluebellshift/core/membership.h"
+#include "bluebellshift/core/options.h"
+
+namespace bluebellshift::core {
+
+// A peer's report of its closing with one expelled membership.
+struct ClosingKey
+{
+    VmId expelled;
+    std::uint64_t expelledEpoch = 0;
+    VmId reporter;
+    std::uint64_t reporterEpoch = 0;
+
+    friend bool operator<(const ClosingKey &a, const ClosingKey &b);
+};
+
+class Reclaim
+{
+public:
+    Reclaim(const CoreOptions &options, std::function<CallId()> nextCall);
+
+    // The newest list that this VM has seen. Older ones are ignored.
+    void setMembers(const MemberList &list);
+    // The revision that this VM's heartbeats name.
+    void setViewRevision(Revision revision) { viewRevision_ = revision; }
+    const MemberList &members() const { return list_; }
+    void onClosings(const VmId &from, std::uint64_t epoch, const std::vector<Closing> &closings);
+
+    // Returns the next read or write, or nothing. Writes only when half of the
+    // current and of the previous voters hold the current version.
+    std::optional<Effect> step(const Membership &membership, const Ledger &ledger, Instant now,
+                               std::uint64_t random);
+    // A write that succeeded or an object read; nothing when there is no news.
+    // Returns false when the call is not one of this module's.
+    bool onReply(const PlatformReplied &reply, Instant now, std::uint64_t random,
+                 std::optional<Object> *object);
+
+    // The members that at least half of the others do not hear, or that run
+    // anew under another incarnation.
+    std::vector<Member> membersToExpel(const Membership &membership, Instant now) const;
+
+private:
+    bool holdsCurrent(const Voter &voter, const Membership &membership) const;
+    bool hasQuorum(const Membership &membership) const;
+    bool isQuorumOf(const std::vector<Voter> &voters, const Membership &membership) const;
+    bool haveAllClosed(const Ledger &ledger) const;
+    bool mayFold(const Membership &membership, const Ledger &ledger, Instant now);
+    MemberList plan(const Membership &membership, const Ledger &ledger, Instant now);
+    void planJoins(const Membership &membership, Instant now, MemberList &list) const;
+    void fold(const Ledger &ledger, MemberList &list) const;
+    Duration turnDelay(const Membership &membership, Instant now) const;
+    void backOff(Instant now, std::uint64_t random);
+
+    CoreOptions options_;
+    std::function<CallId()> nextCall_;
+    MemberList list_;
+    bool isListKnown_ = false;
+    Revision viewRevision_;
+    std::map<ClosingKey, std::vector<ClosedAccount>> closings_;
+    Instant foldableSince_ = Instant::never();
+    Instant changeSince_ = Instant::never();
+    std::optional<CallId> call_;
+    bool needsRead_ = false;
+    Instant nextCallAt_ = Instant::never();
+    Duration backOff_;
+};
+
+} // namespace bluebellshift::core
