--- a/bluebellshift/core/ledger.cpp
+++ b/bluebellshift/core/ledger.cpp
@@ -721,6 +721,7 @@
             continue;
         Closing closing;
         closing.vm = member.vm;
+        closing.incarnation = member.incarnation;
         closing.epoch = member.epoch;
         for (const auto &[id, account] : accounts_) {
             auto edge = account.edges.find(MemberKey { member.vm, member.epoch });
--- a/bluebellshift/core/message.h
+++ b/bluebellshift/core/message.h
@@ -51,8 +51,9 @@
 struct Closing
 {
     VmId vm;
-    std::uint64_t epoch = 0; // of the expelled membership
+    Incarnation incarnation;
     std::vector<ClosedAccount> accounts;
+    std::uint64_t epoch = 0; // of the expelled membership
 };
 
 struct Heartbeat
--- a/bluebellshift/shell/messagecodec.cpp
+++ b/bluebellshift/shell/messagecodec.cpp
@@ -51,7 +51,8 @@
 template<> struct Fields<core::Closing>
 {
     static constexpr auto list =
-        std::make_tuple(&core::Closing::vm, &core::Closing::incarnation, &core::Closing::accounts);
+        std::make_tuple(&core::Closing::vm, &core::Closing::incarnation, &core::Closing::accounts,
+                        &core::Closing::epoch);
 };
 template<> struct Fields<core::Object>
 {
@@ -80,7 +81,8 @@
     static constexpr auto list = std::make_tuple(
         &T::sequence, &T::echoedSequence, &T::echoDelay, &T::viewRevision, &T::viewAge,
         &T::platformFailing, &T::platformFailureAge, &T::isReady, &T::isLeaving,
-        &T::requestsInFlight, &T::credits, &T::holdings, &T::closings);
+        &T::requestsInFlight, &T::credits, &T::holdings, &T::closings, &T::senderEpoch,
+        &T::receiverEpoch, &T::suspects);
 };
 template<> struct Fields<core::BorrowRequest>
 {
@@ -88,8 +90,10 @@
 };
 template<> struct Fields<core::BorrowReply>
 {
+    using T = core::BorrowReply;
     static constexpr auto list =
-        std::make_tuple(&core::BorrowReply::credits, &core::BorrowReply::holdings);
+        std::make_tuple(&T::credits, &T::holdings, &T::sequence, &T::senderEpoch,
+                        &T::receiverEpoch);
 };
 template<> struct Fields<core::ViewRequest>
 {
