Add bluebellload, the open-loop load tool

Cause: latency, the worst-served team, requests refused though within a team's rate, and the truth of "not run" must be measured from outside.

Change: bluebellshift/load: a seeded Poisson schedule, callers that keep to it whatever became of earlier requests, an ideal token bucket per team, log-bucket histograms, a check of every answer (own caller id and body hash) and of every claim against the runs that the stand-ins counted, results as JSON and a table, and ratios of two results. Targets also count runs by caller.

The first version let libcurl resend a ticketed POST silently, found by callerstest; requests that may not be repeated now use a new connection. A resend that then finds no connection was taken for "never sent"; httplooptest fails without the check of the bytes sent.

--- /dev/null
+++ b/bluebellshift/load/idealbucket.h
@@ -0,0 +1,42 @@
+// A token bucket as one machine that sees every request would run it.
+//
+//   IdealBucket bucket(100, 200); // 100 a second, burst 200
+//   bool isWithinRate = bucket.take(arrival.at);
+#pragma once
+
+#include <algorithm>
+
+#include "bluebellshift/core/units.h"
+
+namespace bluebellshift::load {
+
+class IdealBucket
+{
+public:
+    // Starts full.
+    IdealBucket(double ratePerSecond, double burst)
+        : rate_(ratePerSecond)
+        , burst_(burst)
+        , tokens_(burst)
+    {
+    }
+
+    // Takes one token if there is one. Call in the order of time.
+    bool take(core::Duration at)
+    {
+        tokens_ = std::min(burst_, tokens_ + (at - last_).toSeconds() * rate_);
+        last_ = at;
+        if (tokens_ < 1)
+            return false;
+        tokens_ -= 1;
+        return true;
+    }
+
+private:
+    const double rate_;
+    const double burst_;
+    double tokens_;
+    core::Duration last_;
+};
+
+} // namespace bluebellshift::load
--- /dev/null
+++ b/bluebellshift/load/runcheck.cpp
@@ -0,0 +1,77 @@
+// A refusal to a request with a ticket speaks of the ticket's whole history, so
+// the last claim counts. Without a ticket a refusal speaks of its own attempt,
+// so all of a request's attempts must have been "not run" for none to have run.
+#include "bluebellshift/load/runcheck.h"
+
+namespace bluebellshift::load {
+
+namespace {
+
+constexpr std::size_t examplesMost = 10;
+
+std::uint32_t countOf(const std::map<std::string, std::uint32_t> &counts, const std::string &key)
+{
+    const auto found = counts.find(key);
+    return found == counts.end() ? 0 : found->second;
+}
+
+void addExample(RunCheck &check, const std::string &text)
+{
+    if (check.examples.size() < examplesMost)
+        check.examples.push_back(text);
+}
+
+void checkClaim(RunCheck &check, const Outcome &outcome, std::uint32_t runs,
+                const std::string &callerId)
+{
+    const bool isTicketed = !outcome.ticketId.empty();
+    const bool isNotRun =
+        outcome.claim == core::Run::NotRun && (isTicketed || outcome.isEveryClaimNotRun);
+    if (isNotRun) {
+        ++check.claimedNotRun;
+        check.falseNotRun += runs > 0 ? 1 : 0;
+        if (runs > 0)
+            addExample(check, callerId + " was told not-run (" + outcome.code + ") and ran");
+        return;
+    }
+    if (outcome.claim != core::Run::Ran) {
+        ++check.unknown;
+        return;
+    }
+    ++check.claimedRan;
+    check.falseRan += runs == 0 ? 1 : 0;
+    if (runs == 0)
+        addExample(check, callerId + " was told that it ran and did not");
+}
+
+} // namespace
+
+std::string callerIdOf(std::uint64_t seed, std::size_t position)
+{
+    return "caller-" + std::to_string(seed) + "-" + std::to_string(position);
+}
+
+RunCheck checkRuns(std::uint64_t seed, const std::vector<Arrival> &arrivals,
+                   const std::vector<Outcome> &outcomes, const RunCounts &counts)
+{
+    RunCheck check;
+    std::map<std::string, std::uint32_t> unused = counts.byTicket;
+    for (std::size_t i = 0; i < arrivals.size(); ++i) {
+        const Outcome &outcome = outcomes[i];
+        const std::string callerId = callerIdOf(seed, i);
+        const std::uint32_t runs = countOf(counts.byCaller, callerId);
+        checkClaim(check, outcome, runs, callerId);
+        if (outcome.ticketId.empty())
+            continue;
+        ++check.tickets;
+        if (countOf(counts.byTicket, outcome.ticketId) > 1) {
+            ++check.ranTwice;
+            addExample(check, callerId + " ran twice with ticket " + outcome.ticketId);
+        }
+        unused.erase(outcome.ticketId);
+    }
+    check.strangers = unused.size();
+    return check;
+}
+
+} // namespace bluebellshift::load
--- /dev/null
+++ b/bluebellshift/load/specs.h
@@ -0,0 +1,26 @@
+// Parts of the command line: lists of key=value pairs separated by commas.
+//
+//   absl::StatusOr<TeamLoad> team = parseTeam("name=multan,key=K,rate=400,limit=400,burst=800");
+#pragma once
+
+#include <string>
+
+#include "absl/status/statusor.h"
+#include "bluebellshift/core/roster.h"
+#include "bluebellshift/load/schedule.h"
+
+namespace bluebellshift::load {
+
+// name, key, rate, limit, burst, client (IPv4), vm (position in the list of VMs).
+absl::StatusOr<TeamLoad> parseTeam(const std::string &text);
+
+// name, weight, path (repeatable), once (may not be repeated).
+absl::StatusOr<ServiceLoad> parseService(const std::string &text);
+
+// team, at_ms, factor, vm.
+absl::StatusOr<LoadChange> parseChange(const std::string &text);
+
+// "ADDRESS:PORT".
+absl::StatusOr<core::Endpoint> parseEndpoint(const std::string &text);
+
+} // namespace bluebellshift::load
--- /dev/null
+++ b/bluebellshift/load/testing/callerstest.cpp
@@ -0,0 +1,238 @@
+// Callers against a scripted VM and against stand-ins for targets.
+#include <CppUTest/TestHarness.h>
+
+#include <deque>
+#include <mutex>
+
+#include "bluebellshift/load/callers.h"
+#include "bluebellshift/load/runcheck.h"
+#include "bluebellshift/load/runsource.h"
+#include "bluebellshift/load/summary.h"
+#include "bluebellshift/load/verdict.h"
+#include "bluebellshift/standin/targetserver.h"
+
+using namespace bluebellshift;
+using namespace bluebellshift::core;
+using namespace bluebellshift::load;
+using namespace bluebellshift::standin;
+
+namespace {
+
+HttpReply textReply(int status, const std::string &body)
+{
+    HttpReply reply;
+    reply.status = status;
+    reply.body = body;
+    return reply;
+}
+
+HttpReply refusal(const char *code, const char *run)
+{
+    return textReply(503, std::string(R"({"code":")") + code + R"(","run":")" + run + R"("})");
+}
+
+HttpReply nothing()
+{
+    HttpReply reply;
+    reply.delivery = Delivery::Nothing;
+    return reply;
+}
+
+std::string answerTo(const HttpRequest &request, const std::string &caller)
+{
+    return R"({"caller":")" + caller + R"(","hash":")" + hashOf(request.body) + R"("})";
+}
+
+// A VM that gives out tickets and answers requests as its script says; once the
+// script has ended it answers each request properly.
+class ScriptedVm
+{
+public:
+    explicit ScriptedVm(std::deque<HttpReply> script)
+        : script_(std::move(script))
+        , server_({ "127.0.0.1", 0 }, HttpServerOptions(),
+                  [this](const HttpRequest &request) { return serve(request); })
+    {
+        CHECK(server_.start().ok());
+    }
+
+    Endpoint endpoint() const { return { "127.0.0.1", server_.port() }; }
+    std::vector<std::string> ticketsSeen;
+    int ticketsGiven = 0;
+    int lookups = 0;
+
+private:
+    HttpReply serve(const HttpRequest &request)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (request.path == "/v1/lookup") {
+            ++lookups;
+            return textReply(200,
+                             R"({"vms":[{"address":"127.0.0.1","port":)"
+                                 + std::to_string(server_.port()) + R"(}],"cache_ms":60000})");
+        }
+        if (request.path == "/v1/tickets")
+            return textReply(200, R"({"ticket":"T)" + std::to_string(ticketsGiven++) + R"("})");
+        ticketsSeen.push_back(request.header("Bluebellshift-Ticket"));
+        if (script_.empty())
+            return textReply(200, answerTo(request, request.header(callerIdHeader)));
+        const HttpReply reply = script_.front();
+        script_.pop_front();
+        return reply;
+    }
+
+    std::mutex mutex_;
+    std::deque<HttpReply> script_;
+    HttpServer server_;
+};
+
+ScheduleOptions scheduleOf(double onceFraction)
+{
+    ScheduleOptions options;
+    options.teams.resize(1);
+    options.teams[0].team = TeamId("multan");
+    options.teams[0].key = "secret";
+    options.teams[0].ratePerSecond = 1000;
+    options.services.resize(1);
+    options.services[0].service = ServiceId("rota");
+    options.services[0].path = options.services[0].oncePath = "/turns";
+    options.onceFraction = onceFraction;
+    return options;
+}
+
+CallerOptions callersOf(std::vector<Endpoint> vms)
+{
+    CallerOptions options;
+    options.directory.vms = std::move(vms);
+    options.retryPause = Duration::millis(1);
+    options.threads = 1;
+    return options;
+}
+
+} // namespace
+
+TEST_GROUP(Callers) {};
+
+TEST(Callers, ARequestIsTriedAgainOnlyWhenThatIsSafe)
+{
+    const struct
+    {
+        const char *text;
+        bool isOnce;
+        HttpReply first;
+        End end;
+        int attempts;
+        Run claim;
+    } cases[] = {
+        { "answered", true, textReply(200, ""), End::Wrong, 1, Run::Unknown },
+        { "silence with a ticket", true, nothing(), End::Answered, 2, Run::Ran },
+        { "in progress", true, refusal("ticket-in-progress", "unknown"), End::Answered, 2,
+          Run::Ran },
+        { "home away", true, refusal("home-unreachable", "unknown"), End::Answered, 2, Run::Ran },
+        { "outcome unknown", true, refusal("outcome-unknown", "unknown"), End::Refused, 1,
+          Run::Unknown },
+        { "over the rate", true, refusal("over-rate", "not-run"), End::Refused, 1, Run::NotRun },
+        { "leaving", false, refusal("leaving", "not-run"), End::Answered, 2, Run::Ran },
+        { "leaving, perhaps run", false, refusal("leaving", "unknown"), End::Refused, 1,
+          Run::Unknown },
+        { "another's answer", false, textReply(200, R"({"caller":"other","hash":"0"})"), End::Wrong,
+          1, Run::Unknown },
+        { "an error of the target", false, textReply(503, R"({"error":"no free slot"})"),
+          End::TargetError, 1, Run::Unknown },
+        { "key seen", false, textReply(200, R"({"caller":"other","headers":["AUTHORIZATION"]})"),
+          End::Wrong, 1, Run::Unknown },
+    };
+    for (const auto &c : cases) {
+        ScriptedVm vm({ c.first });
+        ScheduleOptions schedule = scheduleOf(c.isOnce ? 1 : 0);
+        schedule.requestsMost = 1;
+        const std::vector<Outcome> outcomes =
+            runCallers(callersOf({ vm.endpoint() }), schedule, makeSchedule(schedule));
+        const Outcome &outcome = outcomes.at(0);
+        LONGS_EQUAL_TEXT(static_cast<int>(c.end), static_cast<int>(outcome.end), c.text);
+        LONGS_EQUAL_TEXT(c.attempts, outcome.attempts, c.text);
+        LONGS_EQUAL_TEXT(static_cast<int>(c.claim), static_cast<int>(outcome.claim), c.text);
+        CHECK_EQUAL_TEXT(std::string(c.text) == "key seen", outcome.hasSeenKey, c.text);
+        LONGS_EQUAL_TEXT(c.isOnce ? 1 : 0, vm.ticketsGiven, c.text);
+        for (const std::string &ticket : vm.ticketsSeen)
+            STRCMP_EQUAL_TEXT(c.isOnce ? "T0" : "", ticket.c_str(), c.text);
+    }
+}
+
+TEST(Callers, ARefusedConnectionIsTriedElsewhere)
+{
+    Endpoint closed;
+    {
+        ScriptedVm gone({});
+        closed = gone.endpoint();
+    }
+    ScriptedVm vm({});
+    ScheduleOptions schedule = scheduleOf(0.5);
+    schedule.requestsMost = 50;
+    const std::vector<Arrival> arrivals = makeSchedule(schedule);
+    const Summary summary = summarize(
+        schedule, arrivals, runCallers(callersOf({ closed, vm.endpoint() }), schedule, arrivals));
+    LONGS_EQUAL(50, summary.all.answered);
+    CHECK(summary.all.attempts > 50);
+}
+
+TEST(Callers, LookUpsAreKept)
+{
+    ScriptedVm vm({});
+    ScheduleOptions schedule = scheduleOf(0);
+    schedule.requestsMost = 50;
+    CallerOptions callers = callersOf({ vm.endpoint() });
+    callers.directory.isLookingUp = true;
+    const std::vector<Arrival> arrivals = makeSchedule(schedule);
+    const Summary summary = summarize(schedule, arrivals, runCallers(callers, schedule, arrivals));
+    LONGS_EQUAL(50, summary.all.answered);
+    LONGS_EQUAL(1, vm.lookups);
+}
+
+TEST(Callers, AMalformedLookUpNamesNoVms)
+{
+    const char *const bodies[] = {
+        "", "[]", "{}", R"({"vms":7})", R"({"vms":[{}]})", R"({"vms":[{"address":"a","port":"b"}]})"
+    };
+    Duration cacheTime = Duration::seconds(1);
+    for (const char *body : bodies)
+        CHECK_TEXT(parseLookup(body, cacheTime).empty(), body);
+    const auto vms = parseLookup(
+        R"({"vms":[{"id":"x","address":"10.0.0.1","port":80,"weight":0.5}],"cache_ms":250})",
+        cacheTime);
+    LONGS_EQUAL(80, vms.at(0).endpoint.port);
+    DOUBLES_EQUAL(0.5, vms.at(0).weight, 0);
+    LONGS_EQUAL(250, cacheTime.toMillis());
+}
+
+TEST(Callers, DirectRequestsAgreeWithTheTargetsCounts)
+{
+    TargetServerOptions options;
+    options.first = { "127.0.0.1", 0 };
+    options.count = 2;
+    options.slots = 1000;
+    TargetServer targets(options);
+    CHECK(targets.start().ok());
+    TargetFaults faults;
+    faults.isCutting = true;
+    faults.every = 10;
+    targets.target(0).setFaults(faults);
+    ScheduleOptions schedule = scheduleOf(0.3);
+    schedule.requestsMost = 400;
+    CallerOptions callers =
+        callersOf({ { "127.0.0.1", targets.port(0) }, { "127.0.0.1", targets.port(1) } });
+    callers.isDirect = true;
+    callers.threads = 2;
+    const std::vector<Arrival> arrivals = makeSchedule(schedule);
+    const std::vector<Outcome> outcomes = runCallers(callers, schedule, arrivals);
+    const Summary summary = summarize(schedule, arrivals, outcomes);
+    const std::uint64_t cut = targets.target(0).counts().requests / 10;
+    CHECK(cut > 0);
+    LONGS_EQUAL(cut, summary.all.failed);
+    LONGS_EQUAL(400 - cut, summary.all.answered);
+    const RunCounts counts = *fetchRuns({ { "127.0.0.1", targets.port(1) } });
+    const RunCheck check = checkRuns(schedule.seed, arrivals, outcomes, counts);
+    CHECK(check.isClean());
+    LONGS_EQUAL(400 - cut, check.claimedRan);
+    LONGS_EQUAL(cut, check.unknown);
+}
--- /dev/null
+++ b/bluebellshift/load/testing/httplooptest.cpp
@@ -0,0 +1,84 @@
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <thread>
+
+#include "bluebellshift/load/httploop.h"
+#include "bluebellshift/standin/testing/rawsocket.h"
+
+using namespace bluebellshift::core;
+using namespace bluebellshift::load;
+using namespace bluebellshift::standin;
+
+namespace {
+
+const char reply[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+HttpResult runCall(HttpLoop &loop, std::uint16_t port, bool isSentOnce)
+{
+    HttpCall call;
+    call.method = "POST";
+    call.url = "http://127.0.0.1:" + std::to_string(port) + "/";
+    call.isSentOnce = isSentOnce;
+    HttpResult last;
+    loop.start(std::move(call), [&last](const HttpResult &result) { last = result; });
+    loop.run();
+    return last;
+}
+
+} // namespace
+
+TEST_GROUP(HttpLoop) {};
+
+TEST(HttpLoop, ARequestThatLibcurlSentBeforeItFoundNoConnectionWasSent)
+{
+    auto listener = std::make_unique<RawListener>();
+    const std::uint16_t port = listener->port();
+    std::thread server([&listener] {
+        RawConnection connection = listener->accept();
+        connection.readUntil("\r\n\r\n");
+        connection.send(reply);
+        connection.readUntil("\r\n\r\n"); // the second request arrives
+        listener.reset();                 // and nothing listens any more
+    });
+    HttpLoop loop;
+    CHECK(runCall(loop, port, false).isWhole);
+    const HttpResult second = runCall(loop, port, false);
+    server.join();
+    CHECK_FALSE(second.isWhole);
+    CHECK_FALSE(second.isUnconnected);
+    CHECK_TRUE(runCall(loop, port, false).isUnconnected);
+}
+
+TEST(HttpLoop, WhatIsSentOnceUsesAConnectionOfItsOwn)
+{
+    RawListener listener;
+    std::thread server([&listener] {
+        for (int i = 0; i < 3; ++i) {
+            RawConnection connection = listener.accept();
+            connection.readUntil("\r\n\r\n");
+            if (i < 2)
+                connection.send(reply);
+        }
+    });
+    HttpLoop loop;
+    CHECK(runCall(loop, listener.port(), true).isWhole);
+    CHECK(runCall(loop, listener.port(), true).isWhole);
+    CHECK_FALSE(runCall(loop, listener.port(), true).isWhole);
+    server.join();
+    CHECK_FALSE(listener.hasConnection());
+}
+
+TEST(HttpLoop, TasksRunInTheOrderOfTime)
+{
+    HttpLoop loop;
+    std::string order;
+    const auto now = HttpLoop::Clock::now();
+    loop.runAt(now + std::chrono::milliseconds(2), [&] { order += "b"; });
+    loop.runAt(now, [&] {
+        order += "a";
+        loop.runAt(now + std::chrono::milliseconds(4), [&] { order += "c"; });
+    });
+    loop.run();
+    STRCMP_EQUAL("abc", order.c_str());
+}
--- a/bluebellshift/standin/faketarget.cpp
+++ b/bluebellshift/standin/faketarget.cpp
@@ -61,7 +61,7 @@
         counts_.busyMost = std::max(counts_.busyMost, busy_);
         isStruck = counts_.requests % std::max(1U, faults_.every) == 0;
     }
-    runs_.add(request.header(ticketIdHeader));
+    runs_.add(request.header(ticketIdHeader), request.header(callerIdHeader));
     return run(request, isStruck);
 }
 
--- a/bluebellshift/standin/runrecord.cpp
+++ b/bluebellshift/standin/runrecord.cpp
@@ -1,14 +1,16 @@
-// A map under a mutex; an entry is about 100 bytes, so 100,000 tickets are 10 MB.
+// Maps under a mutex; an entry is about 100 bytes, so 100,000 tickets are 10 MB.
 #include "bluebellshift/standin/runrecord.h"
 
 namespace bluebellshift::standin {
 
-void RunRecord::add(const std::string &ticket)
+void RunRecord::add(const std::string &ticket, const std::string &caller)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
     ++total_;
     if (!ticket.empty())
         ++byTicket_[ticket];
+    if (!caller.empty())
+        ++byCaller_[caller];
 }
 
 std::uint64_t RunRecord::total() const
@@ -23,6 +25,12 @@
     return byTicket_;
 }
 
+RunRecord::Counts RunRecord::byCaller() const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return byCaller_;
+}
+
 RunRecord::Counts RunRecord::repeated() const
 {
     Counts repeated;
--- a/bluebellshift/standin/runrecord.h
+++ b/bluebellshift/standin/runrecord.h
@@ -1,7 +1,8 @@
-// Counts how often each ticket ran, over all targets of one process.
+// Counts how often each ticket's and each caller's request ran, over all targets
+// of one process.
 //
 //   RunRecord runs;
-//   runs.add("ticket-1");
+//   runs.add("ticket-1", "caller-7");
 //   runs.repeated(); // tickets that ran more than once
 #pragma once
 
@@ -17,17 +18,19 @@
 public:
     using Counts = std::map<std::string, std::uint32_t>;
 
-    // Counts one run; an empty ticket is a run without a ticket.
-    void add(const std::string &ticket);
+    // Counts one run; an empty ticket or caller is none.
+    void add(const std::string &ticket, const std::string &caller);
 
     std::uint64_t total() const;
     Counts byTicket() const;
+    Counts byCaller() const;
     Counts repeated() const;
 
 private:
     mutable std::mutex mutex_;
     std::uint64_t total_ = 0;
     Counts byTicket_;
+    Counts byCaller_;
 };
 
 } // namespace bluebellshift::standin
--- a/bluebellshift/standin/targetserver.cpp
+++ b/bluebellshift/standin/targetserver.cpp
@@ -128,7 +128,10 @@
 {
     const bool isOnlyRepeated = request.number("repeated", 0) != 0;
     const RunRecord::Counts counts = isOnlyRepeated ? runs_.repeated() : runs_.byTicket();
-    return jsonReply(200, { { "total", runs_.total() }, { "tickets", counts } });
+    Json json = { { "total", runs_.total() }, { "tickets", counts } };
+    if (request.number("callers", 0) != 0)
+        json["callers"] = runs_.byCaller();
+    return jsonReply(200, json);
 }
 
 HttpReply TargetServer::serveFaults(FakeTarget &target, const HttpRequest &request)
--- a/bluebellshift/standin/targetserver.h
+++ b/bluebellshift/standin/targetserver.h
@@ -8,6 +8,7 @@
 //
 //   GET /standin/runs            {"total","tickets":{ID: COUNT}}, of all targets
 //   GET /standin/runs?repeated=1 the same with only the tickets that ran more than once
+//   GET /standin/runs?callers=1  with "callers":{X-Caller-Id: COUNT} as well
 //   GET /standin/counts          {"requests","shed",...} of this target
 //   GET, PUT /standin/faults     of this target; ?all=1 sets those of all targets
 #pragma once
