--- a/bluebellshift/core/bundleparser.cpp
+++ b/bluebellshift/core/bundleparser.cpp
@@ -215,7 +215,7 @@
             result.push_back({ RegionId(std::string(region.str())), share / percent });
         }
         if (std::abs(sum / percent - 1) > sumTolerance)
-            fault(key, fmt::format("\"{}\" sums to {} percent, not 100", key, sum));
+            fault(key, fmt::format("\"{}\" sums to {:g} percent, not 100", key, sum));
         return result;
     }
 
@@ -531,7 +531,7 @@
             callers += region.callerFraction;
         if (!bundle_.regions.empty() && std::abs(callers - 1) > sumTolerance)
             root_.fault("region",
-                        fmt::format("\"callers_percent\" of the regions sums to {}, "
+                        fmt::format("\"callers_percent\" of the regions sums to {:g}, "
                                     "not 100",
                                     callers * percent));
         double traffic = 0;
@@ -539,7 +539,7 @@
             traffic += service.trafficFraction;
         if (!bundle_.services.empty() && std::abs(traffic - 1) > sumTolerance)
             root_.fault("service",
-                        fmt::format("\"traffic_percent\" of the services sums to {}, "
+                        fmt::format("\"traffic_percent\" of the services sums to {:g}, "
                                     "not 100",
                                     traffic * percent));
     }
