--- a/bluebellshift/platform/httpplatformclient.cpp
+++ b/bluebellshift/platform/httpplatformclient.cpp
@@ -79,6 +79,15 @@
     return json.contains(field) && json[field].is_boolean() && json[field].get<bool>();
 }
 
+WriteResult unreachable(const std::string &kind, const std::string &name)
+{
+    WriteResult result;
+    result.outcome = PlatformOutcome::Unreachable;
+    result.object.kind = kind;
+    result.object.name = name;
+    return result;
+}
+
 // Returns false when the entry names no object.
 bool readObject(const Json &json, Object &object)
 {
@@ -249,6 +258,8 @@
 WriteResult HttpPlatformClient::write(const std::string &kind, const std::string &name,
                                       Revision expected, const std::string &value)
 {
+    if (value.size() > valueBytesMost)
+        return unreachable(kind, name);
     Call call;
     call.method = "PUT";
     call.url = objectUrl(kind, name) + "?expected=" + std::to_string(expected.number());
--- a/bluebellshift/platform/platformclient.h
+++ b/bluebellshift/platform/platformclient.h
@@ -54,7 +54,8 @@
     virtual ReadResult read(const std::string &kind, const std::string &name) = 0;
 
     // Writes if the object's version is `expected`; 0: if it does not exist.
-    // Never sent twice. Ends as Done, Conflict, Unknown or Unreachable.
+    // Never sent twice, and not at all if the value has more than valueBytesMost
+    // bytes. Ends as Done, Conflict, Unknown or Unreachable.
     virtual WriteResult write(const std::string &kind, const std::string &name,
                               core::Revision expected, const std::string &value) = 0;
 
--- a/bluebellshift/standin/testing/platformcontracttest.cpp
+++ b/bluebellshift/standin/testing/platformcontracttest.cpp
@@ -299,6 +299,36 @@
     });
 }
 
+TEST(PlatformContract, AValueThatIsTooLargeIsNotSent)
+{
+    forEachSubject([](Subject &subject) {
+        const std::string value(valueBytesMost + 1, 'x');
+        const WriteResult result = subject.client().write("keys", "a", Revision(), value);
+        checkOutcome(PlatformOutcome::Unreachable, result.outcome, subject.name());
+        LONGS_EQUAL(0, subject.service.counts().writes);
+    });
+}
+
+TEST(PlatformContract, AWriteMayTakeEffectAfterItsClientGaveUp)
+{
+    PlatformService service(smallHistory());
+    PlatformServer server(service, { "127.0.0.1", 0 });
+    CHECK(server.start().ok());
+    HttpPlatformOptions options;
+    options.callTimeout = Duration::millis(20);
+    HttpPlatformClient client({ "127.0.0.1", server.port() }, options);
+    PlatformFaults faults;
+    faults.slow = Duration::millis(150);
+    service.setFaults(faults);
+    checkOutcome(PlatformOutcome::Unknown, client.write("keys", "a", Revision(), "late").outcome,
+                 "slow");
+    service.setFaults(PlatformFaults());
+    const std::optional<WatchReply> reply = service.watch(Revision(), longWait);
+    CHECK(reply.has_value());
+    LONGS_EQUAL(1, reply->changes.objects.size());
+    STRCMP_EQUAL("late", reply->changes.objects[0].value.c_str());
+}
+
 TEST(PlatformContract, ThePlatformsListOfVmsLags)
 {
     PlatformServiceOptions options;
