--- a/bluebellshift/core/capacity.cpp
+++ b/bluebellshift/core/capacity.cpp
@@ -78,13 +78,13 @@
         answers += serviceBytes(bundle, service, link.from, service.answerBytes);
         requests += serviceBytes(bundle, service, link.to, requestBytes);
     }
-    answers *= callersAt(bundle, link.to);
-    requests *= callersAt(bundle, link.from);
+    answers *= bitsPerByte * callersAt(bundle, link.to);
+    requests *= bitsPerByte * callersAt(bundle, link.from);
     load.demand = answers + requests;
-    load.limit = link.bitsPerSecond / bitsPerByte * (1 - burstFraction);
+    load.limit = link.bitsPerSecond * (1 - burstFraction);
     load.arithmetic = fmt::format(
         "link \"{}\" to \"{}\": all teams at their rates ask for answers {:.0f} + requests {:.0f} "
-        "= {:.0f} bytes a second; {:.0f} can be sustained ({:.0f}% of \"megabits_per_second\" = "
+        "= {:.0f} bits a second; {:.0f} can be sustained ({:.0f}% of \"megabits_per_second\" = "
         "{})",
         link.from.text(), link.to.text(), answers, requests, load.demand, load.limit,
         (1 - burstFraction) * 100, link.bitsPerSecond / 1e6);
@@ -120,8 +120,7 @@
     for (const Region &region : bundle.regions)
         limits.push_back(limitWithin(regionAccount(region.id), region.capacityPerSecond));
     for (const Link &link : bundle.links) {
-        limits.push_back(
-            limitWithin(linkAccount(link.from, link.to), link.bitsPerSecond / bitsPerByte));
+        limits.push_back(limitWithin(linkAccount(link.from, link.to), link.bitsPerSecond));
     }
     return limits;
 }
--- a/bluebellshift/core/capacity.h
+++ b/bluebellshift/core/capacity.h
@@ -23,7 +23,7 @@
 struct CapacityLoad
 {
     AccountId account;
-    double demand = 0;      // requests a second, or bytes a second of a link
+    double demand = 0;      // requests a second, or bits a second of a link
     double limit = 0;       // the same unit
     std::string arithmetic; // the terms of the sum, in words and numbers
 
@@ -33,7 +33,7 @@
 // Returns the loads of all regions, then of all links, in the bundle's order.
 std::vector<CapacityLoad> capacityLoads(const Bundle &bundle);
 
-// Returns the limits of teams (requests), regions (requests) and links (bytes).
+// Returns the limits of teams (requests), regions (requests) and links (bits).
 std::vector<AccountLimit> accountLimits(const Bundle &bundle);
 
 // Returns the split of a team's part of a service.
--- a/bluebellshift/core/logevent.cpp
+++ b/bluebellshift/core/logevent.cpp
@@ -13,7 +13,7 @@
         log::requestRefused,    log::requestAnswered,  log::attemptFailed,    log::requestRelayed,
         log::answerReplayed,    log::targetEjected,    log::targetReturned,   log::targetLeaving,
         log::snapshotPublished, log::shiftStepTaken,   log::shiftPaused,      log::shiftFinished,
-        log::regionHeldOut,     log::regionAdmitted,   log::regionReturning,  log::changeAccepted,
+        log::regionHeldOut,     log::regionAdmitted,   log::regionUnsettled,  log::changeAccepted,
         log::changeLost,        log::changeUnresolved, log::operatorRejected,
     };
     return events;
--- a/bluebellshift/core/logevent.h
+++ b/bluebellshift/core/logevent.h
@@ -61,7 +61,7 @@
 inline constexpr LogEvent shiftFinished { 604, LogLevel::Info, "shift-finished" };
 inline constexpr LogEvent regionHeldOut { 605, LogLevel::Warning, "region-held-out" };
 inline constexpr LogEvent regionAdmitted { 606, LogLevel::Info, "region-admitted" };
-inline constexpr LogEvent regionReturning { 607, LogLevel::Info, "region-returning" };
+inline constexpr LogEvent regionUnsettled { 607, LogLevel::Warning, "region-unsettled" };
 // 7xx: administration
 inline constexpr LogEvent changeAccepted { 701, LogLevel::Info, "change-accepted" };
 inline constexpr LogEvent changeLost { 702, LogLevel::Info, "change-lost" };
--- a/bluebellshift/core/rollout.h
+++ b/bluebellshift/core/rollout.h
@@ -52,7 +52,8 @@
     WallTime beganAt;      // UTC
     WallTime changedAt;    // UTC
     std::vector<ServiceShift> services;
-    std::vector<RegionId> returning; // regions that may ramp up; no step is taken meanwhile
+    // Regions that some VM finds failed or ramps up; no step is taken meanwhile.
+    std::vector<RegionId> unsettledRegions;
 
     const ServiceShift *findService(const ServiceId &id) const;
 };
@@ -86,10 +87,6 @@
 Duration movementWait(const Service &service, const Bundle *previous, double clockDrift);
 Duration longestMovementWait(const Bundle &bundle, const Bundle *previous, double clockDrift);
 
-// Returns the most by which a returning region's admitted fraction may grow at
-// once, so that no service moves more than its cap.
-double rampStep(const Bundle &bundle, const RegionId &region);
-
 // Returns the number of steps for a distance under a cap.
 int stepsFor(double distance, double capFraction);
 
--- a/bluebellshift/core/shift.cpp
+++ b/bluebellshift/core/shift.cpp
@@ -22,6 +22,7 @@
 #include <cmath>
 #include <utility>
 
+#include "bluebellshift/core/capacity.h"
 #include "fmt/format.h"
 
 namespace bluebellshift::core {
@@ -47,6 +48,15 @@
     return text;
 }
 
+// The largest part of a service's, or one of its teams', traffic in a region.
+double largestFraction(const Service &service, const RegionId &region)
+{
+    double largest = fractionOf(service.split, region);
+    for (const TeamSplit &own : service.teamSplits)
+        largest = std::max(largest, fractionOf(own.split, region));
+    return largest;
+}
+
 bool isStepsDone(const Rollout &rollout)
 {
     return std::all_of(rollout.services.begin(), rollout.services.end(),
@@ -85,15 +95,15 @@
             continue;
         watch = Watch { rollout.serial, shift.step, version, Instant::never() };
     }
-    if (returningWatch_.step < 0 || rollout.returning != rollout_.returning)
-        returningWatch_ = Watch { rollout.serial, 0, version, Instant::never() };
+    if (regionsWatch_.step < 0 || rollout.unsettledRegions != rollout_.unsettledRegions)
+        regionsWatch_ = Watch { rollout.serial, 0, version, Instant::never() };
 }
 
 void Shift::observeAll(Instant now)
 {
     for (auto &item : watches_)
         observe(item.second, now);
-    observe(returningWatch_, now);
+    observe(regionsWatch_, now);
 }
 
 void Shift::observe(Watch &watch, Instant now) const
@@ -117,37 +127,41 @@
     if (shift.step == 0 && rollout_.isSettled)
         return true;
     const Duration wait = movementWait(*service, previous_.get(), options_.clockDrift);
-    return hasRunOut(watch->second, wait, now) && hasRunOut(returningWatch_, wait, now);
+    return hasRunOut(watch->second, wait, now) && hasRunOut(regionsWatch_, wait, now);
 }
 
 bool Shift::isAllDone(Instant now) const
 {
-    if (!isStepsDone(rollout_) || !rollout_.returning.empty())
+    if (!isStepsDone(rollout_) || !rollout_.unsettledRegions.empty())
         return false;
     const Duration wait = longestMovementWait(*bundle_, previous_.get(), options_.clockDrift);
     for (const ServiceShift &shift : rollout_.services) {
         if (!hasRunOut(watches_.at(shift.service), wait, now))
             return false;
     }
-    return hasRunOut(returningWatch_, wait, now);
+    return hasRunOut(regionsWatch_, wait, now);
 }
 
 // Time for every VM to ramp up from nothing. A VM that is not done by then, or
 // lost the region again, asks anew.
-Duration Shift::returnTime() const
+Duration Shift::settleTime() const
 {
     const Duration wait = longestMovementWait(*bundle_, previous_.get(), options_.clockDrift);
-    std::int64_t steps = 1;
-    for (const RegionId &region : rollout_.returning) {
-        const double step = rampStep(*bundle_, region);
-        steps = std::max(steps, static_cast<std::int64_t>(std::ceil(1 / step)));
+    int steps = 1;
+    for (const RegionId &region : rollout_.unsettledRegions) {
+        int most = 0;
+        for (const Service &service : bundle_->services) {
+            const double fraction = largestFraction(service, region);
+            most = std::max(most, stepsFor(fraction, service.shiftCapFraction));
+        }
+        steps += most;
     }
-    return wait * (steps + 1);
+    return wait * steps;
 }
 
 std::optional<Rollout> Shift::dueChange(Instant now) const
 {
-    if (std::optional<Rollout> next = dueReturn(now))
+    if (std::optional<Rollout> next = dueRegions(now))
         return next;
     if (rollout_.state != RolloutState::Moving)
         return std::nullopt;
@@ -158,21 +172,21 @@
     return dueStep(now);
 }
 
-// Lists the regions that wait to ramp up. No traffic moves by this alone, so it
-// is due at any time; from then on the roll-out is not settled.
-std::optional<Rollout> Shift::dueReturn(Instant now) const
+// Lists the regions that are down or ramp up here. No traffic moves by this
+// alone, so it is due at any time; from then on the roll-out is not settled.
+std::optional<Rollout> Shift::dueRegions(Instant now) const
 {
     Rollout next = rollout_;
-    for (const RegionId &region : hooks_.regionsToReturn()) {
-        const auto &listed = next.returning;
+    for (const RegionId &region : hooks_.unsettledRegions()) {
+        const auto &listed = next.unsettledRegions;
         if (std::find(listed.begin(), listed.end(), region) == listed.end())
-            next.returning.push_back(region);
+            next.unsettledRegions.push_back(region);
     }
-    const bool isAdded = next.returning.size() > rollout_.returning.size();
-    if (!isAdded && (next.returning.empty() || !hasRunOut(returningWatch_, returnTime(), now)))
+    const bool isAdded = next.unsettledRegions.size() > rollout_.unsettledRegions.size();
+    if (!isAdded && (next.unsettledRegions.empty() || !hasRunOut(regionsWatch_, settleTime(), now)))
         return std::nullopt;
     if (!isAdded)
-        next.returning.clear();
+        next.unsettledRegions.clear();
     next.isSettled = false;
     if (next.state == RolloutState::Done)
         next.state = RolloutState::Moving;
@@ -181,7 +195,7 @@
 
 std::optional<Rollout> Shift::dueStep(Instant now) const
 {
-    if (!rollout_.returning.empty())
+    if (!rollout_.unsettledRegions.empty())
         return std::nullopt;
     Rollout next = rollout_;
     bool isDue = false;
@@ -288,9 +302,9 @@
 Effects Shift::logChange(const Rollout &next) const
 {
     std::vector<LogField> fields { { "bundle", next.bundle }, { "steps", progress(next) } };
-    if (!next.returning.empty()) {
-        fields.push_back({ "returning", joined(next.returning) });
-        return { WriteLog { { log::regionReturning, fields } } };
+    if (!next.unsettledRegions.empty()) {
+        fields.push_back({ "unsettled", joined(next.unsettledRegions) });
+        return { WriteLog { { log::regionUnsettled, fields } } };
     }
     if (next.state == RolloutState::Paused) {
         fields.push_back({ "reason", next.reason });
--- a/bluebellshift/core/shift.h
+++ b/bluebellshift/core/shift.h
@@ -29,8 +29,8 @@
     std::function<bool(Revision, Instant now)> isInForceEverywhere;
     // Why no more traffic should move now; nothing when all is well.
     std::function<std::optional<std::string>(Instant now)> whyUnhealthy;
-    // Regions that are up again and wait to ramp up (Steer::regionsToReturn).
-    std::function<std::vector<RegionId>()> regionsToReturn;
+    // Regions that are down here or ramp up (Steer::unsettledRegions).
+    std::function<std::vector<RegionId>()> unsettledRegions;
     // The position of this VM in the order in which VMs try a write; 0 is first.
     std::function<int(Revision)> rank;
     std::function<CallId()> newCall;
@@ -67,9 +67,9 @@
     bool hasRunOut(const Watch &watch, Duration wait, Instant now) const;
     bool stepIsDue(const ServiceShift &shift, Instant now) const;
     bool isAllDone(Instant now) const;
-    Duration returnTime() const;
+    Duration settleTime() const;
     std::optional<Rollout> dueChange(Instant now) const;
-    std::optional<Rollout> dueReturn(Instant now) const;
+    std::optional<Rollout> dueRegions(Instant now) const;
     std::optional<Rollout> dueStep(Instant now) const;
     Effects write(Rollout next, Instant now, WallTime wallTime);
     Effects onWritten(const PlatformReplied &reply);
@@ -83,7 +83,7 @@
     Rollout rollout_;
     Revision version_;
     std::map<ServiceId, Watch> watches_;
-    Watch returningWatch_;                // of the list of returning regions
+    Watch regionsWatch_;                  // of the list of unsettled regions
     Instant dueSince_ = Instant::never(); // since when the next change could be written
     std::optional<CallId> writing_;
     std::optional<CallId> reading_;
--- a/bluebellshift/core/steer.cpp
+++ b/bluebellshift/core/steer.cpp
@@ -3,15 +3,22 @@
 // within a few requests of its fraction, where draws would be off by the square
 // root of n. So the traffic that moves is the step, not the step and its noise.
 //
-// Failed regions. A region whose targets fail here is left out at once; its
-// requests go to the other regions of the split, as far as the ledger has tokens
-// for them. When it is up again its caches are cold, so its admitted fraction
-// grows from 0 in steps, each within the cap of every service, one for each
-// window, and only up to the warmth that is measured. Steps of a ramp and steps
-// of a roll-out must not add up within one window. They exclude each other
-// through the roll-out's object: a ramp moves only while the object lists its
-// region as returning, and no step is taken while it lists one (see shift.cpp).
-// Within one VM the ramp also waits a window after the VM's own last movement.
+// Weights. A request goes to region r with weight fraction(r) * admitted(r), so
+// that what one region does not get goes to the others in proportion. Only the
+// ratio of the admitted fractions counts. A region that comes up starts at a
+// millionth of the least of the others: it stands last, for requests that no
+// other region can take, which is better than a refusal; the ledger still keeps
+// it within its capacity.
+//
+// Failed regions. A region whose targets fail here is left out at once. When it
+// is up again its caches are cold, so its admitted fraction grows in
+// steps, each within the cap of every service, one for each window, and only up
+// to the warmth that is measured. Steps of a ramp and steps of a roll-out must
+// not add up within one window. They exclude each other through the roll-out's
+// object: a ramp moves only while the object lists its region as unsettled, and
+// no step is taken while it lists one (see shift.cpp). A step would also move
+// more than its size where a failed region's part has gone to the others. Within one VM the ramp
+// also waits a window after the VM's own last movement.
 //
 // Ways weighed: a ramp on each VM's own clock alone (rejected: added to a step it
 // exceeds the cap), and the ramp's fraction in the object (rejected: a region may
@@ -33,6 +40,9 @@
 
 constexpr double goldenStep = 0.6180339887498949; // the sequence n * this mod 1 is the most even
 constexpr double fullyAdmitted = 1 - 1e-9;
+constexpr double firstAdmitted = 1e-6;   // of the least of the other regions
+constexpr double firstWarmth = 0.2;      // a region can't warm up without any traffic
+constexpr double leastAdmitted = 1e-100; // where repeated failures would underflow
 
 // splitmix64: turns one random number into several.
 std::uint64_t nextRandom(std::uint64_t &state)
@@ -131,35 +141,65 @@
     Effects effects;
     if (bundle_ == nullptr)
         return effects;
+    const double least = leastOfThoseUp();
     for (const Region &region : bundle_->regions) {
         const RegionHealth health = hooks_.regionHealth(region.id);
-        RegionRamp &ramp = ramps_[region.id];
+        const auto [found, isNew] = ramps_.try_emplace(region.id);
+        RegionRamp &ramp = found->second;
         if (!health.isUp) {
             if (ramp.isUp)
                 effects.push_back(
                     WriteLog { { log::regionHeldOut, { { "region", region.id.text() } } } });
-            ramp.isUp = false;
-            ramp.admitted = 0;
+            ramp = { 0, false };
             continue;
         }
-        ramp.isUp = true;
+        if (!ramp.isUp)
+            ramp = { std::max(leastAdmitted, least), true };
         if (ramp.admitted < fullyAdmitted)
             growAdmitted(region.id, ramp, health.warmth, now, effects);
     }
+    scaleAdmitted();
     return effects;
 }
 
+// Returns what a region is admitted to that comes up now: 1 when all are down,
+// since then nothing moves by it.
+double Steer::leastOfThoseUp() const
+{
+    bool anyUp = ramps_.empty();
+    double least = 1;
+    for (const auto &item : ramps_) {
+        if (!item.second.isUp)
+            continue;
+        anyUp = true;
+        least = std::min(least, item.second.admitted);
+    }
+    return anyUp ? least * firstAdmitted : 1;
+}
+
+// After the region that carried most has failed, those left carry all already.
+// Only ratios count, so the largest may be called fully admitted.
+void Steer::scaleAdmitted()
+{
+    double most = 0;
+    for (const auto &item : ramps_)
+        most = std::max(most, item.second.admitted);
+    if (most <= 0)
+        return;
+    for (auto &item : ramps_)
+        item.second.admitted = std::min(1.0, item.second.admitted / most);
+}
+
 void Steer::growAdmitted(const RegionId &region, RegionRamp &ramp, double warmth, Instant now,
                          Effects &effects)
 {
-    const auto &returning = rollout_.returning;
-    if (std::find(returning.begin(), returning.end(), region) == returning.end())
+    const auto &listed = rollout_.unsettledRegions;
+    if (std::find(listed.begin(), listed.end(), region) == listed.end())
         return;
     if (now - lastMoved_ < movementWait())
         return;
-    const double step = rampStep(*bundle_, region);
-    const double next = std::min(1.0, ramp.admitted + step);
-    if (next > std::max(warmth, step))
+    const double next = nextAdmitted(region, ramp.admitted);
+    if (next > std::max(warmth, firstWarmth))
         return;
     ramp.admitted = next;
     lastMoved_ = now;
@@ -169,6 +209,55 @@
                                      { "warmth", fmt::format("{:.3f}", warmth) } } } });
 }
 
+// Returns the largest admitted fraction with which no service, and no team with
+// a split of its own, moves more than a step.
+double Steer::nextAdmitted(const RegionId &region, double admittedNow) const
+{
+    double next = 1;
+    for (const Service &service : bundle_->services) {
+        std::set<TeamId> teams { TeamId() };
+        for (const TeamSplit &own : service.teamSplits)
+            teams.insert(own.team);
+        for (const TeamId &team : teams) {
+            const double step = stepOfCap * service.shiftCapFraction;
+            next = std::min(next, admittedAfter(weights(service, team), region, step));
+        }
+    }
+    return std::max(next, admittedNow);
+}
+
+// With weight w of the region and S of the others, its part is w / (S + w).
+double Steer::admittedAfter(const std::vector<RegionShare> &weights, const RegionId &region,
+                            double step) const
+{
+    double own = 0;
+    double others = 0;
+    for (const RegionShare &share : weights)
+        (share.region == region ? own : others) += share.fraction;
+    if (own <= 0 || others <= 0)
+        return 1;
+    const double part = own / (own + others) + step;
+    if (part >= 1)
+        return 1;
+    const double wanted = part * others / (1 - part);
+    return std::min(1.0, admitted(region) * wanted / own);
+}
+
+// The weight of each region for one request, in the order of names, so that a
+// step moves only the bounds between regions.
+std::vector<RegionShare> Steer::weights(const Service &service, const TeamId &team) const
+{
+    std::vector<RegionShare> result;
+    for (const RegionShare &share : splitInForce(service, rollout_.findService(service.id), team)) {
+        const double weight = share.fraction * admitted(share.region);
+        if (weight > 0)
+            result.push_back({ share.region, weight });
+    }
+    std::sort(result.begin(), result.end(),
+              [](const RegionShare &a, const RegionShare &b) { return a.region < b.region; });
+    return result;
+}
+
 Duration Steer::movementWait() const
 {
     return longestMovementWait(*bundle_, previous_.get(), options_.clockDrift);
@@ -180,29 +269,16 @@
     const Service *service = bundle_ == nullptr ? nullptr : bundle_->findService(serviceId);
     if (service == nullptr)
         return {};
-    std::vector<RegionShare> split = splitInForce(*service, rollout_.findService(serviceId), team);
-    // In the order of names, so that a step moves only the bounds between regions.
-    std::sort(split.begin(), split.end(),
-              [](const RegionShare &a, const RegionShare &b) { return a.region < b.region; });
-
+    std::vector<RegionShare> left = weights(*service, team);
     std::vector<RegionId> order;
-    std::vector<RegionId> cold;
     double position = nextPosition(serviceId, team, random);
-    while (!split.empty()) {
-        const std::size_t index = pick(split, position);
-        const RegionShare share = split[index];
-        split.erase(split.begin() + static_cast<std::ptrdiff_t>(index));
+    while (!left.empty()) {
+        const std::size_t index = pick(left, position);
+        order.push_back(left[index].region);
+        left.erase(left.begin() + static_cast<std::ptrdiff_t>(index));
         position = uniform(nextRandom(random));
-        if (share.fraction <= 0 || !isUp(share.region))
-            continue;
-        if (uniform(nextRandom(random)) < admitted(share.region))
-            order.push_back(share.region);
-        else
-            cold.push_back(share.region);
     }
-    // With nowhere else to go, a cold region is better than a refusal; the
-    // ledger still keeps it within its capacity.
-    return order.empty() ? cold : order;
+    return order;
 }
 
 double Steer::nextPosition(const ServiceId &service, const TeamId &team, std::uint64_t random)
@@ -213,36 +289,18 @@
     return found->second;
 }
 
-bool Steer::isUp(const RegionId &region) const
-{
-    const auto found = ramps_.find(region);
-    return found == ramps_.end() || found->second.isUp;
-}
-
 double Steer::admitted(const RegionId &region) const
 {
     const auto found = ramps_.find(region);
     return found == ramps_.end() ? 1 : found->second.admitted;
 }
 
-std::vector<Debit> Steer::debits(const ServiceId &serviceId, const RegionId &region,
-                                 std::size_t requestBytes) const
-{
-    std::vector<Debit> result { { regionAccount(region), 1 } };
-    const Service *service = bundle_ == nullptr ? nullptr : bundle_->findService(serviceId);
-    if (service == nullptr || region == options_.region)
-        return result;
-    result.push_back({ linkAccount(options_.region, region), static_cast<double>(requestBytes) });
-    result.push_back({ linkAccount(region, options_.region), service->answerBytes });
-    return result;
-}
-
-std::vector<RegionId> Steer::regionsToReturn() const
+std::vector<RegionId> Steer::unsettledRegions() const
 {
     std::vector<RegionId> regions;
     for (const auto &[region, ramp] : ramps_) {
         const bool exists = bundle_ != nullptr && bundle_->findRegion(region) != nullptr;
-        if (exists && ramp.isUp && ramp.admitted < fullyAdmitted)
+        if (exists && ramp.admitted < fullyAdmitted)
             regions.push_back(region);
     }
     return regions;
--- a/bluebellshift/core/steer.h
+++ b/bluebellshift/core/steer.h
@@ -1,9 +1,10 @@
-// Decides which region's targets a request goes to, and what it costs.
+// Decides which region's targets a request goes to.
 //
 //   Steer steer(options, hooks);
 //   Effects effects = steer.onViewChanged(bundle, previous, rollout, vms, serving, now);
 //   for (const RegionId &region : steer.regionOrder(service, random, now, team))
-//       if (!hooks.takeAll(steer.debits(service, region, bytes), now)) ...
+//       if (tryRegion(region))
+//           break;
 //
 // A VM may only ask while the view is fresh: a VM that lags behind the others'
 // step for longer than the lease must not steer, on open routes neither.
@@ -52,18 +53,18 @@
     Effects onTimer(Instant now);
 
     // Returns the regions for one request, the one to try first at the front.
-    // Empty when the service is unknown or no region of its split may be used.
+    // Empty when the service is unknown or no region of its split is up. A region
+    // that returns stands last until its ramp has begun.
     std::vector<RegionId> regionOrder(const ServiceId &service, std::uint64_t random, Instant now,
                                       const TeamId &team = TeamId());
 
-    // Returns what a request to a region costs, besides its team's token: a token of the region
-    // and, over a link, bytes of the request and of a typical answer.
-    std::vector<Debit> debits(const ServiceId &service, const RegionId &region,
-                              std::size_t requestBytes) const;
+    // Returns the regions that are down here or not fully admitted again. Shift
+    // lists them in the roll-out.
+    std::vector<RegionId> unsettledRegions() const;
 
-    // Returns the regions that failed, are up again, and need the roll-out's
-    // leave to ramp up. Shift asks for it.
-    std::vector<RegionId> regionsToReturn() const;
+    // Returns the weight of each region for a request; a request goes first to
+    // a region with the probability of its weight over their sum.
+    std::vector<RegionShare> weights(const Service &service, const TeamId &team) const;
 
     // Returns the fraction of a region's share that is sent to it, 0 to 1.
     double admitted(const RegionId &region) const;
@@ -79,8 +80,12 @@
     void noteMovement(const BundlePointer &inForce, const Rollout &rollout, Instant now);
     void growAdmitted(const RegionId &region, RegionRamp &ramp, double warmth, Instant now,
                       Effects &effects);
+    double leastOfThoseUp() const;
+    void scaleAdmitted();
+    double nextAdmitted(const RegionId &region, double admittedNow) const;
+    double admittedAfter(const std::vector<RegionShare> &weights, const RegionId &region,
+                         double step) const;
     Duration movementWait() const;
-    bool isUp(const RegionId &region) const;
 
     CoreOptions options_;
     SteerHooks hooks_;
--- a/bluebellshift/core/testing/bundleparsertest.cpp
+++ b/bluebellshift/core/testing/bundleparsertest.cpp
@@ -159,7 +159,7 @@
         messages(checkBundle(replaced("megabits_per_second = 8", "megabits_per_second = 0.5")));
     // From north to south: 40 requests a second served in north, 40% of them for
     // callers in south, 4096 bytes each; 60 requests in south, 60% from north, 1024 each.
-    STRCMP_CONTAINS("answers 65536 + requests 36864 = 102400 bytes a second; 56250 can be "
+    STRCMP_CONTAINS("answers 524288 + requests 294912 = 819200 bits a second; 450000 can be "
                     "sustained",
                     tooNarrow.c_str());
 }
