--- a/bluebellshift/shell/structcodec.h
+++ b/bluebellshift/shell/structcodec.h
@@ -41,6 +41,8 @@
 
 template<typename T> json toJson(const T &value);
 
+template<typename Tag> json toJson(const core::TextId<Tag> &id);
+
 template<typename T> json toJson(const std::vector<T> &list)
 {
     json array = json::array();
@@ -102,6 +104,8 @@
 // Each fromJson returns false if `value` cannot be a T.
 template<typename T> bool fromJson(const json &value, T *result);
 
+template<typename Tag> bool fromJson(const json &value, core::TextId<Tag> *id);
+
 template<typename T> bool fromJson(const json &value, std::vector<T> *list)
 {
     if (!value.is_array() || value.size() > listEntriesMost)
