--- a/bluebellshift/core/logevent.cpp
+++ b/bluebellshift/core/logevent.cpp
@@ -14,7 +14,7 @@
         log::answerReplayed,    log::targetEjected,    log::targetReturned,   log::targetLeaving,
         log::snapshotPublished, log::shiftStepTaken,   log::shiftPaused,      log::shiftFinished,
         log::regionHeldOut,     log::regionAdmitted,   log::regionReturning,  log::changeAccepted,
-        log::changeLost,        log::changeUnresolved, log::operatorRejected,
+        log::changeLost,        log::changeUnresolved, log::operatorRejected, log::auditUnfinished,
     };
     return events;
 }
--- a/bluebellshift/core/logevent.h
+++ b/bluebellshift/core/logevent.h
@@ -67,6 +67,7 @@
 inline constexpr LogEvent changeLost { 702, LogLevel::Info, "change-lost" };
 inline constexpr LogEvent changeUnresolved { 703, LogLevel::Warning, "change-unresolved" };
 inline constexpr LogEvent operatorRejected { 704, LogLevel::Warning, "operator-rejected" };
+inline constexpr LogEvent auditUnfinished { 705, LogLevel::Warning, "audit-unfinished" };
 } // namespace log
 
 struct LogField
