--- a/bluebellshift/shell/logger.cpp
+++ b/bluebellshift/shell/logger.cpp
@@ -4,7 +4,6 @@
 // weighed; it spreads the kept lines, but needs more to explain what is missing.
 #include "bluebellshift/shell/logger.h"
 
-#include <chrono>
 #include <cstdio>
 #include <ctime>
 
@@ -92,13 +91,6 @@
     std::fwrite(line.data(), 1, line.size(), stderr);
 }
 
-core::WallTime systemWallTime()
-{
-    const auto since = std::chrono::system_clock::now().time_since_epoch();
-    return core::WallTime::fromMicros(
-        std::chrono::duration_cast<std::chrono::microseconds>(since).count());
-}
-
 Logger::Logger(LoggerOptions options, LogSink sink, WallClock clock)
     : options_(options)
     , sink_(std::move(sink))
--- a/bluebellshift/shell/logger.h
+++ b/bluebellshift/shell/logger.h
@@ -58,6 +58,5 @@
 std::string formatLogLine(const core::LogRecord &record, core::WallTime time);
 
 void writeToStandardError(const std::string &line);
-core::WallTime systemWallTime();
 
 } // namespace bluebellshift::shell
--- a/bluebellshift/shell/settings.cpp
+++ b/bluebellshift/shell/settings.cpp
@@ -59,7 +59,7 @@
     options->failureDomain = core::FailureDomainId(readId(&table, "failure_domain"));
 }
 
-void readPlatform(TomlTable table, PlatformSettings *platform)
+void readPlatform(TomlTable table, PlatformSettings *platform, Duration *watchWait)
 {
     const Duration least = Duration::millis(10);
     const Duration most = Duration::seconds(60);
@@ -67,12 +67,33 @@
     platform->connectTimeout =
         table.duration("connect_timeout", least, most, platform->connectTimeout);
     platform->callTimeout = table.duration("call_timeout", least, most, platform->callTimeout);
-    platform->watchWait = table.duration("watch_wait", least, most, platform->watchWait);
+    *watchWait = table.duration("watch_wait", least, most, *watchWait);
     if (platform->connectTimeout > platform->callTimeout)
         faultOrder(&table, "connect_timeout", platform->connectTimeout, "call_timeout",
                    platform->callTimeout);
 }
 
+// The VMs to ask for the view while the platform can't be reached.
+std::vector<core::Vm> readSeeds(TomlTable *peers, const core::VmId &self)
+{
+    std::vector<core::Vm> seeds;
+    for (TomlTable &table : peers->tables("seed")) {
+        core::Vm seed;
+        seed.id = core::VmId(readId(&table, "id"));
+        seed.peers = readEndpoint(&table);
+        if (seed.id == self)
+            table.fault("id", fmt::format("{} is this VM", table.describe("id")));
+        for (const core::Vm &other : seeds) {
+            if (other.id == seed.id || other.peers == seed.peers)
+                table.fault("id",
+                            fmt::format("{} stands twice, or has the endpoint of \"{}\"",
+                                        table.describe("id"), other.id.text()));
+        }
+        seeds.push_back(std::move(seed));
+    }
+    return seeds;
+}
+
 std::size_t readBytes(TomlTable *table, const char *key, std::size_t fallback)
 {
     return static_cast<std::size_t>(
@@ -123,6 +144,9 @@
     if (options->suspicionTimeout >= options->freshnessLease)
         faultOrder(&table, "suspicion_timeout", options->suspicionTimeout, "freshness_lease",
                    options->freshnessLease);
+    if (options->ticketValidFor >= options->shutdownMost)
+        faultOrder(&table, "ticket_valid_for", options->ticketValidFor, "shutdown_most",
+                   options->shutdownMost);
     if (options->platformRetryFirst > options->platformRetryMost)
         faultOrder(&table, "platform_retry_first", options->platformRetryFirst,
                    "platform_retry_most", options->platformRetryMost);
@@ -135,11 +159,11 @@
         root->fault("peers",
                     fmt::format("[peers] has the address and port of [callers], {}:{}",
                                 settings.peers.address, settings.peers.port));
-    if (settings.platform.watchWait >= settings.core.freshnessLease)
+    if (settings.core.watchWait >= settings.core.freshnessLease)
         root->fault("platform",
                     fmt::format("platform.watch_wait of {} ms must be shorter than "
                                 "durations.freshness_lease of {} ms",
-                                settings.platform.watchWait.toMillis(),
+                                settings.core.watchWait.toMillis(),
                                 settings.core.freshnessLease.toMillis()));
 }
 
@@ -167,8 +191,10 @@
         TomlTable peers = root.table("peers");
         settings.peers = readEndpoint(&peers);
         settings.peerKeysFile = besideFile(file, peers.text("keys_file"));
+        if (peers.has("seed"))
+            settings.core.seeds = readSeeds(&peers, settings.core.vm);
         settings.operatorsFile = besideFile(file, root.table("operators").text("file"));
-        readPlatform(root.table("platform"), &settings.platform);
+        readPlatform(root.table("platform"), &settings.platform, &settings.core.watchWait);
         if (root.has("limits"))
             readLimits(root.table("limits"), &settings);
         if (root.has("durations"))
--- a/bluebellshift/shell/settings.h
+++ b/bluebellshift/shell/settings.h
@@ -25,7 +25,6 @@
     core::Endpoint endpoint;
     core::Duration connectTimeout = core::Duration::millis(500);
     core::Duration callTimeout = core::Duration::millis(1500);
-    core::Duration watchWait = core::Duration::millis(1000); // how long the store holds a watch
 };
 
 // Bounds on what the daemon takes in, keeps and writes.
@@ -34,14 +33,14 @@
     std::size_t bodyBytes = 256 * 1024;
     std::size_t headerCount = 64;
     std::size_t headerBytes = 16 * 1024;
-    std::size_t answerBytes = 1024 * 1024;
-    std::size_t recordBytes = 16 * 1024 * 1024;
+    std::size_t answerBytes = core::CoreOptions().answerBytesMost;
+    std::size_t recordBytes = core::CoreOptions().recordBytesMost;
     int logLinesPerSecond = 2000;
 };
 
 struct Settings
 {
-    // Identity and durations; `incarnation` and `ticketSecret` are left for the
+    // Identity, seeds and durations; `incarnation` and `ticketSecret` are left for the
     // daemon to fill in.
     core::CoreOptions core;
     core::Endpoint callers;
--- a/bluebellshift/shell/testing/settingstest.cpp
+++ b/bluebellshift/shell/testing/settingstest.cpp
@@ -79,9 +79,13 @@
         { "call_timeout = \"1500ms\"", "call_timout = \"1s\"", 15,
           "unknown key platform.call_timout \"1s\"" },
         { "body_bytes = 1000", "body_bytes = \"1MB\"", 19, "limits.body_bytes \"1MB\"" },
-        { "body_bytes = 1000", "answer_bytes = 20000000", 19, "could not be kept" },
+        { "body_bytes = 1000", "answer_bytes = 100000000", 19, "could not be kept" },
         { "freshness_lease = \"2s\"", "freshness_lease = \"1s\"", 21, "must be shorter than" },
         { "freshness_lease = \"2s\"", "heartbeat_interval = \"1s\"", 21, "must be shorter than" },
+        { "[platform]",
+          "seed = [{ id = \"punjab-a-1\", address = \"127.0.0.1\", port = 1 }]\n[platform]", 12,
+          "seed.id \"punjab-a-1\" is this VM" },
+        { "freshness_lease = \"2s\"", "ticket_valid_for = \"60s\"", 21, "must be shorter than" },
         { "[durations]", "[duration]", 20, "unknown key duration" },
         { "[operators]", "[operator]", 0, "table [operators] is missing" },
         { "[vm]", "[vm", 1, "not TOML" },
@@ -124,6 +128,7 @@
             const std::string path = fmt::format("deploy/{}/vm-{:02}.toml", deployment, i);
             const auto settings = loadSettings(path);
             CHECK_TEXT(settings.ok(), settings.status().ToString().c_str());
+            LONGS_EQUAL(11, settings->core.seeds.size());
             const std::string &domain = settings->core.failureDomain.text();
             if (domains.empty() || domains.back() != domain)
                 domains.push_back(domain);
