--- a/bluebellshift/core/logevent.cpp
+++ b/bluebellshift/core/logevent.cpp
@@ -15,6 +15,8 @@
         log::snapshotPublished, log::shiftStepTaken,   log::shiftPaused,      log::shiftFinished,
         log::regionHeldOut,     log::regionAdmitted,   log::regionUnsettled,  log::changeAccepted,
         log::changeLost,        log::changeUnresolved, log::operatorRejected,
+        log::regionHeldOut,     log::regionAdmitted,   log::regionReturning,  log::changeAccepted,
+        log::changeLost,        log::changeUnresolved, log::operatorRejected, log::auditUnfinished,
     };
     return events;
 }
