--- a/bluebellshift/core/reducer.cpp
+++ b/bluebellshift/core/reducer.cpp
@@ -8,6 +8,7 @@
 #include <iterator>
 #include <utility>
 
+#include "bluebellshift/core/administration.h"
 #include "bluebellshift/core/capacity.h"
 #include "bluebellshift/core/dispatch.h"
 #include "bluebellshift/core/fleet.h"
@@ -101,6 +102,7 @@
     Steer steer_;
     Shift shift_;
     Dispatch dispatch_;
+    Administration administration_;
 
     Effects effects_;
     Instant now_;
@@ -129,6 +131,7 @@
     , steer_(options_, steerHooks())
     , shift_(options_, shiftHooks())
     , dispatch_(options_, dispatchHooks())
+    , administration_(options_, [this] { return CallId(++lastCall_); })
 {
 }
 
@@ -168,7 +171,7 @@
             return "this VM is not ready: " + reasonBefore_;
         return std::nullopt;
     };
-    hooks.regionsToReturn = [this] { return steer_.regionsToReturn(); };
+    hooks.unsettledRegions = [this] { return steer_.unsettledRegions(); };
     hooks.rank = [this](Revision revision) { return rankOf(revision); };
     hooks.newCall = [this] { return CallId(++lastCall_); };
     return hooks;
@@ -260,6 +263,7 @@
     emit(sync_.onTimer(now_));
     emit(fleet_.onTimer(now_, random_));
     emit(dispatch_.onTimer(now_));
+    emit(administration_.onTimer(now_, random_));
     askSeeds();
     if (now_ >= nextHousekeeping_) {
         nextHousekeeping_ = now_ + housekeepingInterval;
@@ -308,6 +312,7 @@
     if (fleet_.onPlatformReplied(event, now_, random_, &effects_))
         return;
     emit(shift_.onPlatformReplied(event));
+    emit(administration_.onPlatformReplied(event, now_, random_));
 }
 
 // Brings every part that reads the view up to date.
@@ -465,7 +470,7 @@
 
 void Reducer::State::on(const ChangeAsked &event)
 {
-    effects_.push_back(ChangeEnded { event.request, PlatformOutcome::Unreachable, {} });
+    emit(administration_.onChangeAsked(event, now_, random_));
 }
 
 void Reducer::State::on(const ObjectsAsked &event)
--- /dev/null
+++ b/bluebellshift/daemon/adminface.cpp
@@ -0,0 +1,223 @@
+// A change is checked against what this VM's view holds, and written on the
+// condition that the store still holds the same version; so what was checked is
+// what is replaced, though the view may lag.
+#include "bluebellshift/daemon/adminface.h"
+
+#include <cstdlib>
+
+#include <nlohmann/json.hpp>
+
+#include "bluebellshift/daemon/refusaltext.h"
+
+namespace bluebellshift::daemon {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr char objectsPrefix[] = "/admin/v1/objects/";
+constexpr char statusPath[] = "/admin/v1/status";
+constexpr int statusOk = 200;
+constexpr int statusBadRequest = 400;
+constexpr int statusUnauthorized = 401;
+constexpr int statusForbidden = 403;
+constexpr int statusNotFound = 404;
+constexpr int statusMethodNotAllowed = 405;
+constexpr int statusConflict = 409;
+constexpr int statusUnavailable = 503;
+constexpr int statusUnknown = 504;
+
+json toJson(const core::Object &object)
+{
+    return { { "kind", object.kind },
+             { "name", object.name },
+             { "version", object.version.number() },
+             { "value", object.value } };
+}
+
+std::optional<std::uint64_t> parseNumber(const std::string &text)
+{
+    if (text.empty() || text.find_first_not_of("0123456789") != std::string::npos)
+        return std::nullopt;
+    return std::strtoull(text.c_str(), nullptr, 10);
+}
+
+json peerJson(const core::PeerReport &peer)
+{
+    return { { "id", peer.vm.text() },      { "revision", peer.viewRevision.number() },
+             { "alive", peer.isAlive },     { "ready", peer.isReady },
+             { "leaving", peer.isLeaving }, { "age_ms", peer.age.toMillis() } };
+}
+
+json statusJson(const core::StatusTold &status)
+{
+    json peers = json::array();
+    for (const core::PeerReport &peer : status.peers)
+        peers.push_back(peerJson(peer));
+    return { { "vm", status.vm.text() },  { "revision", status.viewRevision.number() },
+             { "fresh", status.isFresh }, { "ready", status.isReady },
+             { "reason", status.reason }, { "bundle", status.bundle },
+             { "peers", peers } };
+}
+
+} // namespace
+
+AdminFace::AdminFace(shell::Operators operators, Hooks hooks)
+    : operators_(std::move(operators))
+    , hooks_(std::move(hooks))
+{
+}
+
+http::HttpResponse AdminFace::reject(int status, const char *code, const std::string &message)
+{
+    const json body = { { "code", code }, { "message", message } };
+    return jsonResponse(status, body.dump());
+}
+
+http::HttpResponse AdminFace::handle(const http::HttpRequest &request)
+{
+    const std::string *authorization = request.header("Authorization");
+    const absl::StatusOr<shell::Operator> by =
+        operators_.authenticate(authorization == nullptr ? std::string() : *authorization);
+    if (!by.ok()) {
+        hooks_.log({ core::log::operatorRejected, { { "path", request.path } } });
+        return reject(statusUnauthorized, "operator-unknown", std::string(by.status().message()));
+    }
+    if (request.path == statusPath)
+        return request.method == "GET"
+            ? tellStatus()
+            : reject(statusMethodNotAllowed, "method-not-allowed", request.method);
+    if (request.path.compare(0, sizeof objectsPrefix - 1, objectsPrefix) == 0)
+        return handleObject(request, *by);
+    return reject(statusNotFound, "path-unknown", "path \"" + request.path + "\" does not exist");
+}
+
+http::HttpResponse AdminFace::handleObject(const http::HttpRequest &request,
+                                           const shell::Operator &by)
+{
+    const std::string rest = request.path.substr(sizeof objectsPrefix - 1);
+    const std::size_t slash = rest.find('/');
+    const std::string kind = rest.substr(0, slash);
+    const std::string name = slash == std::string::npos ? std::string() : rest.substr(slash + 1);
+    if (request.method == "GET")
+        return readObjects(kind, name, by);
+    if (request.method == "PUT" && !name.empty())
+        return change(request, kind, name, by);
+    return reject(statusMethodNotAllowed, "method-not-allowed",
+                  "method \"" + request.method + "\" is not allowed on \"" + request.path + "\"");
+}
+
+http::HttpResponse AdminFace::readObjects(const std::string &kind, const std::string &name,
+                                          const shell::Operator &by)
+{
+    const absl::Status allowed = shell::checkRead(by, kind);
+    if (!allowed.ok())
+        return reject(statusForbidden, "role-missing", std::string(allowed.message()));
+    const std::vector<core::Object> objects = findObjects(kind, name);
+    if (!name.empty()) {
+        if (objects.empty())
+            return reject(statusNotFound, "object-unknown",
+                          "object " + kind + "/" + name + " does not exist");
+        return jsonResponse(statusOk, toJson(objects.front()).dump());
+    }
+    json list = json::array();
+    for (const core::Object &object : objects)
+        list.push_back(toJson(object));
+    return jsonResponse(statusOk, json({ { "objects", list } }).dump());
+}
+
+http::HttpResponse AdminFace::change(const http::HttpRequest &request, const std::string &kind,
+                                     const std::string &name, const shell::Operator &by)
+{
+    const std::optional<std::uint64_t> expected = parseNumber(request.parameter("expected"));
+    if (!expected.has_value())
+        return reject(statusBadRequest, "expected-missing",
+                      "expected=\"" + request.parameter("expected")
+                          + "\" is not the version of the object; 0: it must not exist");
+    shell::ProposedChange change { kind, name, findObject(kind, name), request.body };
+    const core::Revision held =
+        change.stored.has_value() ? change.stored->version : core::Revision();
+    if (held.number() != *expected) {
+        json body = change.stored.has_value() ? toJson(*change.stored) : json::object();
+        body["code"] = "conflict";
+        body["message"] = "version " + std::to_string(held.number()) + " is stored";
+        return jsonResponse(statusConflict, body.dump());
+    }
+    const absl::Status allowed =
+        shell::checkChange(by, change, [this](const std::string &k, const std::string &n) {
+            return findObject(k, n);
+        });
+    if (!allowed.ok()) {
+        const bool isForbidden = absl::IsPermissionDenied(allowed);
+        if (isForbidden)
+            hooks_.log({ core::log::operatorRejected,
+                         { { "operator", by.id.text() }, { "kind", kind }, { "name", name } } });
+        return reject(isForbidden ? statusForbidden : statusBadRequest,
+                      isForbidden ? "role-missing" : "change-invalid",
+                      std::string(allowed.message()));
+    }
+
+    core::ChangeAsked asked;
+    asked.by = by.id;
+    asked.kind = kind;
+    asked.name = name;
+    asked.expected = core::Revision(*expected);
+    asked.value = request.body;
+    asked.summary = shell::summarizeChange(change);
+    asked.at = hooks_.wallTime();
+    const RequestEnd end = hooks_.serve([&asked](core::RequestId id) {
+        asked.request = id;
+        return asked;
+    });
+    const auto *ended = std::get_if<core::ChangeEnded>(&end);
+    if (ended == nullptr)
+        return reject(statusUnknown, "outcome-unknown", "the change may have taken effect");
+    json body = toJson(ended->object);
+    switch (ended->outcome) {
+    case core::PlatformOutcome::Done:
+        return jsonResponse(statusOk, body.dump());
+    case core::PlatformOutcome::Conflict:
+    case core::PlatformOutcome::Missing:
+        body["code"] = "conflict";
+        body["message"] = "another change came first";
+        return jsonResponse(statusConflict, body.dump());
+    case core::PlatformOutcome::Unreachable:
+        return reject(statusUnavailable, "platform-unreachable", "the change did not take effect");
+    case core::PlatformOutcome::Unknown:
+        break;
+    }
+    return reject(statusUnknown, "outcome-unknown", "the change may have taken effect");
+}
+
+http::HttpResponse AdminFace::tellStatus()
+{
+    const RequestEnd end =
+        hooks_.serve([](core::RequestId id) { return core::StatusAsked { id }; });
+    if (const auto *status = std::get_if<core::StatusTold>(&end))
+        return jsonResponse(statusOk, statusJson(*status).dump());
+    return reject(statusUnavailable, "not-ready", "no status was made");
+}
+
+std::vector<core::Object> AdminFace::findObjects(const std::string &kind, const std::string &name)
+{
+    const RequestEnd end = hooks_.serve([&](core::RequestId id) {
+        core::ObjectsAsked asked;
+        asked.request = id;
+        asked.kind = kind;
+        asked.name = name;
+        return asked;
+    });
+    if (const auto *told = std::get_if<core::ObjectsTold>(&end))
+        return told->objects;
+    return {};
+}
+
+std::optional<core::Object> AdminFace::findObject(const std::string &kind, const std::string &name)
+{
+    const std::vector<core::Object> objects = findObjects(kind, name);
+    if (objects.empty())
+        return std::nullopt;
+    return objects.front();
+}
+
+} // namespace bluebellshift::daemon
--- a/bluebellshift/daemon/main.cpp
+++ b/bluebellshift/daemon/main.cpp
@@ -93,7 +93,18 @@
     }
 }
 
-int runNode(shell::Settings settings, std::vector<shell::PeerKey> keys)
+absl::StatusOr<daemon::NodeAccess> loadAccess(const shell::Settings &settings)
+{
+    absl::StatusOr<std::vector<shell::PeerKey>> keys = shell::loadPeerKeys(settings.peerKeysFile);
+    if (!keys.ok())
+        return keys.status();
+    absl::StatusOr<shell::Operators> operators = shell::loadOperators(settings.operatorsFile);
+    if (!operators.ok())
+        return operators.status();
+    return daemon::NodeAccess { *std::move(keys), *std::move(operators) };
+}
+
+int runNode(shell::Settings settings, daemon::NodeAccess access)
 {
     const base::Clock clock = base::systemClock();
     settings.core.incarnation = core::Incarnation(clock.random() >> 1 | 1);
@@ -108,7 +119,7 @@
         sigaddset(&signals, signal);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 
-    daemon::Node node(settings, std::move(keys), clock, logger);
+    daemon::Node node(settings, std::move(access), clock, logger);
     if (absl::Status status = node.start(); !status.ok()) {
         fmt::print(stderr, "bluebellshiftd: {}\n", std::string(status.message()));
         return exitListen;
@@ -135,14 +146,14 @@
         fmt::print(stderr, "{}\n", std::string(settings.status().message()));
         return exitSettings;
     }
-    auto keys = shell::loadPeerKeys(settings->peerKeysFile);
-    if (!keys.ok()) {
-        fmt::print(stderr, "{}\n", std::string(keys.status().message()));
+    absl::StatusOr<daemon::NodeAccess> access = loadAccess(*settings);
+    if (!access.ok()) {
+        fmt::print(stderr, "{}\n", std::string(access.status().message()));
         return exitSettings;
     }
     if (arguments.checkOnly) {
         fmt::print("{}: no faults\n", arguments.settingsFile);
         return exitOk;
     }
-    return runNode(*std::move(settings), *std::move(keys));
+    return runNode(*std::move(settings), *std::move(access));
 }
--- a/bluebellshift/daemon/node.cpp
+++ b/bluebellshift/daemon/node.cpp
@@ -8,6 +8,7 @@
 #include "bluebellshift/base/snapshotcell.h"
 #include "bluebellshift/core/bundleparser.h"
 #include "bluebellshift/core/reducer.h"
+#include "bluebellshift/daemon/adminface.h"
 #include "bluebellshift/daemon/callerface.h"
 #include "bluebellshift/daemon/engine.h"
 #include "bluebellshift/daemon/pendingrequest.h"
@@ -117,8 +118,8 @@
 class Node::Implementation
 {
 public:
-    Implementation(const shell::Settings &settings, std::vector<shell::PeerKey> peerKeys,
-                   base::Clock clock, shell::Logger &logger);
+    Implementation(const shell::Settings &settings, NodeAccess access, base::Clock clock,
+                   shell::Logger &logger);
     ~Implementation();
 
     absl::Status start();
@@ -159,6 +160,7 @@
     RequestEnd serve(const PendingRequestPointer &pending, core::EventBody event,
                      const std::function<bool()> &isCallerGone);
     CallerFace::Hooks faceHooks();
+    AdminFace::Hooks adminHooks();
     RelayServer::Hooks relayHooks();
     RequestRunner::Hooks runnerHooks();
     shell::PeerMeshHooks meshHooks();
@@ -179,14 +181,14 @@
     RequestRunner runner_;
     RelayServer relays_;
     TargetProber prober_;
+    AdminFace admin_;
     CallerFace face_;
     http::HttpServer server_;
     PlatformLink platform_;
 };
 
-Node::Implementation::Implementation(const shell::Settings &settings,
-                                     std::vector<shell::PeerKey> peerKeys, base::Clock clock,
-                                     shell::Logger &logger)
+Node::Implementation::Implementation(const shell::Settings &settings, NodeAccess access,
+                                     base::Clock clock, shell::Logger &logger)
     : settings_(settings)
     , clock_(std::move(clock))
     , logger_(logger)
@@ -196,10 +198,11 @@
               [this](core::Effect effect) {
                   std::visit([this](auto &kind) { perform(std::move(kind)); }, effect);
               })
-    , mesh_(meshOptions(settings, std::move(peerKeys)), meshHooks())
+    , mesh_(meshOptions(settings, std::move(access.peerKeys)), meshHooks())
     , runner_(forwarder_, clock_, runnerHooks())
     , relays_(relayHooks())
     , prober_(forwarder_, clock_, [this](core::EventBody body) { post(std::move(body)); })
+    , admin_(std::move(access.operators), adminHooks())
     , face_(snapshot_, faceHooks())
     , server_(
           serverOptions(settings),
@@ -292,6 +295,18 @@
     return hooks;
 }
 
+AdminFace::Hooks Node::Implementation::adminHooks()
+{
+    AdminFace::Hooks hooks;
+    hooks.serve = [this](const AdminFace::MakeEvent &makeEvent) {
+        PendingRequestPointer pending = requests_.add(CallerRequest());
+        return serve(pending, makeEvent(pending->id()), [] { return false; });
+    };
+    hooks.wallTime = clock_.wallTime;
+    hooks.log = [this](core::LogRecord record) { logger_.write(record); };
+    return hooks;
+}
+
 CallerFace::Hooks Node::Implementation::faceHooks()
 {
     CallerFace::Hooks hooks;
@@ -302,8 +317,8 @@
     };
     hooks.readiness = [this] { return ready_.at(clock_.now()); };
     hooks.metricsText = [] { return std::string(); };
-    hooks.administrate = [](const http::HttpRequest &request) {
-        return faultResponse(404, "path \"" + request.path + "\" does not exist");
+    hooks.administrate = [this](const http::HttpRequest &request) {
+        return admin_.handle(request);
     };
     return hooks;
 }
@@ -336,10 +351,10 @@
         mesh_.send(home, core::RelayCancel { effect.request.number() });
 }
 
-Node::Node(const shell::Settings &settings, std::vector<shell::PeerKey> peerKeys, base::Clock clock,
+Node::Node(const shell::Settings &settings, NodeAccess access, base::Clock clock,
            shell::Logger &logger)
     : implementation_(
-        std::make_unique<Implementation>(settings, std::move(peerKeys), std::move(clock), logger))
+        std::make_unique<Implementation>(settings, std::move(access), std::move(clock), logger))
 {
 }
 
--- a/bluebellshift/daemon/node.h
+++ b/bluebellshift/daemon/node.h
@@ -1,6 +1,6 @@
 // One daemon: the reducer and everything that carries out its effects.
 //
-//   Node node(settings, peerKeys, clock, logger);
+//   Node node(settings, { peerKeys, operators }, clock, logger);
 //   absl::Status started = node.start();
 //   int requestsCut = node.waitForExit();   // after node.shutDown()
 #pragma once
@@ -11,16 +11,24 @@
 #include "absl/status/status.h"
 #include "bluebellshift/base/clock.h"
 #include "bluebellshift/shell/logger.h"
+#include "bluebellshift/shell/operators.h"
 #include "bluebellshift/shell/peerkeys.h"
 #include "bluebellshift/shell/settings.h"
 
 namespace bluebellshift::daemon {
 
+// Who may talk to the daemon besides callers.
+struct NodeAccess
+{
+    std::vector<shell::PeerKey> peerKeys;
+    shell::Operators operators;
+};
+
 class Node
 {
 public:
     // `settings.core` must have its incarnation and secret set.
-    Node(const shell::Settings &settings, std::vector<shell::PeerKey> peerKeys, base::Clock clock,
+    Node(const shell::Settings &settings, NodeAccess access, base::Clock clock,
          shell::Logger &logger);
     ~Node();
 
