Make "not run" final for a ticket, and walk requests at random

Cause: the random walk found that a caller could be told "not run" by a ticket's home while an older copy of its request, held back by a pause or a slow relay, ran afterwards with the same ticket. Change: a ticket whose request was refused as not run is retired; a later copy is refused as not run too, and the caller asks for a new ticket. A request that is refused while one that joined it goes on says "unknown". Tables for Dispatch, and a seeded walk over three VMs with restarts, pauses, lost relays, cancels, drains, withdrawn keys and stale views against a plain record of what the targets ran.

--- a/bluebellshift/core/admission.cpp
+++ b/bluebellshift/core/admission.cpp
@@ -66,7 +66,7 @@
 } // namespace
 
 AdmissionResult Admission::check(const RequestArrived &arrived, const TicketAuthority &tickets,
-                                 const OnceTable &once, Instant now) const
+                                 Instant now) const
 {
     AdmissionResult result;
     if (!hooks_.mayServe(now)) {
@@ -78,8 +78,6 @@
     result.refusal = findRoute(arrived, result);
     if (!result.refusal && result.runsOnce)
         result.refusal = checkTicket(arrived, tickets, result, now);
-    if (result.refusal && result.ticket && once.state(*result.ticket) == OnceState::NeverBegun)
-        result.refusal->run = Run::NotRun;
     return result;
 }
 
--- a/bluebellshift/core/admission.h
+++ b/bluebellshift/core/admission.h
@@ -16,7 +16,6 @@
 #include "bluebellshift/core/bundle.h"
 #include "bluebellshift/core/event.h"
 #include "bluebellshift/core/ids.h"
-#include "bluebellshift/core/once.h"
 #include "bluebellshift/core/options.h"
 #include "bluebellshift/core/roster.h"
 #include "bluebellshift/core/ticket.h"
@@ -66,7 +65,7 @@
     }
 
     AdmissionResult check(const RequestArrived &arrived, const TicketAuthority &tickets,
-                          const OnceTable &once, Instant now) const;
+                          Instant now) const;
 
     // Whether a ticket for the service may be given; returns why not.
     std::optional<Refusal> checkTicketAsked(const TicketAsked &asked, TeamId &team,
--- a/bluebellshift/core/dispatch.cpp
+++ b/bluebellshift/core/dispatch.cpp
@@ -87,7 +87,7 @@
 void Dispatch::admit(const RequestArrived &arrived, Instant now, std::uint64_t random,
                      Effects &effects)
 {
-    const AdmissionResult admission = admission_.check(arrived, tickets_, once_, now);
+    const AdmissionResult admission = admission_.check(arrived, tickets_, now);
     Pending &pending = pending_[arrived.request];
     pending.arrived = arrived;
     pending.random = random;
@@ -109,7 +109,8 @@
         pending.deadline = now + admission.service->requestTimeout;
     if (pending.deadline <= now)
         return refuse(arrived.request,
-                      { RefusalCode::DeadlinePassed, runBefore(pending),
+                      { RefusalCode::DeadlinePassed,
+                        arrived.ticket.empty() ? Run::NotRun : Run::Unknown,
                         "the request's deadline passed before it arrived", 0 },
                       effects);
     if (admission.relayTo)
@@ -120,17 +121,6 @@
     wait(pending, now, effects);
 }
 
-// What is known of the run of a request that has just arrived.
-Run Dispatch::runBefore(const Pending &arriving) const
-{
-    if (arriving.arrived.ticket.empty())
-        return Run::NotRun;
-    if (!arriving.ticket)
-        return Run::Unknown; // the ticket's home knows
-    const bool isFresh = once_.state(*arriving.ticket) == OnceState::NeverBegun;
-    return isFresh ? Run::NotRun : Run::Unknown;
-}
-
 void Dispatch::relay(Pending &pending, const VmId &home, Effects &effects)
 {
     const RequestId request = pending.arrived.request;
@@ -181,12 +171,19 @@
                  "the ticket was used for another request", 0 },
                effects);
         return false;
+    case OnceVerdict::Refused:
+        refuse(request,
+               { RefusalCode::TicketExpired, Run::NotRun,
+                 "the ticket was refused as not run; ask for a new one", 0 },
+               effects);
+        return false;
     case OnceVerdict::Full:
         break;
     }
+    const bool isRetired = once_.state(*pending.ticket) == OnceState::Refused;
     refuse(request,
-           { RefusalCode::RecordsFull, Run::NotRun,
-             "this VM can keep no more outcomes; a ticket of another VM will do", 0 },
+           { RefusalCode::RecordsFull, isRetired ? Run::NotRun : Run::Unknown,
+             "this VM can keep no more outcomes; ask another VM for a ticket", 0 },
            effects);
     return false;
 }
@@ -243,7 +240,7 @@
         queue_.remove(pending.arrived.request);
         refuseRun(pending,
                   { RefusalCode::RecordsFull, Run::NotRun,
-                    "this VM can keep no more outcomes; a ticket of another VM will do", 0 },
+                    "this VM can keep no more outcomes; ask another VM for a ticket", 0 },
                   now, effects);
         return Sending::Refused;
     }
--- a/bluebellshift/core/dispatch.h
+++ b/bluebellshift/core/dispatch.h
@@ -9,7 +9,8 @@
 // Each RequestId given to onRequest() or onTicketAsked() is ended by exactly one
 // AnswerCaller, RefuseCaller or GiveTicket, also when its caller has gone: the
 // shell keeps a request's body until then. A refusal's `run` is truthful over
-// the whole history of the request's ticket.
+// the whole history of the request's ticket, and "not run" is final: the ticket
+// can't be used any more.
 //
 // A relayed request arrives as RequestArrived with `relayedBy` set and is ended
 // like any other; the reducer makes a RelayReply of that. For a request that was
@@ -139,10 +140,10 @@
     // The end of a request.
     void answer(RequestId request, const AnswerPointer &answer, Effects &effects);
     void refuse(RequestId request, const Refusal &refusal, Effects &effects);
-    void refuseRun(Pending &pending, Refusal refusal, Instant now, Effects &effects);
+    void refuseRun(Pending &pending, const Refusal &refusal, Instant now, Effects &effects);
     void answerRun(Pending &pending, const AnswerPointer &answer, Effects &effects);
-    void leaveQueue(Pending &pending, const Refusal &refusal, Instant now, Effects &effects);
-    void takePlace(const Pending &leaving, RequestId successor, Instant now);
+    void leaveQueue(Pending &pending, Refusal refusal, Instant now, Effects &effects);
+    void takePlace(const Pending &leaving, RequestId successor);
     void leaveWait(Pending &pending, const Refusal &refusal, Effects &effects);
     void refuseWithdrawn(Pending &pending, Instant now, Effects &effects);
     void erase(RequestId request);
@@ -156,7 +157,6 @@
     void setTimer(Instant now, Effects &effects);
     void finishEvent(Instant now, Effects &effects);
 
-    Run runBefore(const Pending &arriving) const;
     Run runOf(const Pending &pending) const;
     Pending *find(RequestId request);
     void writeLog(const LogEvent &event, const Pending &pending, std::vector<LogField> fields,
--- a/bluebellshift/core/dispatchend.cpp
+++ b/bluebellshift/core/dispatchend.cpp
@@ -179,7 +179,7 @@
 }
 
 // Ends a request that is not in the queue, and those that joined it.
-void Dispatch::refuseRun(Pending &pending, Refusal refusal, Instant now, Effects &effects)
+void Dispatch::refuseRun(Pending &pending, const Refusal &refusal, Instant now, Effects &effects)
 {
     const RequestId request = pending.arrived.request;
     if (pending.hasPaid && !pending.hasLeft)
@@ -187,6 +187,8 @@
     std::vector<RequestId> joined;
     if (pending.runsOnce && pending.mayHaveRun)
         joined = once_.fail(pending.ticket->number);
+    else if (pending.runsOnce && refusal.run == Run::NotRun)
+        joined = once_.retire(pending.ticket->number);
     else if (pending.runsOnce)
         joined = once_.abandon(pending.ticket->number);
     refuse(request, refusal, effects);
@@ -231,7 +233,8 @@
         return effects;
     switch (pending->stage) {
     case Stage::Waiting:
-        leaveQueue(*pending, callerWentAway(runOf(*pending)), now, effects);
+        // Nobody hears it, and the ticket shall stay usable.
+        leaveQueue(*pending, callerWentAway(Run::Unknown), now, effects);
         break;
     case Stage::Joined:
     case Stage::Relayed:
@@ -249,7 +252,7 @@
 }
 
 // Ends one request that is in the queue. One that joined it takes its place.
-void Dispatch::leaveQueue(Pending &pending, const Refusal &refusal, Instant now, Effects &effects)
+void Dispatch::leaveQueue(Pending &pending, Refusal refusal, Instant now, Effects &effects)
 {
     const RequestId request = pending.arrived.request;
     const RequestId successor =
@@ -258,11 +261,12 @@
         queue_.remove(request);
         return refuseRun(pending, refusal, now, effects);
     }
-    takePlace(pending, successor, now);
+    takePlace(pending, successor);
+    refusal.run = Run::Unknown; // the successor may run
     refuse(request, refusal, effects);
 }
 
-void Dispatch::takePlace(const Pending &leaving, RequestId successor, Instant now)
+void Dispatch::takePlace(const Pending &leaving, RequestId successor)
 {
     Pending &next = *find(successor);
     deadlines_.erase({ next.deadline, successor });
--- a/bluebellshift/core/once.cpp
+++ b/bluebellshift/core/once.cpp
@@ -6,6 +6,11 @@
 // no record was never begun; of any earlier one without a record nothing is
 // claimed. The one instant replaces a list of dropped tickets.
 //
+// That a refused ticket stays refused was weighed against leaving it usable, as
+// it never ran. A copy of the request may wait in a paused VM or a socket while
+// its caller is told "not run" through another VM. Were the ticket usable, that
+// copy would run afterwards and make the refusal false.
+//
 // Room for the largest answer is reserved before a request leaves, because an
 // answer that can't be kept would turn a retry's outcome into "unknown".
 // Reserving on arrival was weighed: it would let requests that only wait for a
@@ -46,16 +51,25 @@
         const bool mayHaveRecord = ticket.expiry <= forgottenUntil_;
         return mayHaveRecord ? OnceVerdict::Unknown : OnceVerdict::Expired;
     }
-    if (bytesUsed_ + recordOverhead > bytesMost_)
-        return OnceVerdict::Full;
+    const std::size_t wanted = bytesUsed_ + recordOverhead;
+    if (wanted <= bytesMost_) {
+        insert(ticket, content, OnceState::InProgress);
+        return OnceVerdict::Begin;
+    }
+    if (wanted <= bytesMost_ + bytesMost_ / refusedDivisor)
+        insert(ticket, content, OnceState::Refused);
+    return OnceVerdict::Full;
+}
 
+void OnceTable::insert(const Ticket &ticket, std::uint64_t content, OnceState state)
+{
     Record record;
+    record.state = state;
     record.expiry = ticket.expiry;
     record.content = content;
     bytesUsed_ += record.bytes;
     records_.emplace(ticket.number, std::move(record));
     byExpiry_.emplace(ticket.expiry, ticket.number);
-    return OnceVerdict::Begin;
 }
 
 OnceVerdict OnceTable::beginKnown(Record &record, std::uint64_t content, RequestId request)
@@ -66,6 +80,8 @@
         return OnceVerdict::Replay;
     if (record.state == OnceState::Unknown)
         return OnceVerdict::Unknown;
+    if (record.state == OnceState::Refused)
+        return OnceVerdict::Refused;
     if (record.waiting.size() >= waitersMost)
         return OnceVerdict::TooManyWaiting;
     record.waiting.push_back(request);
@@ -104,6 +120,11 @@
     return settle(number, OnceState::Unknown, nullptr);
 }
 
+std::vector<RequestId> OnceTable::retire(TicketNumber number)
+{
+    return settle(number, OnceState::Refused, nullptr);
+}
+
 std::vector<RequestId> OnceTable::settle(TicketNumber number, OnceState state, AnswerPointer answer)
 {
     const auto known = records_.find(number);
--- a/bluebellshift/core/once.h
+++ b/bluebellshift/core/once.h
@@ -8,13 +8,17 @@
 //   }
 //   once.reserveAnswer(ticket.number); // just before the request leaves
 //   ...
-//   once.finish(ticket.number, answer); // or fail(), or abandon()
+//   once.finish(ticket.number, answer); // or fail(), retire(), abandon()
 //
 // A ticket's states:
 //
 //   fresh ── begin ──> in progress ── finish ──> done, with its answer
-//     ^                   │  └────── fail ─────> unknown, it may have run
-//     └──── abandon ──────┘ (it provably never ran)
+//     ^                   │  │└────── fail ─────> unknown, it may have run
+//     └──── abandon ──────┘  └────── retire ────> refused, it never ran nor will
+//
+// A caller that was told "not run" may act on it, for instance by asking for a
+// new ticket. An older copy of its request may still be under way, so a refused
+// ticket is never usable again.
 //
 // A record stays until its ticket has expired and `recordKeptFor` has passed.
 // The table never drops a record to make room; it refuses new work instead.
@@ -43,15 +47,18 @@
     Unknown,        // it may have run
     Expired,        // past its expiry and certainly never begun
     OtherContent,   // the ticket was used for another request
-    Full,           // no room for a record; certainly never begun
+    Refused,        // a caller was told that it did not run
+    Full,           // no room for new work; state() tells whether it could be retired
 };
 
 // Whether a ticket's request has run, over the ticket's whole history here.
-enum class OnceState { NeverBegun, InProgress, Done, Unknown };
+enum class OnceState { NeverBegun, InProgress, Done, Unknown, Refused };
 
 class OnceTable
 {
 public:
+    // Refused tickets of a full table may use this much of bytesMost beyond it.
+    static constexpr std::size_t refusedDivisor = 8;
     static constexpr std::size_t waitersMost = 16;                   // for each ticket
     static constexpr std::size_t recordOverhead = 256;               // bytes, beside the answer
     static constexpr Duration recordKeptFor = Duration::seconds(10); // after expiry
@@ -75,7 +82,10 @@
     // The run ended, or was given up, and may have had its effect.
     std::vector<RequestId> fail(TicketNumber number);
 
-    // The run ended and provably had no effect; the ticket is fresh again.
+    // The run provably had no effect and its callers are told so.
+    std::vector<RequestId> retire(TicketNumber number);
+
+    // The run provably had no effect and nobody is told so; the ticket is fresh.
     std::vector<RequestId> abandon(TicketNumber number);
 
     // A joined request stops waiting.
@@ -105,6 +115,7 @@
         std::vector<RequestId> waiting;
     };
 
+    void insert(const Ticket &ticket, std::uint64_t content, OnceState state);
     OnceVerdict beginKnown(Record &record, std::uint64_t content, RequestId request);
     std::vector<RequestId> settle(TicketNumber number, OnceState state, AnswerPointer answer);
     void resize(Record &record, std::size_t bytes);
--- /dev/null
+++ b/bluebellshift/core/testing/dispatchtest.cpp
@@ -0,0 +1,424 @@
+#include <CppUTest/TestHarness.h>
+
+#include "bluebellshift/core/testing/dispatchbench.h"
+
+using namespace bluebellshift::core;
+using namespace bluebellshift::core::testing;
+
+TEST_GROUP(Dispatch)
+{
+    Effects arrive(const RequestArrived &arrived)
+    {
+        return dispatch().onRequest(arrived, bench_.now, arrived.request.number());
+    }
+
+    ForwardRequest forwarded(const RequestArrived &arrived)
+    {
+        return only<ForwardRequest>(arrive(arrived)).at(0);
+    }
+
+    Refusal refused(const Effects &effects)
+    {
+        const auto refusals = only<RefuseCaller>(effects);
+        return refusals.empty() ? Refusal() : refusals[0].refusal;
+    }
+
+    Effects end(const ForwardRequest &forward, AttemptOutcome outcome, const char *body = "whole")
+    {
+        return dispatch().onAttemptEnded(ended(forward, outcome, body), bench_.now);
+    }
+
+    Effects later(Duration duration)
+    {
+        bench_.now = bench_.now + duration;
+        return dispatch().onTimer(bench_.now);
+    }
+
+    void takeAllSlots()
+    {
+        for (const Target &target : world_.targets)
+            bench_.budget.set(slotAccount(target.id), 0);
+    }
+
+    Dispatch &dispatch()
+    {
+        return *bench_.dispatch;
+    }
+
+    void setup() override
+    {
+        bench_.start();
+    }
+
+    World world_;
+    Bench bench_ { world_ };
+};
+
+TEST(Dispatch, RefusalsOfWhatMayNotEnter)
+{
+    const std::string ticket = bench_.ticket();
+    const std::string restarted = [&] {
+        Bench other(world_, "punjab-a-1", 2);
+        other.start();
+        return other.ticket();
+    }();
+    const std::string foreign = [&] {
+        Bench other(world_, "sindh-a-1", 1);
+        other.start();
+        return other.ticket();
+    }();
+    bench_.isPeerAlive = false;
+    const struct
+    {
+        const char *path;
+        const char *key;
+        std::string ticket;
+        RefusalCode code;
+        Run run;
+    } cases[] = {
+        { "/turns", "", "", RefusalCode::KeyMissing, Run::NotRun },
+        { "/turns", "x", "", RefusalCode::KeyUnknown, Run::NotRun },
+        { "/swap", "m", "", RefusalCode::TicketMissing, Run::NotRun },
+        { "/swap", "x", ticket, RefusalCode::KeyUnknown, Run::Unknown },
+        { "/swap", "s", ticket, RefusalCode::TicketOfAnotherTeam, Run::Unknown },
+        { "/swap", "m", "?", RefusalCode::MalformedRequest, Run::Unknown },
+        { "/swap", "m", restarted, RefusalCode::OutcomeUnknown, Run::Unknown },
+        { "/swap", "m", foreign, RefusalCode::OutcomeUnknown, Run::Unknown },
+        { "/turns", "m", foreign, RefusalCode::OutcomeUnknown, Run::Unknown },
+    };
+    for (const auto &c : cases) {
+        const Refusal refusal = refused(arrive(bench_.request(c.path, c.key, c.ticket)));
+        STRCMP_EQUAL_TEXT(toText(c.code), toText(refusal.code), c.path);
+        STRCMP_EQUAL_TEXT(toText(c.run), toText(refusal.run), toText(c.code));
+    }
+    bench_.isFresh = false;
+    CHECK(refused(arrive(bench_.request("/"))).code == RefusalCode::ViewStale);
+    CHECK(refused(arrive(bench_.request("/swap", "m", ticket))).run == Run::Unknown);
+}
+
+TEST(Dispatch, WhatAnEndedAttemptLeadsTo)
+{
+    using Outcome = AttemptOutcome;
+    const struct
+    {
+        Outcome outcome;
+        const char *path;
+        bool isRetried;
+        RefusalCode code;
+        Run run;
+    } cases[] = {
+        { Outcome::NeverSent, "/swap", true, RefusalCode::TargetFailed, Run::NotRun },
+        { Outcome::ConnectFailed, "/swap", true, RefusalCode::TargetFailed, Run::NotRun },
+        { Outcome::Shed, "/swap", true, RefusalCode::NoCapacity, Run::NotRun },
+        { Outcome::Cut, "/swap", false, RefusalCode::AnswerCut, Run::Ran },
+        { Outcome::Cut, "/turns", true, RefusalCode::AnswerCut, Run::Ran },
+        { Outcome::TooLarge, "/turns", false, RefusalCode::AnswerTooLarge, Run::Ran },
+        { Outcome::TooLarge, "/swap", false, RefusalCode::AnswerTooLarge, Run::Ran },
+        { Outcome::TimedOut, "/turns", false, RefusalCode::TargetTimedOut, Run::Unknown },
+        { Outcome::TimedOut, "/swap", false, RefusalCode::TargetTimedOut, Run::Unknown },
+    };
+    for (const auto &c : cases) {
+        bench_.options.attemptsMost = 2;
+        bench_.start();
+        const std::string ticket = c.path == std::string("/swap") ? bench_.ticket() : "";
+        const RequestArrived arrived = bench_.request(c.path, "m", ticket);
+        const ForwardRequest first = forwarded(arrived);
+        CHECK_EQUAL(ticket.empty(), first.mayReuseConnection);
+        Effects effects = end(first, c.outcome);
+        const auto again = only<ForwardRequest>(effects);
+        CHECK_EQUAL_TEXT(c.isRetried, !again.empty(), c.path);
+        if (!again.empty())
+            effects = end(again[0], c.outcome);
+        STRCMP_EQUAL(toText(c.code), toText(refused(effects).code));
+        STRCMP_EQUAL(toText(c.run), toText(refused(effects).run));
+        CHECK_EQUAL(0U, dispatch().pendingCount());
+
+        if (ticket.empty())
+            continue;
+        const Effects retried = arrive(bench_.request("/swap", "m", ticket));
+        CHECK(only<ForwardRequest>(retried).empty());
+        CHECK_EQUAL(c.run == Run::NotRun, refused(retried).run == Run::NotRun);
+        CHECK_EQUAL(c.run != Run::NotRun, refused(retried).code == RefusalCode::OutcomeUnknown);
+    }
+}
+
+TEST(Dispatch, ACutWithoutAByteOfAnAnswerMayHaveRun)
+{
+    const ForwardRequest first = forwarded(bench_.request("/swap", "m", bench_.ticket()));
+    AttemptEnded cut = ended(first, AttemptOutcome::Cut);
+    cut.answerBegun = false;
+    CHECK(refused(dispatch().onAttemptEnded(cut, bench_.now)).run == Run::Unknown);
+}
+
+TEST(Dispatch, RetriesOfATicketShareOneRunAndItsAnswer)
+{
+    const std::string ticket = bench_.ticket();
+    const ForwardRequest first = forwarded(bench_.request("/swap", "m", ticket));
+    const RequestArrived joined = bench_.request("/swap", "m", ticket);
+    CHECK(only<ForwardRequest>(arrive(joined)).empty());
+    RequestArrived other = bench_.request("/swap", "m", ticket);
+    other.contentDigest = 9;
+    CHECK(refused(arrive(other)).code == RefusalCode::MalformedRequest);
+
+    const auto answers = only<AnswerCaller>(end(first, AttemptOutcome::Answered, "one"));
+    CHECK_EQUAL(2U, answers.size());
+    CHECK(answers[1].request == joined.request);
+    CHECK(end(first, AttemptOutcome::Answered, "late").empty());
+    const auto replayed = only<AnswerCaller>(arrive(bench_.request("/swap", "m", ticket)));
+    STRCMP_EQUAL("one", replayed.at(0).answer->body.c_str());
+
+    world_.keys.erase(KeyDigest("m"));
+    CHECK(only<AnswerCaller>(arrive(bench_.request("/swap", "m", ticket))).empty());
+}
+
+TEST(Dispatch, ACallerThatGoesAwayLosesNoOutcome)
+{
+    const std::string ticket = bench_.ticket();
+    const ForwardRequest sent = forwarded(bench_.request("/swap", "m", ticket));
+    CHECK(only<CancelForward>(dispatch().onCallerGone({ sent.request }, bench_.now)).empty());
+    end(sent, AttemptOutcome::Answered);
+    CHECK_EQUAL(1U, only<AnswerCaller>(arrive(bench_.request("/swap", "m", ticket))).size());
+
+    const ForwardRequest repeatable = forwarded(bench_.request("/turns"));
+    CHECK_EQUAL(
+        1U,
+        only<CancelForward>(dispatch().onCallerGone({ repeatable.request }, bench_.now)).size());
+    CHECK_EQUAL(1U, only<RefuseCaller>(end(repeatable, AttemptOutcome::Cancelled)).size());
+}
+
+TEST(Dispatch, AJoinedRequestTakesThePlaceOfOneThatLeftTheQueue)
+{
+    const std::string ticket = bench_.ticket();
+    takeAllSlots();
+    const RequestArrived first = bench_.request("/swap", "m", ticket);
+    const RequestArrived second = bench_.request("/swap", "m", ticket);
+    arrive(first);
+    arrive(second);
+    const Effects gone = dispatch().onCallerGone({ first.request }, bench_.now);
+    CHECK(refused(gone).run == Run::Unknown); // the second one may run
+    bench_.budget.set(slotAccount(TargetId("t1")), 1);
+    const auto sent = only<ForwardRequest>(later(Duration::millis(5)));
+    CHECK(sent.at(0).request == second.request);
+}
+
+// A copy of a request may wait in a paused VM while its caller is refused.
+TEST(Dispatch, NotRunIsFinal)
+{
+    const std::string ticket = bench_.ticket();
+    takeAllSlots();
+    arrive(bench_.request("/swap", "m", ticket));
+    CHECK(refused(later(bench_.options.queueWaitMost)).run == Run::NotRun);
+    bench_.budget.set(slotAccount(TargetId("t1")), 1);
+    const Effects copy = arrive(bench_.request("/swap", "m", ticket));
+    CHECK(only<ForwardRequest>(copy).empty());
+    CHECK(refused(copy).run == Run::NotRun);
+
+    const std::string unheard = bench_.ticket();
+    takeAllSlots();
+    const RequestArrived gone = bench_.request("/swap", "m", unheard);
+    arrive(gone);
+    dispatch().onCallerGone({ gone.request }, bench_.now);
+    bench_.budget.set(slotAccount(TargetId("t1")), 1);
+    forwarded(bench_.request("/swap", "m", unheard)); // nobody was told anything
+}
+
+TEST(Dispatch, AWithdrawnKeyEndsWhatWaits)
+{
+    const std::string ticket = bench_.ticket();
+    const ForwardRequest running = forwarded(bench_.request("/swap", "m", ticket));
+    arrive(bench_.request("/swap", "m", ticket)); // joins
+    takeAllSlots();
+    arrive(bench_.request("/turns"));
+    arrive(bench_.request("/turns", "s"));
+    world_.keys.erase(KeyDigest("m"));
+    const auto refusals = only<RefuseCaller>(dispatch().onViewChanged(bench_.now));
+    CHECK_EQUAL(2U, refusals.size());
+    CHECK(refusals[0].refusal.run == Run::Unknown); // had joined a run under way
+    CHECK(refusals[1].refusal.run == Run::NotRun);
+    CHECK(refusals[1].refusal.code == RefusalCode::KeyUnknown);
+    CHECK_EQUAL(1U, only<AnswerCaller>(end(running, AttemptOutcome::Answered)).size());
+}
+
+TEST(Dispatch, WaitingEndsWithTheReason)
+{
+    const struct
+    {
+        AccountId account;
+        Duration timeLeft;
+        bool turnsStale;
+        RefusalCode code;
+    } cases[] = {
+        { teamAccount(multan), Duration(), false, RefusalCode::OverRate },
+        { regionAccount(punjab), Duration(), false, RefusalCode::NoCapacity },
+        { teamAccount(multan), Duration::millis(100), false, RefusalCode::DeadlinePassed },
+        { teamAccount(multan), Duration(), true, RefusalCode::ViewStale },
+    };
+    for (const auto &c : cases) {
+        Bench bench(world_);
+        bench.regions = { punjab };
+        bench.budget.set(c.account, 0);
+        Dispatch &dispatch = bench.start();
+        RequestArrived arrived = bench.request("/turns");
+        arrived.timeLeft = c.timeLeft;
+        CHECK(only<RefuseCaller>(dispatch.onRequest(arrived, bench.now, 1)).empty());
+        CHECK(bench.budget.wasWanted(c.account));
+        bench.isFresh = !c.turnsStale;
+        const Effects effects = dispatch.onTimer(bench.now + bench.options.queueWaitMost);
+        STRCMP_EQUAL(toText(c.code), toText(refused(effects).code));
+        CHECK(refused(effects).run == Run::NotRun);
+    }
+}
+
+TEST(Dispatch, TokensComeBackOnlyWhenNothingLeft)
+{
+    const struct
+    {
+        AttemptOutcome outcome;
+        double team;
+        double region;
+    } cases[] = {
+        { AttemptOutcome::NeverSent, 10, 10 }, { AttemptOutcome::ConnectFailed, 10, 10 },
+        { AttemptOutcome::Shed, 9, 9 },        { AttemptOutcome::Cut, 9, 9 },
+        { AttemptOutcome::TimedOut, 9, 9 },    { AttemptOutcome::Answered, 9, 9 },
+    };
+    for (const auto &c : cases) {
+        bench_.options.attemptsMost = 1;
+        bench_.budget.set(teamAccount(multan), 10);
+        bench_.budget.set(regionAccount(punjab), 10);
+        bench_.start();
+        end(forwarded(bench_.request("/turns")), c.outcome);
+        CHECK_EQUAL(c.team, bench_.budget.tokens(teamAccount(multan)));
+        CHECK_EQUAL(c.region, bench_.budget.tokens(regionAccount(punjab)));
+        CHECK_EQUAL(2, bench_.budget.tokens(slotAccount(TargetId("t1"))));
+        CHECK_EQUAL(2, bench_.budget.tokens(slotAccount(TargetId("t2"))));
+    }
+}
+
+TEST(Dispatch, RetriesHaveABudget)
+{
+    int attempts = 0;
+    const int requests = 1000;
+    for (int i = 0; i < requests; ++i) {
+        Effects effects = arrive(bench_.request("/turns"));
+        for (auto sent = only<ForwardRequest>(effects); !sent.empty();) {
+            ++attempts;
+            sent = only<ForwardRequest>(end(sent[0], AttemptOutcome::NeverSent));
+        }
+    }
+    CHECK(attempts <= requests + requests / 10 + static_cast<int>(RetryBudget::savedMost));
+}
+
+TEST(Dispatch, ABacklogDelaysNoOtherTeam)
+{
+    takeAllSlots();
+    for (int i = 0; i < 200; ++i)
+        arrive(bench_.request("/turns", "m"));
+    const RequestArrived other = bench_.request("/turns", "s");
+    arrive(other);
+    bench_.budget.set(slotAccount(TargetId("t1")), 2);
+    const auto sent = only<ForwardRequest>(later(Duration::millis(5)));
+    CHECK_EQUAL(2U, sent.size());
+    CHECK(sent[0].request == other.request || sent[1].request == other.request);
+}
+
+TEST(Dispatch, ARelayEndsOnce)
+{
+    Bench home(world_, "sindh-a-1");
+    home.start();
+    const std::string ticket = home.ticket();
+    const auto relay = [&] {
+        const auto relayed = only<RelayToHome>(arrive(bench_.request("/swap", "m", ticket)));
+        STRCMP_EQUAL("sindh-a-1", relayed.at(0).home.text().c_str());
+        return relayed[0].request;
+    };
+    RelayReply reply;
+    reply.isAnswer = true;
+    RequestId request = relay();
+    CHECK_EQUAL(1U, only<AnswerCaller>(dispatch().onRelayReply(request, reply, bench_.now)).size());
+    CHECK(dispatch().onRelayReply(request, reply, bench_.now).empty());
+
+    request = relay();
+    CHECK(refused(dispatch().onPeerLost(VmId("sindh-a-1"), bench_.now)).run == Run::Unknown);
+    request = relay();
+    CHECK(refused(dispatch().onCallerGone({ request }, bench_.now)).run == Run::Unknown);
+    relay();
+    CHECK(refused(later(Duration::seconds(4))).code == RefusalCode::DeadlinePassed);
+
+    RequestArrived relayed = bench_.request("/swap", "m", ticket);
+    relayed.relayedBy = VmId("kpk-a-1"); // this VM is not the home either
+    CHECK(refused(arrive(relayed)).code == RefusalCode::HomeUnreachable);
+}
+
+TEST(Dispatch, LogsHoldNoKeyDigestOrTicket)
+{
+    world_.keys[KeyDigest("a-digest")] = multan;
+    const std::string ticket = bench_.ticket("a-digest");
+    Effects effects = arrive(bench_.request("/swap", "a-digest", ticket));
+    for (Effect &effect : arrive(bench_.request("/swap", "other-digest", ticket)))
+        effects.push_back(std::move(effect));
+    CHECK_EQUAL(2U, only<WriteLog>(effects).size());
+    for (const WriteLog &line : only<WriteLog>(effects)) {
+        for (const LogField &field : line.record.fields) {
+            CHECK(field.value.find("digest") == std::string::npos);
+            CHECK(field.value.find(ticket) == std::string::npos);
+            CHECK(field.value.size() < 512);
+        }
+    }
+}
+
+TEST(Dispatch, ShutdownOutlivesItsTicketsAndFinishesEveryRequest)
+{
+    bench_.ticket();
+    const ForwardRequest running = forwarded(bench_.request("/turns"));
+    CHECK(only<Exit>(dispatch().beginShutdown(bench_.now)).empty());
+    CHECK(dispatch().drainState() == DrainState::Leaving);
+    TicketAsked asked { RequestId(900), rota, true, KeyDigest("m") };
+    CHECK(refused(dispatch().onTicketAsked(asked, bench_.now, 1)).code == RefusalCode::Leaving);
+
+    CHECK(only<Exit>(later(bench_.options.ticketValidFor - Duration::seconds(1))).empty());
+    const ForwardRequest late = forwarded(bench_.request("/turns")); // still served
+    end(late, AttemptOutcome::Answered);
+    CHECK(only<Exit>(later(Duration::seconds(1))).empty()); // one is running
+    const auto exits = only<Exit>(end(running, AttemptOutcome::Answered));
+    CHECK_EQUAL(0, exits.at(0).requestsCut);
+    CHECK(refused(arrive(bench_.request("/turns"))).code == RefusalCode::Leaving);
+}
+
+TEST(Dispatch, ShutdownWaitsForWhatCallersCached)
+{
+    world_.bundle->services[0].cacheTime = Duration::seconds(9);
+    dispatch().beginShutdown(bench_.now);
+    CHECK(only<Exit>(later(Duration::seconds(9))).empty());
+    CHECK_EQUAL(1U, only<Exit>(later(bench_.options.suspicionTimeout)).size());
+}
+
+TEST(Dispatch, ASecondShutdownOrTheLimitCountsWhatIsCut)
+{
+    for (const bool isLimit : { false, true }) {
+        bench_.start();
+        forwarded(bench_.request("/turns"));
+        forwarded(bench_.request("/swap", "m", bench_.ticket()));
+        dispatch().beginShutdown(bench_.now);
+        const Effects effects =
+            isLimit ? later(bench_.options.shutdownMost) : dispatch().beginShutdown(bench_.now);
+        CHECK_EQUAL(2, only<Exit>(effects).at(0).requestsCut);
+        CHECK_EQUAL(2U, only<CancelForward>(effects).size());
+        for (const RefuseCaller &refusal : only<RefuseCaller>(effects))
+            CHECK(refusal.refusal.run == Run::Unknown);
+        CHECK_EQUAL(2, bench_.budget.tokens(slotAccount(TargetId("t1"))));
+    }
+}
+
+TEST(Dispatch, FullRecordsRefuseNewWorkTruthfully)
+{
+    bench_.options.answerBytesMost = 1000;
+    bench_.options.recordBytesMost = 2000;
+    bench_.start();
+    const std::string kept = bench_.ticket();
+    end(forwarded(bench_.request("/swap", "m", kept)), AttemptOutcome::Answered);
+    forwarded(bench_.request("/swap", "m", bench_.ticket()));
+    const Refusal refusal = refused(arrive(bench_.request("/swap", "m", bench_.ticket())));
+    CHECK(refusal.code == RefusalCode::RecordsFull);
+    CHECK(refusal.run == Run::NotRun);
+    CHECK_EQUAL(1U, only<AnswerCaller>(arrive(bench_.request("/swap", "m", kept))).size());
+}
--- /dev/null
+++ b/bluebellshift/core/testing/dispatchwalktest.cpp
@@ -0,0 +1,425 @@
+// A seeded random walk over three VMs: requests, retries on any VM, crossing
+// retries, expiry, lost relays, restarts, pauses, cancels, drains, withdrawn
+// keys, stale views and every way an attempt can end. What happened is kept
+// apart from the code under test, as plainly as possible: how often the targets
+// ran each ticket, and whether an attempt with it may still have run.
+#include <CppUTest/TestHarness.h>
+
+#include <random>
+
+#include <fmt/format.h>
+
+#include "bluebellshift/core/testing/dispatchbench.h"
+
+using namespace bluebellshift::core;
+using namespace bluebellshift::core::testing;
+
+namespace {
+
+constexpr std::size_t vmCount = 3;
+constexpr int stepsOfOneWalk = 10'000;
+
+struct TicketModel
+{
+    int runs = 0;
+    int inFlight = 0;
+    bool mayHaveRun = false;
+    bool wasRefused = false; // a caller was told that it did not run
+};
+
+struct Origin // of a relayed request
+{
+    std::size_t vm = 0;
+    std::uint64_t incarnation = 0;
+    RequestId request;
+};
+
+struct Node
+{
+    std::unique_ptr<Bench> bench;
+    std::uint64_t incarnation = 0;
+    Instant pausedUntil = Instant::never();
+    std::map<RequestId, RequestArrived> open;
+    std::map<RequestId, Origin> origins;
+    std::map<RequestId, RequestId> relays; // ours to the home's
+    std::set<RequestId> cancelled;
+};
+
+struct Counts
+{
+    int requests = 0;
+    int answers = 0;
+    int refusals = 0;
+    int notRun = 0;
+    int restarts = 0;
+};
+
+class Walk
+{
+public:
+    explicit Walk(std::uint64_t seed)
+        : random_(seed)
+    {
+        for (std::size_t vm = 0; vm < vmCount; ++vm)
+            restart(vm);
+    }
+
+    Counts run()
+    {
+        for (int i = 0; i < stepsOfOneWalk; ++i) {
+            step();
+            advance(now_ + Duration::micros(pick(8000)));
+        }
+        settle();
+        return counts_;
+    }
+
+private:
+    using Call = std::function<Effects(Dispatch &)>;
+
+    std::uint64_t pick(std::uint64_t most) { return random_() % most; }
+    bool chance(int percent) { return pick(100) < static_cast<std::uint64_t>(percent); }
+    Duration someMillis(int most) { return Duration::micros(pick(most * 1000) + 1); }
+
+    void restart(std::size_t vm)
+    {
+        Node &node = nodes_[vm];
+        const std::uint64_t incarnation = node.incarnation + 1;
+        node = Node();
+        node.incarnation = incarnation;
+        node.bench = std::make_unique<Bench>(world_, fmt::format("vm-{}", vm), incarnation);
+        node.bench->options.ticketValidFor = Duration::seconds(2);
+        node.bench->options.recordBytesMost = 24 * 1024 * 1024;
+        node.bench->options.shutdownMost = Duration::seconds(8);
+        node.bench->start();
+        ++counts_.restarts;
+    }
+
+    // Calls into a VM's incarnation, later if it is paused, never if it is gone.
+    void call(std::size_t vm, std::uint64_t incarnation, const Call &what)
+    {
+        Node &node = nodes_[vm];
+        if (node.incarnation != incarnation)
+            return;
+        if (now_ < node.pausedUntil) {
+            at(node.pausedUntil, [=] { call(vm, incarnation, what); });
+            return;
+        }
+        carryOut(vm, what(*node.bench->dispatch));
+    }
+
+    void at(Instant when, std::function<void()> what) { agenda_.emplace(when, std::move(what)); }
+
+    void advance(Instant until)
+    {
+        while (!agenda_.empty() && agenda_.begin()->first <= until) {
+            const auto next = agenda_.extract(agenda_.begin());
+            now_ = std::max(now_, next.key());
+            next.mapped()();
+        }
+        now_ = until;
+    }
+
+    void step()
+    {
+        const std::size_t vm = pick(vmCount);
+        Node &node = nodes_[vm];
+        const std::uint64_t kind = pick(1000);
+        if (kind < 300)
+            askTicket(vm);
+        else if (kind < 900)
+            arrive(vm);
+        else if (kind < 950 && !node.open.empty())
+            leave(vm);
+        else if (kind < 960)
+            node.pausedUntil = now_ + someMillis(500);
+        else if (kind < 964)
+            restart(vm);
+        else if (kind < 968)
+            call(vm, node.incarnation, [this](Dispatch &d) { return d.beginShutdown(now_); });
+        else if (kind < 980)
+            node.bench->isFresh = chance(70);
+        else if (kind < 990)
+            world_.targets[pick(world_.targets.size())].isLeaving = chance(30);
+        else
+            changeKeys();
+    }
+
+    void changeKeys()
+    {
+        world_.keys.erase(KeyDigest("m"));
+        if (chance(70))
+            world_.keys[KeyDigest("m")] = multan;
+        for (std::size_t vm = 0; vm < vmCount; ++vm)
+            call(vm, nodes_[vm].incarnation, [this](Dispatch &d) { return d.onViewChanged(now_); });
+    }
+
+    void askTicket(std::size_t vm)
+    {
+        Bench &bench = *nodes_[vm].bench;
+        const std::string key = chance(80) ? "m" : "s";
+        TicketAsked asked { RequestId(++bench.requests), rota, true, KeyDigest(key) };
+        for (const Effect &effect : bench.dispatch->onTicketAsked(asked, now_, random_())) {
+            if (const auto *given = std::get_if<GiveTicket>(&effect))
+                tickets_.push_back({ given->ticket, key });
+        }
+    }
+
+    void arrive(std::size_t vm)
+    {
+        Bench &bench = *nodes_[vm].bench;
+        RequestArrived arrived = bench.request("/turns", chance(80) ? "m" : "s");
+        if (chance(70) && !tickets_.empty()) {
+            const std::size_t newest = std::min<std::size_t>(tickets_.size(), 60);
+            const auto &[ticket, key] = tickets_[tickets_.size() - 1 - pick(newest)];
+            arrived = bench.request("/swap", chance(97) ? key : "s", ticket);
+        }
+        arrived.timeLeft = Duration::millis(static_cast<std::int64_t>(pick(1500)) + 1);
+        open(vm, nodes_[vm].incarnation, arrived);
+    }
+
+    void open(std::size_t vm, std::uint64_t incarnation, const RequestArrived &arrived)
+    {
+        const std::uint64_t random = random_();
+        call(vm, incarnation, [=](Dispatch &d) {
+            ++counts_.requests;
+            nodes_[vm].open[arrived.request] = arrived;
+            return d.onRequest(arrived, now_, random);
+        });
+    }
+
+    void leave(std::size_t vm)
+    {
+        auto entry = nodes_[vm].open.begin();
+        std::advance(entry, pick(nodes_[vm].open.size()));
+        const RequestId request = entry->first;
+        call(vm, nodes_[vm].incarnation,
+             [=](Dispatch &d) { return d.onCallerGone({ request }, now_); });
+    }
+
+    void carryOut(std::size_t vm, const Effects &effects)
+    {
+        const std::uint64_t incarnation = nodes_[vm].incarnation;
+        int cut = 0;
+        for (const Effect &effect : effects) {
+            if (const auto *forward = std::get_if<ForwardRequest>(&effect))
+                forwardIt(vm, *forward);
+            else if (const auto *relay = std::get_if<RelayToHome>(&effect))
+                relayIt(vm, *relay);
+            else if (const auto *cancel = std::get_if<CancelForward>(&effect))
+                cancelIt(vm, cancel->request);
+            else if (const auto *answer = std::get_if<AnswerCaller>(&effect))
+                endIt(vm, answer->request, answer->answer, nullptr);
+            else if (const auto *refusal = std::get_if<RefuseCaller>(&effect))
+                ++cut, endIt(vm, refusal->request, nullptr, &refusal->refusal);
+            else if (const auto *timer = std::get_if<SetTimer>(&effect))
+                at(std::max(timer->at, now_ + Duration::micros(1)),
+                   [=] { call(vm, incarnation, [this](Dispatch &d) { return d.onTimer(now_); }); });
+            else if (const auto *exit = std::get_if<Exit>(&effect))
+                exitIt(vm, exit->requestsCut, cut);
+        }
+    }
+
+    void exitIt(std::size_t vm, int requestsCut, int refused)
+    {
+        CHECK(requestsCut <= refused);
+        CHECK(nodes_[vm].open.empty()); // each got its one end before
+        restart(vm);
+    }
+
+    static std::string nameOf(std::size_t vm, std::uint64_t incarnation,
+                              const RequestArrived &arrived)
+    {
+        if (!arrived.ticket.empty())
+            return arrived.ticket;
+        return fmt::format("{}/{}/{}", vm, incarnation, arrived.request.number());
+    }
+
+    void forwardIt(std::size_t vm, const ForwardRequest &forward)
+    {
+        const RequestArrived arrived = nodes_[vm].open.at(forward.request);
+        CHECK(world_.keys.count(arrived.keyDigest) > 0);
+        CHECK(nodes_[vm].bench->isFresh);
+        CHECK_EQUAL(arrived.ticket.empty(), forward.mayReuseConnection);
+        for (const Target &target : world_.targets)
+            CHECK(target.id != forward.target || !target.isLeaving);
+
+        const std::uint64_t incarnation = nodes_[vm].incarnation;
+        const std::string name = nameOf(vm, incarnation, arrived);
+        CHECK(!model_[name].wasRefused);
+        ++model_[name].inFlight;
+        const Instant end = std::min(forward.deadline, now_ + someMillis(300));
+        at(end, [=] { endAttempt(vm, incarnation, forward, name); });
+    }
+
+    void endAttempt(std::size_t vm, std::uint64_t incarnation, const ForwardRequest &forward,
+                    const std::string &name)
+    {
+        static constexpr AttemptOutcome outcomes[] = {
+            AttemptOutcome::NeverSent, AttemptOutcome::ConnectFailed, AttemptOutcome::Shed,
+            AttemptOutcome::Cut,       AttemptOutcome::TooLarge,      AttemptOutcome::TimedOut,
+        };
+        const bool isCancelled = nodes_[vm].incarnation == incarnation
+            && nodes_[vm].cancelled.erase(forward.request) > 0;
+        AttemptOutcome outcome = AttemptOutcome::Answered;
+        if (isCancelled)
+            outcome = AttemptOutcome::Cancelled;
+        else if (chance(30))
+            outcome = outcomes[pick(std::size(outcomes))];
+
+        TicketModel &model = model_[name];
+        --model.inFlight;
+        const bool isDoubtful =
+            outcome == AttemptOutcome::TimedOut || outcome == AttemptOutcome::Cancelled;
+        const bool hasRun = outcome == AttemptOutcome::Answered || outcome == AttemptOutcome::Cut
+            || outcome == AttemptOutcome::TooLarge || (isDoubtful && chance(50));
+        model.runs += hasRun ? 1 : 0;
+        model.mayHaveRun = model.mayHaveRun || hasRun || isDoubtful;
+        if (!forward.mayReuseConnection)
+            CHECK(model.runs <= 1);
+        call(vm, incarnation,
+             [=](Dispatch &d) { return d.onAttemptEnded(ended(forward, outcome, name), now_); });
+    }
+
+    void relayIt(std::size_t vm, const RelayToHome &relay)
+    {
+        const std::size_t home = relay.home.text().back() - '0';
+        const Origin origin { vm, nodes_[vm].incarnation, relay.request };
+        const std::uint64_t homeIncarnation = nodes_[home].incarnation;
+        if (chance(10)) {
+            if (chance(50))
+                call(vm, origin.incarnation,
+                     [=](Dispatch &d) { return d.onPeerLost(relay.home, now_); });
+            return;
+        }
+        RequestArrived arrived = nodes_[vm].open.at(relay.request);
+        at(now_ + someMillis(200), [=]() mutable {
+            Node &node = nodes_[home];
+            if (node.incarnation != homeIncarnation)
+                return;
+            arrived.request = RequestId(++node.bench->requests);
+            arrived.relayedBy = nodes_[vm].bench->options.vm;
+            arrived.timeLeft = relay.deadline - now_;
+            node.origins[arrived.request] = origin;
+            if (nodes_[vm].incarnation == origin.incarnation)
+                nodes_[vm].relays[relay.request] = arrived.request;
+            open(home, homeIncarnation, arrived);
+        });
+    }
+
+    void cancelIt(std::size_t vm, RequestId request)
+    {
+        const RequestArrived &arrived = nodes_[vm].open.at(request);
+        const auto home = readTicketHome(arrived.ticket);
+        if (!home || home->vm == nodes_[vm].bench->options.vm) {
+            nodes_[vm].cancelled.insert(request);
+            return;
+        }
+        const auto relayed = nodes_[vm].relays.find(request);
+        if (relayed == nodes_[vm].relays.end())
+            return;
+        const std::size_t peer = home->vm.text().back() - '0';
+        const RequestId there = relayed->second;
+        const std::uint64_t incarnation = home->incarnation.number();
+        at(now_ + someMillis(20), [=] {
+            call(peer, incarnation, [=](Dispatch &d) { return d.onCallerGone({ there }, now_); });
+        });
+    }
+
+    void endIt(std::size_t vm, RequestId request, const AnswerPointer &answer,
+               const Refusal *refusal)
+    {
+        Node &node = nodes_[vm];
+        CHECK_EQUAL(1U, node.open.count(request)); // never ended twice
+        const RequestArrived arrived = node.open.at(request);
+        node.open.erase(request);
+        const std::string name = nameOf(vm, node.incarnation, arrived);
+        if (answer) {
+            ++counts_.answers;
+            STRCMP_EQUAL(name.c_str(), answer->body.c_str());
+        } else {
+            ++counts_.refusals;
+            checkNotRun(name, *refusal);
+        }
+        replyToOrigin(vm, request, answer, refusal);
+    }
+
+    // Not only now: forwardIt() checks that it stays true.
+    void checkNotRun(const std::string &name, const Refusal &refusal)
+    {
+        if (refusal.run != Run::NotRun)
+            return;
+        ++counts_.notRun;
+        CHECK_EQUAL(0, model_[name].inFlight);
+        CHECK(!model_[name].mayHaveRun);
+        CHECK_EQUAL(0, model_[name].runs);
+        model_[name].wasRefused = true;
+    }
+
+    void replyToOrigin(std::size_t vm, RequestId request, const AnswerPointer &answer,
+                       const Refusal *refusal)
+    {
+        const auto found = nodes_[vm].origins.find(request);
+        if (found == nodes_[vm].origins.end() || chance(5))
+            return;
+        const Origin origin = found->second;
+        RelayReply reply;
+        reply.isAnswer = answer != nullptr;
+        if (answer)
+            reply.answer = *answer;
+        else
+            reply.refusal = *refusal;
+        at(now_ + someMillis(50), [=] {
+            call(origin.vm, origin.incarnation,
+                 [=](Dispatch &d) { return d.onRelayReply(origin.request, reply, now_); });
+        });
+    }
+
+    // Lets everything end and looks at what must be conserved.
+    void settle()
+    {
+        world_.keys[KeyDigest("m")] = multan;
+        for (Node &node : nodes_)
+            node.bench->isFresh = true;
+        advance(now_ + Duration::seconds(20));
+        for (Node &node : nodes_) {
+            CHECK_EQUAL(0U, node.open.size());
+            CHECK_EQUAL(0U, node.bench->dispatch->pendingCount());
+            for (const Target &target : world_.targets)
+                CHECK_EQUAL(target.slots, node.bench->budget.tokens(slotAccount(target.id)));
+        }
+    }
+
+    std::mt19937_64 random_;
+    World world_;
+    Instant now_ = Instant::fromMicros(1'000'000'000);
+    std::multimap<Instant, std::function<void()>> agenda_;
+    Node nodes_[vmCount];
+    std::vector<std::pair<std::string, std::string>> tickets_;
+    std::map<std::string, TicketModel> model_;
+    Counts counts_;
+};
+
+} // namespace
+
+TEST_GROUP(DispatchWalk) {};
+
+TEST(DispatchWalk, NoTicketRunsTwiceAndNotRunIsTrue)
+{
+    Counts sum;
+    for (std::uint64_t seed = 1; seed <= 16; ++seed) {
+        const Counts counts = Walk(seed).run();
+        sum.requests += counts.requests;
+        sum.answers += counts.answers;
+        sum.refusals += counts.refusals;
+        sum.notRun += counts.notRun;
+        sum.restarts += counts.restarts;
+    }
+    UT_PRINT(fmt::format("{} requests, {} answers, {} refusals, {} said not-run, {} restarts",
+                         sum.requests, sum.answers, sum.refusals, sum.notRun, sum.restarts)
+                 .c_str());
+    // The walk is worth nothing unless every kind of end was reached often.
+    CHECK(sum.requests > 100'000);
+    CHECK(sum.answers > sum.requests / 10);
+    CHECK(sum.notRun > 1000);
+}
