--- a/bluebellshift/core/testing/dispatchbench.h
+++ b/bluebellshift/core/testing/dispatchbench.h
@@ -37,6 +37,7 @@
             target.service = rota;
             target.region = targets.size() < 2 ? punjab : sindh;
             target.slots = 2;
+            target.connections = 400;
             targets.push_back(target);
         }
     }
@@ -57,8 +58,10 @@
         options.incarnation = Incarnation(incarnation);
         options.region = punjab;
         options.ticketSecret = vm + std::to_string(incarnation);
-        for (const Target &target : world.targets)
+        for (const Target &target : world.targets) {
             budget.set(slotAccount(target.id), target.slots);
+            budget.set(connectionAccount(target.id), target.connections);
+        }
     }
 
     // Call once the options are as wanted.
--- a/bluebellshift/core/testing/dispatchwalktest.cpp
+++ b/bluebellshift/core/testing/dispatchwalktest.cpp
@@ -170,7 +170,8 @@
         Bench &bench = *nodes_[vm].bench;
         RequestArrived arrived = bench.request("/turns", chance(80) ? "m" : "s");
         if (chance(70) && !tickets_.empty()) {
-            const std::size_t newest = std::min<std::size_t>(tickets_.size(), 60);
+            const std::size_t newest =
+                chance(5) ? tickets_.size() : std::min<std::size_t>(tickets_.size(), 60);
             const auto &[ticket, key] = tickets_[tickets_.size() - 1 - pick(newest)];
             arrived = bench.request("/swap", chance(97) ? key : "s", ticket);
         }
@@ -385,8 +386,11 @@
         for (Node &node : nodes_) {
             CHECK_EQUAL(0U, node.open.size());
             CHECK_EQUAL(0U, node.bench->dispatch->pendingCount());
-            for (const Target &target : world_.targets)
-                CHECK_EQUAL(target.slots, node.bench->budget.tokens(slotAccount(target.id)));
+            const FakeBudget &budget = node.bench->budget;
+            for (const Target &target : world_.targets) {
+                CHECK_EQUAL(target.slots, budget.tokens(slotAccount(target.id)));
+                CHECK_EQUAL(target.connections, budget.tokens(connectionAccount(target.id)));
+            }
         }
     }
 
