--- a/bluebellshift/core/fleet.cpp
+++ b/bluebellshift/core/fleet.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-constexpr Duration waitingInterval = Duration::millis(25);
+constexpr Duration waitingInterval = Duration::millis(25); // while a request waits
+constexpr Duration idleInterval = Duration::millis(100);
 
 int distanceTo(const CoreOptions &options, const Vm &vm)
 {
@@ -43,6 +44,8 @@
             return decoded.status();
         list = *std::move(decoded);
     }
+    if (view.revision > freshness_.revision())
+        nextHeartbeat_ = Instant::never(); // so that the others learn of it soon
     storeRegion_ = view.storeRegion;
     membership_.setVms(view.vms, now);
     freshness_.install(view.revision);
@@ -81,6 +84,8 @@
 
 void Fleet::onPlatformFailed(Instant begunAt)
 {
+    if (!freshness_.isPlatformFailing())
+        nextHeartbeat_ = Instant::never(); // the others need this VM's word soon
     freshness_.platformFailed(begunAt);
 }
 
@@ -226,7 +231,7 @@
     stepReclaim(now, random, &effects);
     Effects requests = flush(now);
     effects.insert(effects.end(), requests.begin(), requests.end());
-    effects.push_back(SetTimer { std::min(nextHeartbeat_, now + waitingInterval) });
+    effects.push_back(SetTimer { std::min(nextHeartbeat_, now + idleInterval) });
     return effects;
 }
 
@@ -235,6 +240,8 @@
     Effects effects;
     for (LedgerRequest &request : ledger_.dueRequests(now))
         effects.push_back(SendPeer { request.to, std::move(request.request) });
+    if (ledger_.isAnyWaiting())
+        effects.push_back(SetTimer { now + waitingInterval });
     return effects;
 }
 
--- a/bluebellshift/core/freshness.cpp
+++ b/bluebellshift/core/freshness.cpp
@@ -19,6 +19,8 @@
 // successor may still be waiting for its time-out.
 constexpr std::int64_t failureLeases = 2;
 
+constexpr Duration ageMost = Duration::seconds(365 * 86'400); // also when never confirmed
+
 Duration scaled(Duration duration, double factor)
 {
     return Duration::micros(static_cast<std::int64_t>(duration.toMicros() * factor));
@@ -134,7 +136,7 @@
 
 Duration Freshness::viewAge(Instant now) const
 {
-    return now - asOf_;
+    return std::min(now - asOf_, ageMost);
 }
 
 Duration Freshness::platformFailureAge(Instant now) const
--- a/bluebellshift/core/ledger.cpp
+++ b/bluebellshift/core/ledger.cpp
@@ -128,8 +128,10 @@
     for (auto &[vm, peer] : peers_) {
         const Member *member = list.findActive(vm);
         std::uint64_t peerEpoch = member == nullptr ? 0 : member->epoch;
-        if (peerEpoch != peer.epoch || isNewMembership)
+        if (peerEpoch != peer.epoch || isNewMembership) {
             peer.since = list.version;
+            forgetPeer(vm);
+        }
         peer.epoch = peerEpoch;
         peer.closingsSequence = 0;
         peer.areClosingsAcknowledged = false;
@@ -315,6 +317,15 @@
     return static_cast<double>(microTokens(id, now)) / microsPerToken;
 }
 
+bool Ledger::isAnyWaiting() const
+{
+    for (const auto &[id, account] : accounts_) {
+        if (account.hasLimit && account.waiting > 0)
+            return true;
+    }
+    return false;
+}
+
 std::int64_t Ledger::microTokens(const AccountId &id, Instant now) const
 {
     const Account *account = findAccount(id);
@@ -653,14 +664,19 @@
 {
     std::vector<Credit> credits;
     auto peer = peers_.find(to);
-    if (peer == peers_.end() || !mayLendTo(peer->second))
+    if (peer == peers_.end())
         return credits;
+    bool maySend = mayLendTo(peer->second);
     MemberKey key { to, peer->second.epoch };
     for (auto &[id, account] : accounts_) {
         auto it = account.edges.find(key);
         if (it == account.edges.end() || it->second.isAcknowledged)
             continue;
         Edge &edge = it->second;
+        if (!maySend) {
+            edge.sentSequence = 0; // this message goes without it, so earlier ones prove nothing
+            continue;
+        }
         if (edge.sentSequence == 0)
             edge.sentSequence = sequence;
         credits.push_back(Credit { id, edge.given, edge.tokensGiven });
--- a/bluebellshift/core/ledger.h
+++ b/bluebellshift/core/ledger.h
@@ -68,6 +68,7 @@
     // what was said before. Nothing waits any more after zero.
     void want(const Debit &debit, Instant now);
     double available(const AccountId &account, Instant now) const;
+    bool isAnyWaiting() const;
 
     // Lends from idle shares. What is lent is in unacknowledgedCredits of `to`
     // from now on. Returns what is left to lend, as a hint.
