Ask for the slots that other VMs have to spare

Cause: a VM without a free slot always asked for the first target of its list; VMs that waited asked for the same few slots while others were idle. Change: ask for a slot of the target of which peers were heard to have most to spare; where nothing is known, ask for another target every 40 ms. The log of a refusal names the account that was short.

--- a/bluebellshift/core/accounts.h
+++ b/bluebellshift/core/accounts.h
@@ -60,6 +60,8 @@
     std::function<void(const Debit &, Instant now)> want;
     // Tokens that could be taken now.
     std::function<double(const AccountId &, Instant now)> available;
+    // Tokens that other VMs were last heard to have to spare; may be unset.
+    std::function<double(const AccountId &)> borrowable;
 };
 
 } // namespace bluebellshift::core
--- a/bluebellshift/core/dispatch.cpp
+++ b/bluebellshift/core/dispatch.cpp
@@ -24,6 +24,7 @@
 namespace {
 
 constexpr std::size_t consideredTextMost = 400;          // bytes of one log line
+constexpr Duration wantInterval = Duration::millis(40);  // for a slot of one target
 constexpr double overheadBytes = 1024;                   // of the headers of a request or answer
 constexpr double firstAnswerBytes = 4096;                // before any answer was seen
 constexpr std::uint64_t randomStep = 0x9e3779b97f4a7c15; // odd, so that it visits all values
@@ -279,7 +280,7 @@
                                           pending.tried, random, now);
     appendConsidered(ranking, region, considered);
     if (ranking.usable.empty())
-        wantSlot(ranking, now);
+        wantSlot(pending, ranking, now);
 
     int triedHere = 0;
     for (const Target *target : ranking.usable) {
@@ -304,12 +305,31 @@
     return std::nullopt;
 }
 
-void Dispatch::wantSlot(const Ranking &ranking, Instant now)
+// Asks for a slot of the target of which other VMs have most to spare. Where
+// nothing is known of any, each try asks for another target, so that VMs which
+// wait do not all ask for the same few slots.
+void Dispatch::wantSlot(Pending &pending, const Ranking &ranking, Instant now)
 {
+    std::vector<AccountId> lacking;
     for (const Considered &considered : ranking.considered) {
         if (considered.ruledOut == RuledOut::NoSlot)
-            return hooks_.budget.want({ slotAccount(considered.target->id), 1 }, now);
+            lacking.push_back(slotAccount(considered.target->id));
     }
+    if (lacking.empty())
+        return;
+    const Duration waited = now - pending.arrivedAt;
+    const auto turn = static_cast<std::uint64_t>(waited.toMicros() / wantInterval.toMicros());
+    AccountId wanted = lacking[turn % lacking.size()];
+    double most = 0;
+    for (const AccountId &account : lacking) {
+        const double spare = hooks_.budget.borrowable ? hooks_.budget.borrowable(account) : 0;
+        if (spare > most) {
+            most = spare;
+            wanted = account;
+        }
+    }
+    pending.lacking = wanted;
+    hooks_.budget.want({ wanted, 1 }, now);
 }
 
 void Dispatch::noteShortage(Pending &pending, const Debit &lacking, Instant now)
@@ -319,6 +339,7 @@
     Debit wanted = lacking;
     if (isTeam)
         wanted.tokens = static_cast<double>(queue_.waitingOf(pending.team));
+    pending.lacking = lacking.account;
     hooks_.budget.want(wanted, now);
 }
 
--- a/bluebellshift/core/dispatch.h
+++ b/bluebellshift/core/dispatch.h
@@ -109,6 +109,7 @@
         bool mayHaveRun = false;  // an attempt that was sent did not end in a certain refusal
         bool isCallerGone = false;
         RefusalCode shortage = RefusalCode::NoCapacity; // why it waits
+        AccountId lacking;                              // what it waits for
         VmId home;                                      // Relayed
     };
 
@@ -124,7 +125,7 @@
     void pump(Instant now, Effects &effects);
     Sending trySend(Pending &pending, Instant now, Effects &effects);
     bool isKeyInForce(const Pending &pending) const;
-    void wantSlot(const Ranking &ranking, Instant now);
+    void wantSlot(Pending &pending, const Ranking &ranking, Instant now);
     std::optional<Sending> tryRegion(Pending &pending, const RegionId &region, Instant now,
                                      std::string &considered, Effects &effects);
     void noteShortage(Pending &pending, const Debit &lacking, Instant now);
--- a/bluebellshift/core/dispatchend.cpp
+++ b/bluebellshift/core/dispatchend.cpp
@@ -209,8 +209,11 @@
     Pending unknown; // of a refused ticket call
     unknown.arrived.request = request;
     const Pending *pending = find(request);
-    writeLog(log::requestRefused, pending != nullptr ? *pending : unknown,
-             { { "code", core::toText(refusal.code) }, { "run", core::toText(refusal.run) } },
+    std::vector<LogField> fields { { "code", core::toText(refusal.code) },
+                                   { "run", core::toText(refusal.run) } };
+    if (pending != nullptr && !pending->lacking.isEmpty())
+        fields.push_back({ "lacking", pending->lacking.text() });
+    writeLog(log::requestRefused, pending != nullptr ? *pending : unknown, std::move(fields),
              effects);
     effects.push_back(RefuseCaller { request, refusal });
     erase(request);
--- a/bluebellshift/core/fleet.cpp
+++ b/bluebellshift/core/fleet.cpp
@@ -270,6 +270,7 @@
     hooks.available = [this](const AccountId &account, Instant now) {
         return ledger_.available(account, now);
     };
+    hooks.borrowable = [this](const AccountId &account) { return ledger_.borrowable(account); };
     return hooks;
 }
 
--- a/bluebellshift/core/ledger.cpp
+++ b/bluebellshift/core/ledger.cpp
@@ -317,6 +317,20 @@
     return static_cast<double>(microTokens(id, now)) / microsPerToken;
 }
 
+double Ledger::borrowable(const AccountId &id) const
+{
+    const Account *account = findAccount(id);
+    if (account == nullptr || !account->hasLimit)
+        return 0;
+    std::int64_t share = 0;
+    for (const auto &[vm, spare] : account->spare) {
+        auto peer = peers_.find(vm);
+        if (peer != peers_.end() && mayLendTo(peer->second))
+            share += spare;
+    }
+    return static_cast<double>(capacity(*account, std::min(share, wholeShare))) / microsPerToken;
+}
+
 bool Ledger::isAnyWaiting() const
 {
     for (const auto &[id, account] : accounts_) {
--- a/bluebellshift/core/ledger.h
+++ b/bluebellshift/core/ledger.h
@@ -68,6 +68,8 @@
     // what was said before. Nothing waits any more after zero.
     void want(const Debit &debit, Instant now);
     double available(const AccountId &account, Instant now) const;
+    // Tokens that peers which may lend were last heard to have to spare.
+    double borrowable(const AccountId &id) const;
     bool isAnyWaiting() const;
 
     // Lends from idle shares. What is lent is in unacknowledgedCredits of `to`
