Run the experiments in a network namespace of their own

Cause: two deployments on one machine use the same ports; a trial of experiment-once reached another fleet.

Change: the scripts run themselves again in a network namespace where they may.

--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -2,6 +2,17 @@
 # Sets the arrays vms, targets (of the first service), runs_from (one target of
 # each process) and teams (arguments of bluebellload) of a deployment.
 
+# own_network SCRIPT ARGUMENTS...: runs the script again in a network namespace of
+# its own where that is possible, so that it meets no other deployment's ports.
+own_network() {
+    [ -z "${BLUEBELLSHIFT_OWN_NETWORK:-}" ] || return 0
+    export BLUEBELLSHIFT_OWN_NETWORK=1
+    if unshare -n ip link set lo up 2>/dev/null; then
+        exec unshare -n bash -c 'ip link set lo up && exec "$@"' - "$@"
+    fi
+    echo "no network namespace: the deployment's ports must be free" >&2
+}
+
 build=${BLUEBELLSHIFT_BUILD:-build/release}
 load=$build/bluebellshift/load/bluebellload
 results=build/results
