--- a/bluebellshift/core/logevent.cpp
+++ b/bluebellshift/core/logevent.cpp
@@ -14,8 +14,6 @@
         log::answerReplayed,    log::targetEjected,    log::targetReturned,   log::targetLeaving,
         log::snapshotPublished, log::shiftStepTaken,   log::shiftPaused,      log::shiftFinished,
         log::regionHeldOut,     log::regionAdmitted,   log::regionUnsettled,  log::changeAccepted,
-        log::changeLost,        log::changeUnresolved, log::operatorRejected,
-        log::regionHeldOut,     log::regionAdmitted,   log::regionReturning,  log::changeAccepted,
         log::changeLost,        log::changeUnresolved, log::operatorRejected, log::auditUnfinished,
     };
     return events;
