--- a/bluebellshift/core/bundleparser.cpp
+++ b/bluebellshift/core/bundleparser.cpp
@@ -298,6 +298,7 @@
             readService(*table);
         for (const toml::table *table : root_.tables("client_block", false))
             readClientBlock(*table);
+        bundle_.clientBlocks.shrink_to_fit();
         root_.rejectUnknown();
         checkSums();
         checkLinks();
--- a/bluebellshift/core/lookup.cpp
+++ b/bluebellshift/core/lookup.cpp
@@ -387,25 +387,4 @@
     return snapshot;
 }
 
-void SnapshotBox::publish(std::shared_ptr<const SteeringSnapshot> snapshot)
-{
-    const std::lock_guard<std::mutex> guard(mutex_);
-    newest_ = std::move(snapshot);
-    version_.fetch_add(1, std::memory_order_release);
-}
-
-// The lock is only tried, and only after a swap. Reading the version afterwards
-// may see a newer one than was copied; the next call then copies again.
-const SteeringSnapshot *SnapshotBox::Reader::get()
-{
-    if (box_.version_.load(std::memory_order_acquire) == version_)
-        return snapshot_.get();
-    const std::unique_lock<std::mutex> guard(box_.mutex_, std::try_to_lock);
-    if (!guard.owns_lock())
-        return snapshot_.get();
-    version_ = box_.version_.load(std::memory_order_relaxed);
-    snapshot_ = box_.newest_;
-    return snapshot_.get();
-}
-
 } // namespace bluebellshift::core
--- a/bluebellshift/core/lookup.h
+++ b/bluebellshift/core/lookup.h
@@ -7,14 +7,13 @@
 //       use(*answer.vms[i]);
 //
 // A snapshot never changes. A look-up takes no lock and allocates nothing.
+// base::SnapshotCell hands snapshots to the threads that read them.
 #pragma once
 
 #include <array>
-#include <atomic>
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <mutex>
 #include <unordered_map>
 #include <vector>
 
@@ -111,35 +110,4 @@
     std::unique_ptr<State> state_;
 };
 
-// Hands the newest snapshot from the one thread that publishes to those that
-// read. Readers never wait: while a swap is going on they keep the one they have.
-class SnapshotBox
-{
-public:
-    void publish(std::shared_ptr<const SteeringSnapshot> snapshot);
-
-    // One for each reading thread.
-    class Reader
-    {
-    public:
-        explicit Reader(SnapshotBox &box)
-            : box_(box)
-        {
-        }
-        // Returns null before the first publish. Valid until the next call.
-        // The last reader of an old snapshot frees it.
-        const SteeringSnapshot *get();
-
-    private:
-        SnapshotBox &box_;
-        std::uint64_t version_ = 0;
-        std::shared_ptr<const SteeringSnapshot> snapshot_;
-    };
-
-private:
-    std::mutex mutex_;
-    std::shared_ptr<const SteeringSnapshot> newest_;
-    std::atomic<std::uint64_t> version_ { 0 };
-};
-
 } // namespace bluebellshift::core
--- a/bluebellshift/core/testing/lookuptest.cpp
+++ b/bluebellshift/core/testing/lookuptest.cpp
@@ -185,18 +185,3 @@
     CHECK(counts["kpk"] > 1500 && counts["sindh"] > 1500);
     LONGS_EQUAL(0, builder.build(makeBundle(), {})->lookup(ServiceId("rota"), 0).count);
 }
-
-TEST(Lookup, ReadersGetTheNewestSnapshot)
-{
-    SnapshotBox box;
-    SnapshotBox::Reader reader(box);
-    POINTERS_EQUAL(nullptr, reader.get());
-    SnapshotBuilder builder;
-    const auto first = builder.build(makeBundle(), makeVms(3));
-    box.publish(first);
-    POINTERS_EQUAL(first.get(), reader.get());
-    const auto second = builder.build(makeBundle(), makeVms(6));
-    box.publish(second);
-    POINTERS_EQUAL(second.get(), reader.get());
-    POINTERS_EQUAL(second.get(), reader.get());
-}
--- a/bluebellshift/core/testing/steeringbenchmark.cpp
+++ b/bluebellshift/core/testing/steeringbenchmark.cpp
@@ -10,6 +10,7 @@
 
 #include <benchmark/benchmark.h>
 
+#include "bluebellshift/base/snapshotcell.h"
 #include "bluebellshift/core/bundleparser.h"
 #include "bluebellshift/core/lookup.h"
 #include "bluebellshift/core/rollout.h"
@@ -17,6 +18,7 @@
 #include "bluebellshift/core/steer.h"
 #include "fmt/format.h"
 
+using namespace bluebellshift;
 using namespace bluebellshift::core;
 
 namespace {
@@ -57,6 +59,7 @@
         bundle->services.push_back(service);
     }
     std::mt19937 random(1);
+    bundle->clientBlocks.reserve(static_cast<std::size_t>(size.blocks));
     for (int i = 0; i < size.blocks; ++i) {
         // Distinct blocks of /22, spread over the whole space.
         const auto address = static_cast<std::uint32_t>(
@@ -95,8 +98,8 @@
     const BundlePointer bundle = makeBundle(size);
     std::vector<WeightedVm> vms = makeVms(size.vms, size.regions);
     SnapshotBuilder builder;
-    SnapshotBox box;
-    box.publish(builder.build(bundle, vms));
+    base::SnapshotCell<SteeringSnapshot> cell;
+    cell.publish(builder.build(bundle, vms));
     std::atomic<bool> stop { false };
     std::atomic<int> published { 0 };
     std::thread publisher([&] {
@@ -109,20 +112,19 @@
                 vms.pop_back();
             else
                 vms.push_back(last);
-            box.publish(builder.build(bundle, vms));
+            cell.publish(builder.build(bundle, vms));
             ++published;
         }
     });
     std::vector<ServiceId> services;
     for (int i = 0; i < size.services; ++i)
         services.push_back(ServiceId(serviceName(i)));
-    SnapshotBox::Reader reader(box);
     std::uint64_t random = 1;
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         random = random * 6364136223846793005ULL + 1442695040888963407ULL;
         const auto address = static_cast<std::uint32_t>(random >> 32);
         const std::size_t service = (random >> 8) % services.size();
-        benchmark::DoNotOptimize(reader.get()->lookup(services[service], address));
+        benchmark::DoNotOptimize(cell.read()->lookup(services[service], address));
     }
     stop = true;
     publisher.join();
@@ -157,7 +159,7 @@
     SnapshotBuilder builder;
     builder.build(bundle, vms);
     bool isThere = true;
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         if (isThere)
             vms.pop_back();
         else
@@ -177,7 +179,7 @@
     SnapshotBuilder builder;
     builder.build(bundles[0], vms);
     std::size_t next = 1;
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         benchmark::DoNotOptimize(builder.build(bundles[next], vms));
         next = 1 - next;
     }
@@ -188,7 +190,7 @@
     const Size size;
     const BundlePointer bundle = makeBundle(size);
     const std::vector<WeightedVm> vms = makeVms(size.vms, size.regions);
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         SnapshotBuilder builder;
         benchmark::DoNotOptimize(builder.build(bundle, vms));
     }
@@ -205,7 +207,7 @@
     double bundleBytes = 0;
     double snapshotBytes = 0;
     double allBytes = 0;
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         const double before = heapBytes();
         const BundlePointer bundle = makeBundle(size);
         bundleBytes = heapBytes() - before;
@@ -232,7 +234,7 @@
     const ServiceId service(serviceName(0));
     double worst = 0;
     double uneven = 0;
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         SnapshotBuilder builder;
         const auto before = builder.build(bundle, vms);
         for (const WeightedVm &gone : vms) {
@@ -271,7 +273,7 @@
     steer.onViewChanged(bundle, nullptr, firstRollout(*bundle, "", {}), {}, {}, Instant());
     const ServiceId service(serviceName(0));
     std::uint64_t random = 1;
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         random = random * 6364136223846793005ULL + 1;
         benchmark::DoNotOptimize(steer.regionOrder(service, random, Instant()));
     }
@@ -297,7 +299,7 @@
     rollout.state = RolloutState::Moving;
     steer.onViewChanged(bundle, nullptr, rollout, {}, {}, Instant());
     shift.onViewChanged(bundle, nullptr, rollout, Revision(1), Instant());
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         benchmark::DoNotOptimize(steer.onTimer(Instant()));
         benchmark::DoNotOptimize(shift.onTimer(Instant(), WallTime()));
     }
@@ -310,7 +312,7 @@
     size.blocks = 10;
     const Rollout rollout = firstRollout(*makeBundle(size), "operator", {});
     std::size_t bytes = 0;
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         const std::string json = encodeRollout(rollout);
         bytes = json.size();
         benchmark::DoNotOptimize(decodeRollout(json));
@@ -325,7 +327,7 @@
         toml += fmt::format("[[client_block]]\ncidr = \"10.{}.{}.0/24\"\nregion = \"punjab\"\n",
                             i / 256 % 256, i % 256);
     }
-    for (auto _ : state)
+    while (state.KeepRunning())
         benchmark::DoNotOptimize(checkBundle(toml));
     state.counters["toml_bytes"] = static_cast<double>(toml.size());
 }
