--- a/bluebellshift/core/admission.h
+++ b/bluebellshift/core/admission.h
@@ -16,7 +16,6 @@
 #include "bluebellshift/core/bundle.h"
 #include "bluebellshift/core/event.h"
 #include "bluebellshift/core/ids.h"
-#include "bluebellshift/core/once.h"
 #include "bluebellshift/core/options.h"
 #include "bluebellshift/core/roster.h"
 #include "bluebellshift/core/ticket.h"
@@ -35,7 +34,8 @@
     std::function<const std::vector<Target> &(const ServiceId &)> targetsOf;
     BudgetHooks budget;
     // Where the service's traffic may go, in order; empty when nowhere.
-    std::function<std::vector<RegionId>(const ServiceId &, std::uint64_t random, Instant now)>
+    std::function<std::vector<RegionId>(const ServiceId &, const TeamId &, std::uint64_t random,
+                                        Instant now)>
         regionOrder;
     // Whether the view is fresh and this VM may spend its shares.
     std::function<bool(Instant now)> mayServe;
@@ -66,7 +66,7 @@
     }
 
     AdmissionResult check(const RequestArrived &arrived, const TicketAuthority &tickets,
-                          const OnceTable &once, Instant now) const;
+                          Instant now) const;
 
     // Whether a ticket for the service may be given; returns why not.
     std::optional<Refusal> checkTicketAsked(const TicketAsked &asked, TeamId &team,
--- a/bluebellshift/core/dispatch.cpp
+++ b/bluebellshift/core/dispatch.cpp
@@ -23,10 +23,9 @@
 
 namespace {
 
-constexpr std::size_t consideredTextMost = 400; // bytes of one log line
-constexpr double overheadBytes = 1024;          // of the headers of a request or answer
-constexpr double firstAnswerBytes = 4096;       // before any answer was seen
-constexpr double bitsPerByte = 8;
+constexpr std::size_t consideredTextMost = 400;          // bytes of one log line
+constexpr double overheadBytes = 1024;                   // of the headers of a request or answer
+constexpr double firstAnswerBytes = 4096;                // before any answer was seen
 constexpr std::uint64_t randomStep = 0x9e3779b97f4a7c15; // odd, so that it visits all values
 
 void appendConsidered(const Ranking &ranking, const RegionId &region, std::string &text)
@@ -87,7 +86,7 @@
 void Dispatch::admit(const RequestArrived &arrived, Instant now, std::uint64_t random,
                      Effects &effects)
 {
-    const AdmissionResult admission = admission_.check(arrived, tickets_, once_, now);
+    const AdmissionResult admission = admission_.check(arrived, tickets_, now);
     Pending &pending = pending_[arrived.request];
     pending.arrived = arrived;
     pending.random = random;
@@ -109,7 +108,8 @@
         pending.deadline = now + admission.service->requestTimeout;
     if (pending.deadline <= now)
         return refuse(arrived.request,
-                      { RefusalCode::DeadlinePassed, runBefore(pending),
+                      { RefusalCode::DeadlinePassed,
+                        arrived.ticket.empty() ? Run::NotRun : Run::Unknown,
                         "the request's deadline passed before it arrived", 0 },
                       effects);
     if (admission.relayTo)
@@ -120,17 +120,6 @@
     wait(pending, now, effects);
 }
 
-// What is known of the run of a request that has just arrived.
-Run Dispatch::runBefore(const Pending &arriving) const
-{
-    if (arriving.arrived.ticket.empty())
-        return Run::NotRun;
-    if (!arriving.ticket)
-        return Run::Unknown; // the ticket's home knows
-    const bool isFresh = once_.state(*arriving.ticket) == OnceState::NeverBegun;
-    return isFresh ? Run::NotRun : Run::Unknown;
-}
-
 void Dispatch::relay(Pending &pending, const VmId &home, Effects &effects)
 {
     const RequestId request = pending.arrived.request;
@@ -181,12 +170,19 @@
                  "the ticket was used for another request", 0 },
                effects);
         return false;
+    case OnceVerdict::Refused:
+        refuse(request,
+               { RefusalCode::TicketExpired, Run::NotRun,
+                 "the ticket was refused as not run; ask for a new one", 0 },
+               effects);
+        return false;
     case OnceVerdict::Full:
         break;
     }
+    const bool isRetired = once_.state(*pending.ticket) == OnceState::Refused;
     refuse(request,
-           { RefusalCode::RecordsFull, Run::NotRun,
-             "this VM can keep no more outcomes; a ticket of another VM will do", 0 },
+           { RefusalCode::RecordsFull, isRetired ? Run::NotRun : Run::Unknown,
+             "this VM can keep no more outcomes; ask another VM for a ticket", 0 },
            effects);
     return false;
 }
@@ -243,7 +239,7 @@
         queue_.remove(pending.arrived.request);
         refuseRun(pending,
                   { RefusalCode::RecordsFull, Run::NotRun,
-                    "this VM can keep no more outcomes; a ticket of another VM will do", 0 },
+                    "this VM can keep no more outcomes; ask another VM for a ticket", 0 },
                   now, effects);
         return Sending::Refused;
     }
@@ -251,7 +247,8 @@
     pending.shortage = RefusalCode::NoCapacity;
     std::string considered;
     const std::uint64_t random = pending.random + randomStep * pending.attempts;
-    for (const RegionId &region : hooks_.regionOrder(pending.arrived.service, random, now)) {
+    for (const RegionId &region :
+         hooks_.regionOrder(pending.arrived.service, pending.team, random, now)) {
         const auto sending = tryRegion(pending, region, now, considered, effects);
         if (!sending)
             continue;
@@ -334,10 +331,9 @@
         const auto seen = answerBytes_.find(pending.arrived.service);
         const double answerBytes = seen == answerBytes_.end() ? firstAnswerBytes : seen->second;
         const double requestBytes = overheadBytes + static_cast<double>(pending.arrived.bodyBytes);
+        debits.push_back({ linkAccount(options_.region, target.region), requestBytes });
         debits.push_back(
-            { linkAccount(options_.region, target.region), bitsPerByte * requestBytes });
-        debits.push_back({ linkAccount(target.region, options_.region),
-                           bitsPerByte * (overheadBytes + answerBytes) });
+            { linkAccount(target.region, options_.region), overheadBytes + answerBytes });
     }
     if (pending.paysRate && !pending.hasPaid)
         debits.push_back({ teamAccount(pending.team), 1 });
