Look through the accounts once for many events

Cause: after each event the ledger looked through all accounts for shares to borrow; with requests waiting, that work grew with the load until a VM was too slow to be heard and was expelled (profile: byDistance and its comparisons were the largest part of the daemon's own processor time). Change: at most one look in 5 ms. Experiments take a lock on the deployment's ports instead of a network namespace.

--- a/bluebellshift/core/fleet.cpp
+++ b/bluebellshift/core/fleet.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+// A look through all accounts costs more than most events, so a busy VM takes
+// one look for many of them.
+constexpr Duration requestsInterval = Duration::millis(5);
 constexpr Duration waitingInterval = Duration::millis(25); // while a request waits
 constexpr Duration idleInterval = Duration::millis(100);
 
@@ -238,6 +241,12 @@
 Effects Fleet::flush(Instant now)
 {
     Effects effects;
+    if (now < nextRequests_) {
+        if (ledger_.isAnyWaiting())
+            effects.push_back(SetTimer { nextRequests_ });
+        return effects;
+    }
+    nextRequests_ = now + requestsInterval;
     for (LedgerRequest &request : ledger_.dueRequests(now))
         effects.push_back(SendPeer { request.to, std::move(request.request) });
     if (ledger_.isAnyWaiting())
--- a/bluebellshift/core/fleet.h
+++ b/bluebellshift/core/fleet.h
@@ -115,6 +115,7 @@
     bool isLeaving_ = false;
     std::uint32_t requestsInFlight_ = 0;
     Instant nextHeartbeat_ = Instant::never();
+    Instant nextRequests_ = Instant::never(); // the next look for shares to borrow
 };
 
 } // namespace bluebellshift::core
--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -2,15 +2,11 @@
 # Sets the arrays vms, targets (of the first service), runs_from (one target of
 # each process) and teams (arguments of bluebellload) of a deployment.
 
-# own_network SCRIPT ARGUMENTS...: runs the script again in a network namespace of
-# its own where that is possible, so that it meets no other deployment's ports.
-own_network() {
-    [ -z "${BLUEBELLSHIFT_OWN_NETWORK:-}" ] || return 0
-    export BLUEBELLSHIFT_OWN_NETWORK=1
-    if unshare -n ip link set lo up 2>/dev/null; then
-        exec unshare -n bash -c 'ip link set lo up && exec "$@"' - "$@"
-    fi
-    echo "no network namespace: the deployment's ports must be free" >&2
+# one_at_a_time DEPLOYMENT: waits until no other experiment uses the deployment's
+# ports on this machine, and keeps others out until this script ends.
+one_at_a_time() {
+    exec 9>"${TMPDIR:-/tmp}/bluebellshift-$1.lock"
+    flock 9
 }
 
 build=${BLUEBELLSHIFT_BUILD:-build/release}
