Add bluebellctl, the operators' command-line tool

Cause: operators give and withdraw keys, sign bundles off and roll them out, drain targets and look at VMs, and must be told truly what came of it.

Change: the tool with its commands, help for each and exit codes by kind of failure; no call is ever sent twice; a withdrawal is reported VM by VM. The administration API tells the caller's operator id, decodes escapes in paths, answers a broken rule by 412, and shows no digests in a conflict to those who may not read them. A roll-out is checked by computing it anew, so that no operator can take steps past the caps.

--- /dev/null
+++ b/bluebellshift/ctl/commands.cpp
@@ -0,0 +1,176 @@
+#include "bluebellshift/ctl/commands.h"
+
+#include <map>
+
+#include <fmt/format.h>
+
+namespace bluebellshift::ctl {
+namespace {
+
+constexpr core::Duration pollPause = core::Duration::millis(100);
+// Longer than any freshness lease that the settings allow, with clock drift.
+constexpr core::Duration silenceMost = core::Duration::seconds(4);
+
+struct Command
+{
+    const char *group;
+    const char *name; // empty for a group of one
+    const char *arguments;
+    std::size_t argumentCount;
+    int (*run)(const CommandContext &, const Arguments &);
+    const char *help;
+};
+
+constexpr Command commands[] = {
+    { "settings", "check", "FILE", 1, checkSettings,
+      "Checks a daemon's settings, peer keys and operators." },
+    { "keys", "give", "TEAM", 1, giveKey,
+      "Makes a caller's key for a team and prints it once; only its digest is stored." },
+    { "keys", "withdraw", "TEAM DIGEST", 2, withdrawKey,
+      "Withdraws a key and waits, VM by VM, until none accepts it.\n\n"
+      "DIGEST is the start of its digest, 8 digits or more." },
+    { "keys", "list", "TEAM", 1, listKeys, "Lists the digests of a team's keys." },
+    { "bundle", "check", "FILE", 1, checkBundleFile, "Checks a bundle; prints every fault." },
+    { "bundle", "diff", "FILE", 1, diffBundle, "Compares a bundle with the one in force." },
+    { "bundle", "store", "FILE", 1, storeBundle, "Stores a bundle for sign-off, as its author." },
+    { "bundle", "sign-off", "VERSION", 1, signOffBundle, "Signs a stored bundle off." },
+    { "bundle", "roll-out", "VERSION", 1, rollOutBundle,
+      "Puts a signed-off bundle in force; traffic moves in steps.\n\n"
+      "Rolling out an earlier version withdraws a later one." },
+    { "bundle", "pause", "REASON", 1, pauseBundle, "Pauses the steps of the roll-out." },
+    { "bundle", "resume", "", 0, resumeBundle, "Resumes a paused roll-out." },
+    { "bundle", "status", "", 0, tellBundleStatus, "Tells how far the roll-out is." },
+    { "bundle", "history", "", 0, tellBundleHistory, "Lists the stored bundles." },
+    { "target", "drain", "SERVICE TARGET", 2, drainTarget,
+      "Marks a target as leaving: it gets no new work." },
+    { "target", "undrain", "SERVICE TARGET", 2, undrainTarget, "Lets a target serve again." },
+    { "vm", "status", "", 0, tellVmStatus, "Tells how the VM and its peers are." },
+    { "lookup", "", "SERVICE", 1, lookUp, "Asks which VMs a caller is sent to (--client)." },
+};
+
+std::size_t wordsOf(const Command &command)
+{
+    return command.name[0] == '\0' ? 1 : 2;
+}
+
+bool isNamed(const Command &command, const Arguments &arguments)
+{
+    if (arguments.empty() || arguments[0] != command.group)
+        return false;
+    return wordsOf(command) == 1 || (arguments.size() > 1 && arguments[1] == command.name);
+}
+
+std::string usageOf(const Command &command)
+{
+    std::string usage = command.group;
+    for (const char *word : { command.name, command.arguments }) {
+        if (word[0] != '\0')
+            usage += std::string(" ") + word;
+    }
+    return usage;
+}
+
+} // namespace
+
+std::string helpText(const Arguments &arguments)
+{
+    std::string text;
+    for (const Command &command : commands) {
+        if (isNamed(command, arguments))
+            return fmt::format("bluebellctl {}\n\n{}\n", usageOf(command), command.help);
+        const std::string help = command.help;
+        const std::string firstLine = help.substr(0, help.find('\n'));
+        if (arguments.empty() || arguments[0] == command.group)
+            text += fmt::format("  {:<30} {}\n", usageOf(command), firstLine);
+    }
+    return text;
+}
+
+int runCommand(const CommandContext &context, const Arguments &arguments)
+{
+    for (const Command &command : commands) {
+        if (!isNamed(command, arguments))
+            continue;
+        const Arguments rest(arguments.begin() + static_cast<std::ptrdiff_t>(wordsOf(command)),
+                             arguments.end());
+        if (rest.size() == command.argumentCount)
+            return command.run(context, rest);
+        context.printError(fmt::format("usage: bluebellctl {}", usageOf(command)));
+        return exitUsage;
+    }
+    context.printError("there is no such command; see bluebellctl --help");
+    return exitUsage;
+}
+
+int exitCodeOf(const absl::Status &status)
+{
+    switch (status.code()) {
+    case absl::StatusCode::kOk:
+        return exitOk;
+    case absl::StatusCode::kNotFound:
+        return exitNotFound;
+    case absl::StatusCode::kUnavailable:
+        return exitUnreachable;
+    case absl::StatusCode::kUnauthenticated:
+    case absl::StatusCode::kPermissionDenied:
+        return exitNotAllowed;
+    case absl::StatusCode::kInvalidArgument:
+    case absl::StatusCode::kFailedPrecondition:
+    case absl::StatusCode::kAborted:
+        return exitRefused;
+    default:
+        return exitUnknown;
+    }
+}
+
+int fail(const CommandContext &context, const absl::Status &status)
+{
+    const int code = exitCodeOf(status);
+    const char *prefix = code == exitUnknown ? "it is not known whether this was done: " : "";
+    context.printError(prefix + std::string(status.message()));
+    return code;
+}
+
+// The status that one VM gives is one poll old at most for its peers, too, as
+// they tell their revision with each heartbeat.
+int waitInForce(const CommandContext &context, core::Revision revision)
+{
+    std::map<core::VmId, bool> isDone;
+    absl::StatusOr<FleetStatus> status = absl::UnknownError("no VM was asked");
+    const auto note = [&](const core::VmId &vm, const std::string &what, core::Duration since) {
+        context.print(fmt::format("{:<16} {} after {:.1f} s", vm.text(), what, since.toSeconds()));
+        isDone[vm] = true;
+    };
+    core::Duration waited;
+    for (; waited <= context.waitMost; waited = waited + pollPause) {
+        status = context.client.status();
+        bool isAllDone = status.ok();
+        if (status.ok()) {
+            status->peers.push_back(
+                { status->vm, status->revision, true, status->isReady, false, core::Duration() });
+            for (const PeerStatus &peer : status->peers) {
+                if (isDone[peer.vm])
+                    continue;
+                if (peer.revision >= revision)
+                    note(peer.vm, "in force", waited);
+                else if (!peer.isAlive && peer.age >= silenceMost)
+                    note(peer.vm, "cut off (serves no keyed request)", waited);
+                else
+                    isAllDone = false;
+            }
+        }
+        if (isAllDone)
+            return exitOk;
+        context.pause(pollPause);
+    }
+    if (!status.ok())
+        return fail(context, status.status());
+    for (const auto &[vm, done] : isDone) {
+        if (!done)
+            context.printError(
+                fmt::format("{:<16} not in force after {:.1f} s", vm.text(), waited.toSeconds()));
+    }
+    return exitUnknown;
+}
+
+} // namespace bluebellshift::ctl
--- a/bluebellshift/daemon/adminface.cpp
+++ b/bluebellshift/daemon/adminface.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "bluebellshift/daemon/refusaltext.h"
+#include "bluebellshift/shell/crypto.h"
 
 namespace bluebellshift::daemon {
 
@@ -24,6 +25,7 @@
 constexpr int statusNotFound = 404;
 constexpr int statusMethodNotAllowed = 405;
 constexpr int statusConflict = 409;
+constexpr int statusRuleBroken = 412;
 constexpr int statusUnavailable = 503;
 constexpr int statusUnknown = 504;
 
@@ -49,14 +51,36 @@
              { "leaving", peer.isLeaving }, { "age_ms", peer.age.toMillis() } };
 }
 
-json statusJson(const core::StatusTold &status)
+// Decodes percent escapes; nothing if one is broken.
+std::optional<std::string> decodeSegment(const std::string &segment)
+{
+    std::string text;
+    for (std::size_t i = 0; i < segment.size(); ++i) {
+        if (segment[i] != '%') {
+            text += segment[i];
+            continue;
+        }
+        const absl::StatusOr<std::string> byte = shell::fromHex(segment.substr(i + 1, 2));
+        if (!byte.ok() || byte->size() != 1)
+            return std::nullopt;
+        text += *byte;
+        i += 2;
+    }
+    return text;
+}
+
+json statusJson(const core::StatusTold &status, const shell::Operator &by)
 {
     json peers = json::array();
     for (const core::PeerReport &peer : status.peers)
         peers.push_back(peerJson(peer));
-    return { { "vm", status.vm.text() },  { "revision", status.viewRevision.number() },
-             { "fresh", status.isFresh }, { "ready", status.isReady },
-             { "reason", status.reason }, { "bundle", status.bundle },
+    return { { "operator", by.id.text() },
+             { "vm", status.vm.text() },
+             { "revision", status.viewRevision.number() },
+             { "fresh", status.isFresh },
+             { "ready", status.isReady },
+             { "reason", status.reason },
+             { "bundle", status.bundle },
              { "peers", peers } };
 }
 
@@ -85,7 +109,7 @@
     }
     if (request.path == statusPath)
         return request.method == "GET"
-            ? tellStatus()
+            ? tellStatus(*by)
             : reject(statusMethodNotAllowed, "method-not-allowed", request.method);
     if (request.path.compare(0, sizeof objectsPrefix - 1, objectsPrefix) == 0)
         return handleObject(request, *by);
@@ -97,12 +121,15 @@
 {
     const std::string rest = request.path.substr(sizeof objectsPrefix - 1);
     const std::size_t slash = rest.find('/');
-    const std::string kind = rest.substr(0, slash);
-    const std::string name = slash == std::string::npos ? std::string() : rest.substr(slash + 1);
+    const auto kind = decodeSegment(rest.substr(0, slash));
+    const auto name =
+        decodeSegment(slash == std::string::npos ? std::string() : rest.substr(slash + 1));
+    if (!kind.has_value() || !name.has_value())
+        return reject(statusBadRequest, "path-malformed", "a percent escape is broken");
     if (request.method == "GET")
-        return readObjects(kind, name, by);
-    if (request.method == "PUT" && !name.empty())
-        return change(request, kind, name, by);
+        return readObjects(*kind, *name, by);
+    if (request.method == "PUT" && !name->empty())
+        return change(request, *kind, *name, by);
     return reject(statusMethodNotAllowed, "method-not-allowed",
                   "method \"" + request.method + "\" is not allowed on \"" + request.path + "\"");
 }
@@ -137,21 +164,26 @@
     shell::ProposedChange change { kind, name, findObject(kind, name), request.body };
     const core::Revision held =
         change.stored.has_value() ? change.stored->version : core::Revision();
-    if (held.number() != *expected) {
+    // The answer to a conflict shows what is stored, so it needs the right to read.
+    absl::Status allowed = shell::checkRead(by, kind);
+    if (allowed.ok() && held.number() != *expected) {
         json body = change.stored.has_value() ? toJson(*change.stored) : json::object();
         body["code"] = "conflict";
         body["message"] = "version " + std::to_string(held.number()) + " is stored";
         return jsonResponse(statusConflict, body.dump());
     }
-    const absl::Status allowed =
-        shell::checkChange(by, change, [this](const std::string &k, const std::string &n) {
-            return findObject(k, n);
-        });
+    if (allowed.ok())
+        allowed =
+            shell::checkChange(by, change, [this](const std::string &k, const std::string &n) {
+                return findObject(k, n);
+            });
     if (!allowed.ok()) {
         const bool isForbidden = absl::IsPermissionDenied(allowed);
         if (isForbidden)
             hooks_.log({ core::log::operatorRejected,
                          { { "operator", by.id.text() }, { "kind", kind }, { "name", name } } });
+        if (absl::IsFailedPrecondition(allowed))
+            return reject(statusRuleBroken, "rule-broken", std::string(allowed.message()));
         return reject(isForbidden ? statusForbidden : statusBadRequest,
                       isForbidden ? "role-missing" : "change-invalid",
                       std::string(allowed.message()));
@@ -189,12 +221,12 @@
     return reject(statusUnknown, "outcome-unknown", "the change may have taken effect");
 }
 
-http::HttpResponse AdminFace::tellStatus()
+http::HttpResponse AdminFace::tellStatus(const shell::Operator &by)
 {
     const RequestEnd end =
         hooks_.serve([](core::RequestId id) { return core::StatusAsked { id }; });
     if (const auto *status = std::get_if<core::StatusTold>(&end))
-        return jsonResponse(statusOk, statusJson(*status).dump());
+        return jsonResponse(statusOk, statusJson(*status, by).dump());
     return reject(statusUnavailable, "not-ready", "no status was made");
 }
 
--- a/bluebellshift/daemon/adminface.h
+++ b/bluebellshift/daemon/adminface.h
@@ -43,7 +43,7 @@
                                    const shell::Operator &by);
     http::HttpResponse change(const http::HttpRequest &request, const std::string &kind,
                               const std::string &name, const shell::Operator &by);
-    http::HttpResponse tellStatus();
+    http::HttpResponse tellStatus(const shell::Operator &by);
     http::HttpResponse reject(int status, const char *code, const std::string &message);
     std::vector<core::Object> findObjects(const std::string &kind, const std::string &name);
     std::optional<core::Object> findObject(const std::string &kind, const std::string &name);
--- a/bluebellshift/shell/operators.cpp
+++ b/bluebellshift/shell/operators.cpp
@@ -168,6 +168,57 @@
     return change.stored ? checkSignOff(by, change, *bundle) : checkNewBundle(by, change, *bundle);
 }
 
+// The parsed bundle of that version, if it is stored and signed off.
+absl::StatusOr<core::Bundle> findSignedOff(const std::string &version, const FindObject &findObject)
+{
+    const std::optional<core::Object> object = findObject(core::kind::bundle, version);
+    if (!object)
+        return absl::FailedPreconditionError(fmt::format("there is no bundle \"{}\"", version));
+    const absl::StatusOr<BundleRecord> bundle = decodeBundleRecord(object->value);
+    if (!bundle.ok())
+        return bundle.status();
+    if (bundle->signedOffBy.empty())
+        return absl::FailedPreconditionError(
+            fmt::format("bundle \"{}\" is not signed off", version));
+    return core::parseBundle(bundle->toml);
+}
+
+// Whether an operator's step leads from the stored roll-out to the proposed
+// one: begin, pause or resume, computed here anew. Steps are taken by the VMs
+// alone, or a wrong value could move more than the cap.
+absl::Status checkRolloutStep(const core::Rollout &proposed, const core::Bundle &next,
+                              const std::optional<core::Object> &stored,
+                              const FindObject &findObject)
+{
+    const std::string encoded = core::encodeRollout(proposed);
+    const std::string &by = proposed.changedBy;
+    const core::WallTime at = proposed.changedAt;
+    if (!stored) {
+        if (encoded == core::encodeRollout(core::firstRollout(next, by, at)))
+            return absl::OkStatus();
+        return absl::FailedPreconditionError("this is not the first roll-out of that bundle");
+    }
+    const absl::StatusOr<core::Rollout> current = core::decodeRollout(stored->value);
+    if (!current.ok())
+        return current.status();
+    const absl::StatusOr<core::Bundle> inForce = findSignedOff(current->bundle, findObject);
+    if (!inForce.ok())
+        return inForce.status();
+    if (encoded == core::encodeRollout(core::pauseRollout(*current, proposed.reason, by, at)))
+        return absl::OkStatus();
+    const absl::StatusOr<core::Rollout> resumed = core::resumeRollout(*current, by, at);
+    if (resumed.ok() && encoded == core::encodeRollout(*resumed))
+        return absl::OkStatus();
+    const absl::StatusOr<core::Rollout> begun =
+        core::beginRollout(*current, *inForce, next, by, at);
+    if (!begun.ok())
+        return begun.status();
+    if (encoded == core::encodeRollout(*begun))
+        return absl::OkStatus();
+    return absl::FailedPreconditionError(
+        "this neither begins, pauses nor resumes the stored roll-out");
+}
+
 absl::Status checkRollout(const Operator &by, const ProposedChange &change,
                           const FindObject &findObject)
 {
@@ -177,20 +228,16 @@
     if (change.name != core::rolloutName)
         return absl::InvalidArgumentError(fmt::format("there is no roll-out \"{}\", only \"{}\"",
                                                       change.name, core::rolloutName));
-    const absl::StatusOr<core::Rollout> rollout = core::decodeRollout(change.value);
-    if (!rollout.ok())
-        return rollout.status();
-    const std::optional<core::Object> object = findObject(core::kind::bundle, rollout->bundle);
-    if (!object)
-        return absl::FailedPreconditionError(
-            fmt::format("there is no bundle \"{}\"", rollout->bundle));
-    const absl::StatusOr<BundleRecord> bundle = decodeBundleRecord(object->value);
-    if (!bundle.ok())
-        return bundle.status();
-    if (bundle->signedOffBy.empty())
-        return absl::FailedPreconditionError(
-            fmt::format("bundle \"{}\" is not signed off", rollout->bundle));
-    return absl::OkStatus();
+    const absl::StatusOr<core::Rollout> proposed = core::decodeRollout(change.value);
+    if (!proposed.ok())
+        return proposed.status();
+    if (proposed->changedBy != by.id.text())
+        return absl::PermissionDeniedError(
+            fmt::format("the roll-out must name operator \"{}\" as who changed it", by.id.text()));
+    const absl::StatusOr<core::Bundle> next = findSignedOff(proposed->bundle, findObject);
+    if (!next.ok())
+        return next.status();
+    return checkRolloutStep(*proposed, *next, change.stored, findObject);
 }
 
 absl::Status checkTargets(const Operator &by, const ProposedChange &change)
