--- /dev/null
+++ b/bluebellshift/core/testing/shifttest.cpp
@@ -0,0 +1,207 @@
+#include <CppUTest/TestHarness.h>
+
+#include "bluebellshift/core/shift.h"
+
+using namespace bluebellshift::core;
+
+namespace {
+
+BundlePointer makeBundle(const char *version, double north)
+{
+    auto bundle = std::make_shared<Bundle>();
+    bundle->version = version;
+    bundle->regions = { { RegionId("north"), 100, 0.5, {} }, { RegionId("south"), 100, 0.5, {} } };
+    Service service;
+    service.id = ServiceId("rota");
+    service.split = { { RegionId("north"), north }, { RegionId("south"), 1 - north } };
+    service.shiftCapFraction = 0.25;
+    service.shiftWindow = Duration::seconds(60);
+    service.cacheTime = Duration::seconds(5);
+    bundle->services.push_back(service);
+    return bundle;
+}
+
+} // namespace
+
+// One VM's Shift on a roll-out of three steps; the test plays the platform.
+TEST_GROUP(Shift)
+{
+    BundlePointer before = makeBundle("1", 0.8);
+    BundlePointer after = makeBundle("2", 0.2);
+    bool isInForce = true;
+    std::optional<std::string> unhealthy;
+    std::vector<RegionId> unsettled;
+    int rank = 0;
+    std::uint64_t calls = 0;
+    Instant now = Instant::fromMicros(1'000'000);
+    Revision version { 10 };
+    Rollout rollout =
+        *beginRollout(firstRollout(*before, "operator", {}), *before, *after, "operator", {});
+    std::unique_ptr<Shift> shift = makeShift();
+    std::optional<WriteObject> lastWrite;
+
+    std::unique_ptr<Shift> makeShift()
+    {
+        CoreOptions options;
+        options.vm = VmId("vm-1");
+        options.clockDrift = 0;
+        ShiftHooks hooks;
+        hooks.isInForceEverywhere = [this](Revision, Instant) { return isInForce; };
+        hooks.whyUnhealthy = [this](Instant) { return unhealthy; };
+        hooks.unsettledRegions = [this]() { return unsettled; };
+        hooks.rank = [this](Revision) { return rank; };
+        hooks.newCall = [this]() { return CallId(++calls); };
+        return std::make_unique<Shift>(options, hooks);
+    }
+
+    void install()
+    {
+        shift->onViewChanged(after, before, rollout, version, now);
+    }
+
+    // Returns the roll-out that is written now, if one is.
+    std::optional<Rollout> tick(Duration later = Duration())
+    {
+        now = now + later;
+        for (const Effect &effect : shift->onTimer(now, WallTime())) {
+            if (const auto *write = std::get_if<WriteObject>(&effect)) {
+                lastWrite = *write;
+                return *decodeRollout(write->value);
+            }
+        }
+        return std::nullopt;
+    }
+
+    Effects reply(PlatformOutcome outcome, Revision stored = {}, const std::string &value = "")
+    {
+        return shift->onPlatformReplied(
+            { CallId(calls), outcome, { kind::rollout, rolloutName, stored, value } });
+    }
+
+    // Takes effect and comes back through the view.
+    void accept(const Rollout &next)
+    {
+        reply(PlatformOutcome::Done);
+        rollout = next;
+        version = Revision(version.number() + 1);
+        install();
+    }
+};
+
+TEST(Shift, StepsWaitForForceCachesAndWindow)
+{
+    install();
+    std::optional<Rollout> next = tick(); // settled before: the first at once
+    LONGS_EQUAL(1, next->services[0].step);
+    LONGS_EQUAL(3, next->services[0].steps);
+    LONGS_EQUAL(10, lastWrite->expected.number());
+    isInForce = false;
+    accept(*next);
+    CHECK(!tick(Duration::seconds(300))); // a VM lags
+    isInForce = true;
+    CHECK(!tick()); // seen in force from now on
+    CHECK(!tick(Duration::millis(64999)));
+    next = tick(Duration::millis(1));
+    LONGS_EQUAL(2, next->services[0].step);
+    accept(*next);
+    next = tick(Duration::seconds(65));
+    accept(*next);
+    CHECK(next->services[0].isDone());
+    CHECK(next->state == RolloutState::Moving); // not settled yet
+    CHECK(!tick(Duration::seconds(64)));
+    next = tick(Duration::seconds(1));
+    CHECK(next->state == RolloutState::Done);
+    accept(*next);
+    CHECK(!tick(Duration::seconds(1000)));
+}
+
+TEST(Shift, ARestartedVmWaitsAnew)
+{
+    install();
+    accept(*tick());
+    now = now + Duration::seconds(60);
+    shift = makeShift();
+    install();
+    CHECK(!tick(Duration::seconds(10)));
+    LONGS_EQUAL(2, tick(Duration::seconds(55))->services[0].step);
+}
+
+TEST(Shift, ALostReplyIsReadBack)
+{
+    const struct
+    {
+        PlatformOutcome write;
+        PlatformOutcome read;
+        bool tookEffect;
+        bool writesAgain;
+    } cases[] = {
+        { PlatformOutcome::Done, PlatformOutcome::Done, true, false },
+        { PlatformOutcome::Conflict, PlatformOutcome::Done, true, false },
+        { PlatformOutcome::Unreachable, PlatformOutcome::Done, false, true },
+        { PlatformOutcome::Unknown, PlatformOutcome::Done, true, false },
+        { PlatformOutcome::Unknown, PlatformOutcome::Done, false, true },
+        { PlatformOutcome::Unknown, PlatformOutcome::Unknown, true, false },
+        { PlatformOutcome::Unknown, PlatformOutcome::Unreachable, false, false },
+        { PlatformOutcome::Unknown, PlatformOutcome::Missing, false, false },
+    };
+    for (const auto &c : cases) {
+        shift = makeShift();
+        install();
+        CHECK(tick().has_value());
+        CHECK(!tick(Duration::seconds(1))); // one call at a time
+        reply(c.write);
+        if (c.write == PlatformOutcome::Unknown) {
+            CHECK(!tick()); // reads
+            const Revision stored(version.number() + (c.tookEffect ? 1 : 0));
+            reply(c.read, stored, lastWrite->value);
+        }
+        CHECK_EQUAL(c.writesAgain, tick().has_value());
+        LONGS_EQUAL(version.number(), lastWrite->expected.number());
+    }
+}
+
+TEST(Shift, BadHealthPausesUntilAnOperatorResumes)
+{
+    install();
+    accept(*tick());
+    unhealthy = "latency of south 900 ms";
+    std::optional<Rollout> next = tick(Duration::seconds(1));
+    CHECK(next->state == RolloutState::Paused);
+    STRCMP_EQUAL("latency of south 900 ms", next->reason.c_str());
+    accept(*next);
+    unhealthy.reset();
+    CHECK(!tick(Duration::seconds(1000)));
+    rollout = *resumeRollout(rollout, "operator", {});
+    version = Revision(20);
+    install();
+    LONGS_EQUAL(2, tick()->services[0].step); // the wait went on meanwhile
+    CHECK(!resumeRollout(rollout, "operator", {}).ok());
+}
+
+TEST(Shift, NoStepWhileARegionIsUnsettled)
+{
+    install();
+    unsettled = { RegionId("south") };
+    std::optional<Rollout> next = tick();
+    LONGS_EQUAL(1, next->unsettledRegions.size());
+    LONGS_EQUAL(0, next->services[0].step);
+    CHECK(!next->isSettled); // so the first step waits, too
+    accept(*next);
+    unsettled.clear();
+    CHECK(!tick(Duration::seconds(65)));
+    while (!(next = tick(Duration::seconds(10))))
+        ;
+    CHECK(next->unsettledRegions.empty());
+    accept(*next);
+    CHECK(!tick(Duration::seconds(64)));
+    LONGS_EQUAL(1, tick(Duration::seconds(1))->services[0].step);
+}
+
+TEST(Shift, AVmOfALaterRankTriesLater)
+{
+    rank = 2;
+    install();
+    CHECK(!tick());
+    CHECK(!tick(Duration::millis(999)));
+    CHECK(tick(Duration::millis(1)).has_value());
+}
