--- a/bluebellshift/load/callers.cpp
+++ b/bluebellshift/load/callers.cpp
@@ -201,6 +201,9 @@
 {
     if (!verdict.mayTryAgain || tries_ >= shared_.options.attemptsMost)
         return end(verdict);
+    // "Not run" is final for a ticket, so another one is safe and needed.
+    if (verdict.claim == core::Run::NotRun)
+        ticket_.clear();
     const auto pause = chronoOf(shared_.options.retryPause) * tries_;
     shared_.loop.runAt(Clock::now() + pause, [self = shared_from_this()] { self->attempt(); });
 }
