Wait a little rather than take a slow target

Change: a target that takes at least twice what is usual in its region is ruled out until the request has waited as long as the target's extra time, at most 150 ms, as long as a faster one may come free. What is usual is measured for each region, so that a distant region is not taken for slow. The walk lost the effects of a ticket call that also ended a shutdown; it carries them out now.

--- a/bluebellshift/core/dispatch.cpp
+++ b/bluebellshift/core/dispatch.cpp
@@ -276,7 +276,7 @@
 {
     const std::uint64_t random = pending.random + randomStep * pending.attempts;
     const Ranking ranking = chooser_.rank(hooks_.targetsOf(pending.arrived.service), region,
-                                          pending.tried, random, now);
+                                          pending.tried, random, now - pending.arrivedAt, now);
     appendConsidered(ranking, region, considered);
     if (ranking.usable.empty())
         wantSlot(ranking, now);
--- a/bluebellshift/core/targetchooser.cpp
+++ b/bluebellshift/core/targetchooser.cpp
@@ -9,6 +9,11 @@
 // It fades while nothing new is measured, so that a recovered target is tried
 // again. `ramp` grows from rampStart to 1 while a target is cold.
 //
+// A slow target that alone has a free slot is not taken at once: with many
+// others about to finish, a short wait beats its extra time. The request waits
+// for as long as that extra time, at most waitForFasterMost, which costs at most
+// twice the better of the two ways.
+//
 // Two random choices with own counts were weighed: a slow target keeps its count
 // low between the requests of a VM that sends it few, and is chosen again.
 //
@@ -81,6 +86,8 @@
         return "shedding";
     case RuledOut::Warming:
         return "warming";
+    case RuledOut::Slow:
+        return "slow";
     case RuledOut::NoSlot:
         return "no-slot";
     }
@@ -110,22 +117,29 @@
 
 Ranking TargetChooser::rank(const std::vector<Target> &targets, const RegionId &region,
                             const std::vector<TargetId> &tried, std::uint64_t random,
-                            Instant now) const
+                            Duration waited, Instant now) const
 {
     Ranking ranking;
     const bool mayUseEjected = allEjected(targets, region, now);
-    std::vector<Considered> usable;
-    for (std::size_t i = 0; i < targets.size() && usable.size() < candidatesMost; ++i) {
+    std::size_t usableCount = 0;
+    for (std::size_t i = 0; i < targets.size() && usableCount < candidatesMost; ++i) {
         const Target &target = targets[(random + i) % targets.size()];
         if (target.region != region)
             continue;
         Considered considered { &target, ruleOut(target, tried, mayUseEjected, now), 0 };
         if (considered.ruledOut == RuledOut::No) {
             considered.score = score(target, now);
-            usable.push_back(considered);
+            ++usableCount;
         }
         ranking.considered.push_back(considered);
     }
+    ruleOutSlow(ranking.considered, waited, now);
+
+    std::vector<Considered> usable;
+    for (const Considered &considered : ranking.considered) {
+        if (considered.ruledOut == RuledOut::No)
+            usable.push_back(considered);
+    }
     std::stable_sort(usable.begin(), usable.end(),
                      [](const Considered &a, const Considered &b) { return a.score < b.score; });
     for (const Considered &considered : usable)
@@ -133,6 +147,32 @@
     return ranking;
 }
 
+void TargetChooser::ruleOutSlow(std::vector<Considered> &considered, Duration waited,
+                                Instant now) const
+{
+    const auto isSlow = [&](const Considered &entry) {
+        return isWorthWaiting(*entry.target, waited, now);
+    };
+    const bool hasFaster =
+        std::any_of(considered.begin(), considered.end(), [&](const Considered &entry) {
+            return (entry.ruledOut == RuledOut::No || entry.ruledOut == RuledOut::NoSlot)
+                && !isSlow(entry);
+        });
+    for (Considered &entry : considered) {
+        if (hasFaster && entry.ruledOut == RuledOut::No && isSlow(entry))
+            entry.ruledOut = RuledOut::Slow;
+    }
+}
+
+bool TargetChooser::isWorthWaiting(const Target &target, Duration waited, Instant now) const
+{
+    const State *state = find(target.id);
+    if (state == nullptr || waitForFasterMost <= waited)
+        return false;
+    const double ratio = slowness(*state, now);
+    return ratio >= slowFrom && waited.toSeconds() < (ratio - 1) * typicalLatency(*state);
+}
+
 RuledOut TargetChooser::ruleOut(const Target &target, const std::vector<TargetId> &tried,
                                 bool mayUseEjected, Instant now) const
 {
@@ -167,19 +207,25 @@
     return (busy + 1) / slots * slowness(*state, now) / ramp(*state, now);
 }
 
+double TargetChooser::typicalLatency(const State &state) const
+{
+    const auto typical = typicalLatency_.find({ state.service, state.region });
+    return typical == typicalLatency_.end() ? 0 : typical->second;
+}
+
 double TargetChooser::slowness(const State &state, Instant now) const
 {
-    const auto typical = typicalLatency_.find(state.service);
-    if (typical == typicalLatency_.end() || typical->second <= 0)
+    const double typical = typicalLatency(state);
+    if (typical <= 0)
         return 1;
     const double age = (now - state.latencyAt).toSeconds();
     const double fade = std::exp(-age / slownessFadeSeconds);
     double ratio = 1;
     if (state.latency > 0)
-        ratio += (state.latency / typical->second - 1) * fade;
+        ratio += (state.latency / typical - 1) * fade;
     if (!state.sent.empty()) {
         const double oldest = (now - state.sent.front()).toSeconds();
-        ratio = std::max(ratio, oldest / typical->second);
+        ratio = std::max(ratio, oldest / typical);
     }
     return std::clamp(ratio, 1.0, slownessMost);
 }
@@ -280,7 +326,7 @@
     state.latency =
         state.latency <= 0 ? seconds : state.latency + latencyWeight * (seconds - state.latency);
     state.latencyAt = now;
-    double &typical = typicalLatency_[state.service];
+    double &typical = typicalLatency_[{ state.service, state.region }];
     typical = typical <= 0 ? seconds : typical + typicalWeight * (seconds - typical);
     if (state.ejections > 0 && state.ejectedUntil <= now) {
         state.ejections = 0;
--- a/bluebellshift/core/targetchooser.h
+++ b/bluebellshift/core/targetchooser.h
@@ -16,9 +16,11 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "bluebellshift/core/accounts.h"
@@ -38,6 +40,7 @@
     Ejected,
     Shedding,
     Warming, // cold, and has as many requests as its ramp allows
+    Slow,    // a shorter wait than its extra time may free another
     NoSlot,  // this VM holds no slot of it
 };
 
@@ -67,6 +70,8 @@
     static constexpr Duration ejectedMost = Duration::seconds(60);
     static constexpr Duration shedFirst = Duration::millis(100);
     static constexpr Duration shedMost = Duration::seconds(2);
+    static constexpr double slowFrom = 2; // times what is usual
+    static constexpr Duration waitForFasterMost = Duration::millis(150);
     static constexpr Duration quietBeforeProbe = Duration::seconds(2);
     static constexpr std::size_t probesMost = 8; // for each call of takeProbes
     static constexpr std::size_t candidatesMost = 64;
@@ -78,8 +83,10 @@
     void update(const std::vector<Target> &targets, Instant now);
 
     // Ranks the service's targets in `region`, but for those in `tried`.
+    // `waited` is how long the request has waited for a slot.
     Ranking rank(const std::vector<Target> &targets, const RegionId &region,
-                 const std::vector<TargetId> &tried, std::uint64_t random, Instant now) const;
+                 const std::vector<TargetId> &tried, std::uint64_t random, Duration waited,
+                 Instant now) const;
 
     void onSent(const TargetId &target, Instant now);
 
@@ -124,7 +131,10 @@
     RuledOut ruleOut(const Target &target, const std::vector<TargetId> &tried, bool mayUseEjected,
                      Instant now) const;
     double score(const Target &target, Instant now) const;
+    double typicalLatency(const State &state) const;
     double slowness(const State &state, Instant now) const;
+    bool isWorthWaiting(const Target &target, Duration waited, Instant now) const;
+    void ruleOutSlow(std::vector<Considered> &considered, Duration waited, Instant now) const;
     double ramp(const State &state, Instant now) const;
     bool allEjected(const std::vector<Target> &targets, const RegionId &region, Instant now) const;
     bool mayEject(const State &state, const std::vector<Target> &targets, Instant now) const;
@@ -138,7 +148,8 @@
 
     BudgetHooks budget_;
     std::unordered_map<TargetId, State> states_;
-    std::unordered_map<ServiceId, double> typicalLatency_; // seconds, smoothed
+    // Seconds, smoothed; apart for each region, as the way there takes its time.
+    std::map<std::pair<ServiceId, RegionId>, double> typicalLatency_;
     std::unordered_set<ServiceId> listedServices_;
 };
 
--- a/bluebellshift/core/testing/dispatchwalktest.cpp
+++ b/bluebellshift/core/testing/dispatchwalktest.cpp
@@ -173,10 +173,18 @@
         Bench &bench = *nodes_[vm].bench;
         const std::string key = chance(80) ? "m" : "s";
         TicketAsked asked { RequestId(++bench.requests), rota, true, KeyDigest(key) };
-        for (const Effect &effect : bench.dispatch->onTicketAsked(asked, now_, random_())) {
-            if (const auto *given = std::get_if<GiveTicket>(&effect))
-                tickets_.push_back({ given->ticket, key });
-        }
+        const std::uint64_t random = random_();
+        call(vm, nodes_[vm].incarnation, [=](Dispatch &d) {
+            Effects effects = d.onTicketAsked(asked, now_, random);
+            for (const GiveTicket &given : only<GiveTicket>(effects))
+                tickets_.push_back({ given.ticket, key });
+            const auto isEnd = [&](const Effect &effect) {
+                const auto *refusal = std::get_if<RefuseCaller>(&effect);
+                return refusal != nullptr && refusal->request == asked.request;
+            };
+            effects.erase(std::remove_if(effects.begin(), effects.end(), isEnd), effects.end());
+            return effects;
+        });
     }
 
     void arrive(std::size_t vm)
--- a/bluebellshift/core/testing/targetchoosertest.cpp
+++ b/bluebellshift/core/testing/targetchoosertest.cpp
@@ -14,7 +14,7 @@
 
     Ranking rank(const RegionId &region = punjab)
     {
-        return chooser_.rank(world_.targets, region, {}, random_++, now_);
+        return chooser_.rank(world_.targets, region, {}, random_++, waited_, now_);
     }
 
     std::string best()
@@ -50,6 +50,7 @@
     TargetChooser chooser_ { budget_.hooks() };
     Instant now_ = Instant::fromMicros(1'000'000'000);
     std::uint64_t random_ = 0;
+    Duration waited_;
     std::vector<LogRecord> changes_;
 };
 
@@ -79,6 +80,18 @@
     end("t1", AttemptOutcome::Answered, 100, 0);
     chooser_.onSent(TargetId("t2"), now_);
     STRCMP_EQUAL("t2", best().c_str());
+
+    budget_.set(slotAccount(TargetId("t2")), 0);
+    CHECK(rank().usable.empty()); // its 100 ms against the usual 10 ms: better wait
+    waited_ = Duration::millis(80);
+    CHECK(ruledOut("t1") == RuledOut::Slow);
+    waited_ = Duration::millis(150);
+    CHECK(ruledOut("t1") == RuledOut::No);
+    waited_ = Duration();
+    world_.targets[1].isLeaving = true; // nothing faster to wait for
+    CHECK(ruledOut("t1") == RuledOut::No);
+    world_.targets[1].isLeaving = false;
+    budget_.set(slotAccount(TargetId("t2")), 1);
     now_ = now_ + Duration::seconds(60); // what was measured has faded
     STRCMP_EQUAL("t1", best().c_str());
 }
--- a/bluebellshift/experiments/choosing.cpp
+++ b/bluebellshift/experiments/choosing.cpp
@@ -125,8 +125,8 @@
         if (way_ == Way::RandomWithSlots)
             return randomFree(request.random);
         if (way_ == Way::Chooser) {
-            const Ranking ranking =
-                choosers_[request.vm].rank(targets_, RegionId("punjab"), {}, request.random, now_);
+            const Ranking ranking = choosers_[request.vm].rank(
+                targets_, RegionId("punjab"), {}, request.random, now_ - request.arrivedAt, now_);
             return ranking.usable.empty() ? targetCount : indexOf_.at(ranking.usable[0]->id);
         }
         std::size_t best = targetCount;
