--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -2,6 +2,13 @@
 # Sets the arrays vms, targets (of the first service), runs_from (one target of
 # each process) and teams (arguments of bluebellload) of a deployment.
 
+# one_at_a_time DEPLOYMENT: waits until no other experiment uses the deployment's
+# ports on this machine, and keeps others out until this script ends.
+one_at_a_time() {
+    exec 9>"${TMPDIR:-/tmp}/bluebellshift-$1.lock"
+    flock 9
+}
+
 build=${BLUEBELLSHIFT_BUILD:-build/release}
 load=$build/bluebellshift/load/bluebellload
 results=build/results
