--- a/bluebellshift/daemon/node.cpp
+++ b/bluebellshift/daemon/node.cpp
@@ -20,6 +20,7 @@
 #include "bluebellshift/http/forwarder.h"
 #include "bluebellshift/http/httpserver.h"
 #include "bluebellshift/platform/httpplatformclient.h"
+#include "bluebellshift/shell/metrics.h"
 #include "bluebellshift/shell/peermesh.h"
 
 namespace bluebellshift::daemon {
@@ -169,6 +170,7 @@
     const shell::Settings settings_;
     const base::Clock clock_;
     shell::Logger &logger_;
+    shell::Metrics metrics_;
 
     base::SnapshotCell<core::SteeringSnapshot> snapshot_;
     ReadyState ready_;
@@ -196,6 +198,7 @@
     , reducer_(settings.core, viewHooks())
     , engine_([this](const core::Event &event) { return reducer_.reduce(event); }, clock_,
               [this](core::Effect effect) {
+                  metrics_.countEffect(effect);
                   std::visit([this](auto &kind) { perform(std::move(kind)); }, effect);
               })
     , mesh_(meshOptions(settings, std::move(access.peerKeys)), meshHooks())
@@ -316,7 +319,10 @@
         return serve(pending, makeEvent(pending->id()), isCallerGone);
     };
     hooks.readiness = [this] { return ready_.at(clock_.now()); };
-    hooks.metricsText = [] { return std::string(); };
+    hooks.metricsText = [this] {
+        return metrics_.text(
+            { mesh_.counts(), ready_.at(clock_.now()).isReady, logger_.droppedInTotal() });
+    };
     hooks.administrate = [this](const http::HttpRequest &request) {
         return admin_.handle(request);
     };
@@ -326,9 +332,11 @@
 RequestEnd Node::Implementation::serve(const PendingRequestPointer &pending, core::EventBody event,
                                        const std::function<bool()> &isCallerGone)
 {
+    const core::Instant begun = clock_.now();
     post(std::move(event));
     RequestEnd end = runner_.run(*pending, isCallerGone);
     requests_.remove(pending->id());
+    metrics_.observeRequest(clock_.now() - begun);
     return end;
 }
 
