--- a/bluebellshift/load/callers.cpp
+++ b/bluebellshift/load/callers.cpp
@@ -201,6 +201,8 @@
 {
     if (!verdict.mayTryAgain || tries_ >= shared_.options.attemptsMost)
         return end(verdict);
+    if (verdict.isTicketSpent)
+        ticket_.clear();
     const auto pause = chronoOf(shared_.options.retryPause) * tries_;
     shared_.loop.runAt(Clock::now() + pause, [self = shared_from_this()] { self->attempt(); });
 }
--- a/bluebellshift/load/runcheck.cpp
+++ b/bluebellshift/load/runcheck.cpp
@@ -1,6 +1,8 @@
 // A refusal to a request with a ticket speaks of the ticket's whole history, so
-// the last claim counts. Without a ticket a refusal speaks of its own attempt,
-// so all of a request's attempts must have been "not run" for none to have run.
+// the last claim counts. A request may use several tickets, each but the last
+// refused as not run: then none of them may be among those counted. Without a ticket a refusal
+// speaks of its own attempt, so all of a request's attempts must have been "not run" for none to
+// have run.
 #include "bluebellshift/load/runcheck.h"
 
 namespace bluebellshift::load {
@@ -64,9 +66,9 @@
         if (outcome.ticketId.empty())
             continue;
         ++check.tickets;
-        if (countOf(counts.byTicket, outcome.ticketId) > 1) {
+        if (runs > 1 || countOf(counts.byTicket, outcome.ticketId) > 1) {
             ++check.ranTwice;
-            addExample(check, callerId + " ran twice with ticket " + outcome.ticketId);
+            addExample(check, callerId + " ran twice, last with ticket " + outcome.ticketId);
         }
         unused.erase(outcome.ticketId);
     }
--- a/bluebellshift/load/testing/callerstest.cpp
+++ b/bluebellshift/load/testing/callerstest.cpp
@@ -123,24 +123,30 @@
         End end;
         int attempts;
         Run claim;
+        int tickets;
     } cases[] = {
-        { "answered", true, textReply(200, ""), End::Wrong, 1, Run::Unknown },
-        { "silence with a ticket", true, nothing(), End::Answered, 2, Run::Ran },
-        { "in progress", true, refusal("ticket-in-progress", "unknown"), End::Answered, 2,
-          Run::Ran },
-        { "home away", true, refusal("home-unreachable", "unknown"), End::Answered, 2, Run::Ran },
+        { "an empty answer", true, textReply(200, ""), End::Wrong, 1, Run::Unknown, 1 },
+        { "silence with a ticket", true, nothing(), End::Answered, 2, Run::Ran, 1 },
+        { "in progress", true, refusal("ticket-in-progress", "unknown"), End::Answered, 2, Run::Ran,
+          1 },
+        { "home away", true, refusal("home-unreachable", "unknown"), End::Answered, 2, Run::Ran,
+          1 },
         { "outcome unknown", true, refusal("outcome-unknown", "unknown"), End::Refused, 1,
-          Run::Unknown },
-        { "over the rate", true, refusal("over-rate", "not-run"), End::Refused, 1, Run::NotRun },
-        { "leaving", false, refusal("leaving", "not-run"), End::Answered, 2, Run::Ran },
+          Run::Unknown, 1 },
+        { "over the rate", true, refusal("over-rate", "not-run"), End::Refused, 1, Run::NotRun, 1 },
+        { "leaving, with a ticket", true, refusal("leaving", "not-run"), End::Answered, 2, Run::Ran,
+          2 },
+        { "ticket spent", true, refusal("ticket-expired", "not-run"), End::Answered, 2, Run::Ran,
+          2 },
+        { "leaving", false, refusal("leaving", "not-run"), End::Answered, 2, Run::Ran, 0 },
         { "leaving, perhaps run", false, refusal("leaving", "unknown"), End::Refused, 1,
-          Run::Unknown },
+          Run::Unknown, 0 },
         { "another's answer", false, textReply(200, R"({"caller":"other","hash":"0"})"), End::Wrong,
-          1, Run::Unknown },
+          1, Run::Unknown, 0 },
         { "an error of the target", false, textReply(503, R"({"error":"no free slot"})"),
-          End::TargetError, 1, Run::Unknown },
+          End::TargetError, 1, Run::Unknown, 0 },
         { "key seen", false, textReply(200, R"({"caller":"other","headers":["AUTHORIZATION"]})"),
-          End::Wrong, 1, Run::Unknown },
+          End::Wrong, 1, Run::Unknown, 0 },
     };
     for (const auto &c : cases) {
         ScriptedVm vm({ c.first });
@@ -153,9 +159,10 @@
         LONGS_EQUAL_TEXT(c.attempts, outcome.attempts, c.text);
         LONGS_EQUAL_TEXT(static_cast<int>(c.claim), static_cast<int>(outcome.claim), c.text);
         CHECK_EQUAL_TEXT(std::string(c.text) == "key seen", outcome.hasSeenKey, c.text);
-        LONGS_EQUAL_TEXT(c.isOnce ? 1 : 0, vm.ticketsGiven, c.text);
-        for (const std::string &ticket : vm.ticketsSeen)
-            STRCMP_EQUAL_TEXT(c.isOnce ? "T0" : "", ticket.c_str(), c.text);
+        LONGS_EQUAL_TEXT(c.tickets, vm.ticketsGiven, c.text);
+        const std::string last = c.tickets == 0 ? "" : "T" + std::to_string(c.tickets - 1);
+        STRCMP_EQUAL_TEXT(last.c_str(), vm.ticketsSeen.back().c_str(), c.text);
+        STRCMP_EQUAL_TEXT(c.isOnce ? "T0" : "", vm.ticketsSeen.front().c_str(), c.text);
     }
 }
 
--- a/bluebellshift/load/testing/summarytest.cpp
+++ b/bluebellshift/load/testing/summarytest.cpp
@@ -183,6 +183,19 @@
     }
 }
 
+TEST(Summary, ARequestThatRanOnTwoTicketsIsNoticed)
+{
+    Outcome outcome;
+    outcome.claim = Run::Ran;
+    outcome.ticketId = "second";
+    RunCounts counts;
+    counts.byCaller[callerIdOf(5, 0)] = 2;
+    counts.byTicket = { { "first", 1 }, { "second", 1 } };
+    const RunCheck check = checkRuns(5, { Arrival() }, { outcome }, counts);
+    LONGS_EQUAL(1, check.ranTwice);
+    LONGS_EQUAL(1, check.strangers);
+}
+
 TEST(Summary, ATicketThatNoCallerUsedIsNoticed)
 {
     RunCounts counts;
--- a/bluebellshift/load/verdict.cpp
+++ b/bluebellshift/load/verdict.cpp
@@ -1,7 +1,9 @@
 // An answer is a target's JSON, which names the caller and the hash of the body
 // it received. Anything else with a "code" is a refusal of a VM. A request
 // without a ticket is tried again only when the refusal says that it was not run
-// or when no connection was made; one with a ticket also after silence.
+// or when no connection was made; one with a ticket also after silence. A ticket
+// that was refused as not run stays so for good, which is why another attempt
+// needs a new one.
 #include "bluebellshift/load/verdict.h"
 
 #include <nlohmann/json.hpp>
@@ -47,9 +49,10 @@
 // Refusals that another VM, or a little time, may mend.
 bool isPassing(const std::string &code)
 {
-    static const char *const codes[] = { "leaving",           "not-ready",    "view-stale",
-                                         "no-capacity",       "records-full", "home-unreachable",
-                                         "ticket-in-progress" };
+    static const char *const codes[] = {
+        "leaving",      "not-ready",        "view-stale",         "no-capacity",
+        "records-full", "home-unreachable", "ticket-in-progress", "ticket-expired"
+    };
     return std::find(std::begin(codes), std::end(codes), code) != std::end(codes);
 }
 
@@ -65,6 +68,7 @@
         verdict.claim = Run::Ran;
     const bool isSafe = request.isTicketed || verdict.claim == Run::NotRun;
     verdict.mayTryAgain = isSafe && isPassing(verdict.code);
+    verdict.isTicketSpent = verdict.claim == Run::NotRun;
     return verdict;
 }
 
--- a/bluebellshift/load/verdict.h
+++ b/bluebellshift/load/verdict.h
@@ -25,7 +25,8 @@
     std::string code; // Refused
     core::Run claim = core::Run::Unknown;
     bool hasSeenKey = false;
-    bool mayTryAgain = false; // another attempt is safe and may help
+    bool mayTryAgain = false;   // another attempt is safe and may help
+    bool isTicketSpent = false; // another attempt needs a new ticket
 };
 
 // Judges the reply to a request sent to a target or through a VM.
