--- a/bluebellshift/core/dispatch.cpp
+++ b/bluebellshift/core/dispatch.cpp
@@ -24,6 +24,7 @@
 namespace {
 
 constexpr std::size_t consideredTextMost = 400;          // bytes of one log line
+constexpr Duration wantInterval = Duration::millis(40);  // for a slot of one target
 constexpr double overheadBytes = 1024;                   // of the headers of a request or answer
 constexpr double firstAnswerBytes = 4096;                // before any answer was seen
 constexpr std::uint64_t randomStep = 0x9e3779b97f4a7c15; // odd, so that it visits all values
@@ -86,7 +87,7 @@
 void Dispatch::admit(const RequestArrived &arrived, Instant now, std::uint64_t random,
                      Effects &effects)
 {
-    const AdmissionResult admission = admission_.check(arrived, tickets_, once_, now);
+    const AdmissionResult admission = admission_.check(arrived, tickets_, now);
     Pending &pending = pending_[arrived.request];
     pending.arrived = arrived;
     pending.random = random;
@@ -108,7 +109,8 @@
         pending.deadline = now + admission.service->requestTimeout;
     if (pending.deadline <= now)
         return refuse(arrived.request,
-                      { RefusalCode::DeadlinePassed, runBefore(pending),
+                      { RefusalCode::DeadlinePassed,
+                        arrived.ticket.empty() ? Run::NotRun : Run::Unknown,
                         "the request's deadline passed before it arrived", 0 },
                       effects);
     if (admission.relayTo)
@@ -119,17 +121,6 @@
     wait(pending, now, effects);
 }
 
-// What is known of the run of a request that has just arrived.
-Run Dispatch::runBefore(const Pending &arriving) const
-{
-    if (arriving.arrived.ticket.empty())
-        return Run::NotRun;
-    if (!arriving.ticket)
-        return Run::Unknown; // the ticket's home knows
-    const bool isFresh = once_.state(*arriving.ticket) == OnceState::NeverBegun;
-    return isFresh ? Run::NotRun : Run::Unknown;
-}
-
 void Dispatch::relay(Pending &pending, const VmId &home, Effects &effects)
 {
     const RequestId request = pending.arrived.request;
@@ -180,12 +171,19 @@
                  "the ticket was used for another request", 0 },
                effects);
         return false;
+    case OnceVerdict::Refused:
+        refuse(request,
+               { RefusalCode::TicketExpired, Run::NotRun,
+                 "the ticket was refused as not run; ask for a new one", 0 },
+               effects);
+        return false;
     case OnceVerdict::Full:
         break;
     }
+    const bool isRetired = once_.state(*pending.ticket) == OnceState::Refused;
     refuse(request,
-           { RefusalCode::RecordsFull, Run::NotRun,
-             "this VM can keep no more outcomes; a ticket of another VM will do", 0 },
+           { RefusalCode::RecordsFull, isRetired ? Run::NotRun : Run::Unknown,
+             "this VM can keep no more outcomes; ask another VM for a ticket", 0 },
            effects);
     return false;
 }
@@ -242,7 +240,7 @@
         queue_.remove(pending.arrived.request);
         refuseRun(pending,
                   { RefusalCode::RecordsFull, Run::NotRun,
-                    "this VM can keep no more outcomes; a ticket of another VM will do", 0 },
+                    "this VM can keep no more outcomes; ask another VM for a ticket", 0 },
                   now, effects);
         return Sending::Refused;
     }
@@ -279,10 +277,10 @@
 {
     const std::uint64_t random = pending.random + randomStep * pending.attempts;
     const Ranking ranking = chooser_.rank(hooks_.targetsOf(pending.arrived.service), region,
-                                          pending.tried, random, now);
+                                          pending.tried, random, now - pending.arrivedAt, now);
     appendConsidered(ranking, region, considered);
     if (ranking.usable.empty())
-        wantSlot(ranking, now);
+        wantSlot(pending, ranking, now);
 
     int triedHere = 0;
     for (const Target *target : ranking.usable) {
@@ -307,12 +305,31 @@
     return std::nullopt;
 }
 
-void Dispatch::wantSlot(const Ranking &ranking, Instant now)
+// Asks for a slot of the target of which other VMs have most to spare. Where
+// nothing is known of any, each try asks for another target, so that VMs which
+// wait do not all ask for the same few slots.
+void Dispatch::wantSlot(Pending &pending, const Ranking &ranking, Instant now)
 {
+    std::vector<AccountId> lacking;
     for (const Considered &considered : ranking.considered) {
         if (considered.ruledOut == RuledOut::NoSlot)
-            return hooks_.budget.want({ slotAccount(considered.target->id), 1 }, now);
+            lacking.push_back(slotAccount(considered.target->id));
+    }
+    if (lacking.empty())
+        return;
+    const Duration waited = now - pending.arrivedAt;
+    const auto turn = static_cast<std::uint64_t>(waited.toMicros() / wantInterval.toMicros());
+    AccountId wanted = lacking[turn % lacking.size()];
+    double most = 0;
+    for (const AccountId &account : lacking) {
+        const double spare = hooks_.budget.borrowable ? hooks_.budget.borrowable(account) : 0;
+        if (spare > most) {
+            most = spare;
+            wanted = account;
+        }
     }
+    pending.lacking = wanted;
+    hooks_.budget.want({ wanted, 1 }, now);
 }
 
 void Dispatch::noteShortage(Pending &pending, const Debit &lacking, Instant now)
@@ -322,6 +339,7 @@
     Debit wanted = lacking;
     if (isTeam)
         wanted.tokens = static_cast<double>(queue_.waitingOf(pending.team));
+    pending.lacking = lacking.account;
     hooks_.budget.want(wanted, now);
 }
 
--- a/bluebellshift/core/ledger.h
+++ b/bluebellshift/core/ledger.h
@@ -75,6 +75,8 @@
     // Nothing waits any more after zero.
     void want(const Debit &debit, Instant now);
     double available(const AccountId &account, Instant now) const;
+    // Tokens that peers which may lend were last heard to have to spare.
+    double borrowable(const AccountId &id) const;
     bool isAnyWaiting() const;
 
     // Lends from idle shares. What is lent is in unacknowledgedCredits of `to`
--- a/bluebellshift/daemon/node.cpp
+++ b/bluebellshift/daemon/node.cpp
@@ -8,6 +8,7 @@
 #include "bluebellshift/base/snapshotcell.h"
 #include "bluebellshift/core/bundleparser.h"
 #include "bluebellshift/core/reducer.h"
+#include "bluebellshift/daemon/adminface.h"
 #include "bluebellshift/daemon/callerface.h"
 #include "bluebellshift/daemon/engine.h"
 #include "bluebellshift/daemon/pendingrequest.h"
@@ -19,6 +20,7 @@
 #include "bluebellshift/http/forwarder.h"
 #include "bluebellshift/http/httpserver.h"
 #include "bluebellshift/platform/httpplatformclient.h"
+#include "bluebellshift/shell/metrics.h"
 #include "bluebellshift/shell/peermesh.h"
 
 namespace bluebellshift::daemon {
@@ -117,8 +119,8 @@
 class Node::Implementation
 {
 public:
-    Implementation(const shell::Settings &settings, std::vector<shell::PeerKey> peerKeys,
-                   base::Clock clock, shell::Logger &logger);
+    Implementation(const shell::Settings &settings, NodeAccess access, base::Clock clock,
+                   shell::Logger &logger);
     ~Implementation();
 
     absl::Status start();
@@ -159,6 +161,7 @@
     RequestEnd serve(const PendingRequestPointer &pending, core::EventBody event,
                      const std::function<bool()> &isCallerGone);
     CallerFace::Hooks faceHooks();
+    AdminFace::Hooks adminHooks();
     RelayServer::Hooks relayHooks();
     RequestRunner::Hooks runnerHooks();
     shell::PeerMeshHooks meshHooks();
@@ -167,6 +170,7 @@
     const shell::Settings settings_;
     const base::Clock clock_;
     shell::Logger &logger_;
+    shell::Metrics metrics_;
 
     base::SnapshotCell<core::SteeringSnapshot> snapshot_;
     ReadyState ready_;
@@ -179,14 +183,14 @@
     RequestRunner runner_;
     RelayServer relays_;
     TargetProber prober_;
+    AdminFace admin_;
     CallerFace face_;
     http::HttpServer server_;
     PlatformLink platform_;
 };
 
-Node::Implementation::Implementation(const shell::Settings &settings,
-                                     std::vector<shell::PeerKey> peerKeys, base::Clock clock,
-                                     shell::Logger &logger)
+Node::Implementation::Implementation(const shell::Settings &settings, NodeAccess access,
+                                     base::Clock clock, shell::Logger &logger)
     : settings_(settings)
     , clock_(std::move(clock))
     , logger_(logger)
@@ -194,12 +198,14 @@
     , reducer_(settings.core, viewHooks())
     , engine_([this](const core::Event &event) { return reducer_.reduce(event); }, clock_,
               [this](core::Effect effect) {
+                  metrics_.countEffect(effect);
                   std::visit([this](auto &kind) { perform(std::move(kind)); }, effect);
               })
-    , mesh_(meshOptions(settings, std::move(peerKeys)), meshHooks())
+    , mesh_(meshOptions(settings, std::move(access.peerKeys)), meshHooks())
     , runner_(forwarder_, clock_, runnerHooks())
     , relays_(relayHooks())
     , prober_(forwarder_, clock_, [this](core::EventBody body) { post(std::move(body)); })
+    , admin_(std::move(access.operators), adminHooks())
     , face_(snapshot_, faceHooks())
     , server_(
           serverOptions(settings),
@@ -292,6 +298,18 @@
     return hooks;
 }
 
+AdminFace::Hooks Node::Implementation::adminHooks()
+{
+    AdminFace::Hooks hooks;
+    hooks.serve = [this](const AdminFace::MakeEvent &makeEvent) {
+        PendingRequestPointer pending = requests_.add(CallerRequest());
+        return serve(pending, makeEvent(pending->id()), [] { return false; });
+    };
+    hooks.wallTime = clock_.wallTime;
+    hooks.log = [this](core::LogRecord record) { logger_.write(record); };
+    return hooks;
+}
+
 CallerFace::Hooks Node::Implementation::faceHooks()
 {
     CallerFace::Hooks hooks;
@@ -301,9 +319,12 @@
         return serve(pending, makeEvent(pending->id()), isCallerGone);
     };
     hooks.readiness = [this] { return ready_.at(clock_.now()); };
-    hooks.metricsText = [] { return std::string(); };
-    hooks.administrate = [](const http::HttpRequest &request) {
-        return faultResponse(404, "path \"" + request.path + "\" does not exist");
+    hooks.metricsText = [this] {
+        return metrics_.text(
+            { mesh_.counts(), ready_.at(clock_.now()).isReady, logger_.droppedInTotal() });
+    };
+    hooks.administrate = [this](const http::HttpRequest &request) {
+        return admin_.handle(request);
     };
     return hooks;
 }
@@ -311,9 +332,11 @@
 RequestEnd Node::Implementation::serve(const PendingRequestPointer &pending, core::EventBody event,
                                        const std::function<bool()> &isCallerGone)
 {
+    const core::Instant begun = clock_.now();
     post(std::move(event));
     RequestEnd end = runner_.run(*pending, isCallerGone);
     requests_.remove(pending->id());
+    metrics_.observeRequest(clock_.now() - begun);
     return end;
 }
 
@@ -336,10 +359,10 @@
         mesh_.send(home, core::RelayCancel { effect.request.number() });
 }
 
-Node::Node(const shell::Settings &settings, std::vector<shell::PeerKey> peerKeys, base::Clock clock,
+Node::Node(const shell::Settings &settings, NodeAccess access, base::Clock clock,
            shell::Logger &logger)
     : implementation_(
-        std::make_unique<Implementation>(settings, std::move(peerKeys), std::move(clock), logger))
+        std::make_unique<Implementation>(settings, std::move(access), std::move(clock), logger))
 {
 }
 
