Wait for the bundle that a roll-out names, and let a VM leave steps to others

Cause: a VM that is not ready would pause the roll-out for all, and a roll-out that arrives before its bundle would be read with the old bundle's splits. Change: ShiftHooks::mayAct; Steer and Shift keep what they have until the bundle in force is the one that the roll-out names.

--- a/bluebellshift/core/shift.cpp
+++ b/bluebellshift/core/shift.cpp
@@ -69,11 +69,15 @@
     : options_(options)
     , hooks_(std::move(hooks))
 {
+    if (!hooks_.mayAct)
+        hooks_.mayAct = [](Instant) { return true; };
 }
 
 Effects Shift::onViewChanged(BundlePointer inForce, BundlePointer previous, const Rollout &rollout,
                              Revision version, Instant now)
 {
+    if (inForce->version != rollout.bundle)
+        return {};
     bundle_ = std::move(inForce);
     previous_ = std::move(previous);
     if (version != version_)
@@ -219,7 +223,7 @@
     if (bundle_ == nullptr || version_ == Revision())
         return {};
     observeAll(now);
-    if (writing_ || reading_)
+    if (writing_ || reading_ || !hooks_.mayAct(now))
         return {};
     if (mustRead_) {
         reading_ = hooks_.newCall();
--- a/bluebellshift/core/shift.h
+++ b/bluebellshift/core/shift.h
@@ -27,7 +27,10 @@
     // Whether every VM that may steer has installed this revision: each one alive
     // has said so, and the lease of each other has lapsed.
     std::function<bool(Revision, Instant now)> isInForceEverywhere;
-    // Why no more traffic should move now; nothing when all is well.
+    // Whether this VM may act now; while it may not, others do. Default: always.
+    std::function<bool(Instant now)> mayAct;
+    // Why no more traffic should move for anybody; nothing when all is well. The
+    // roll-out is then paused until an operator resumes it.
     std::function<std::optional<std::string>(Instant now)> whyUnhealthy;
     // Regions that are down here or ramp up (Steer::unsettledRegions).
     std::function<std::vector<RegionId>()> unsettledRegions;
@@ -42,6 +45,7 @@
     Shift(const CoreOptions &options, ShiftHooks hooks);
 
     // Installs the roll-out of a view. `version` is that of the object `rollout/current`.
+    // Keeps what it has when `inForce` is not the bundle that the roll-out names.
     Effects onViewChanged(BundlePointer inForce, BundlePointer previous, const Rollout &rollout,
                           Revision version, Instant now);
 
--- a/bluebellshift/core/steer.cpp
+++ b/bluebellshift/core/steer.cpp
@@ -97,6 +97,8 @@
                              const std::vector<Vm> &vms, const std::vector<VmId> &serving,
                              Instant now)
 {
+    if (inForce->version != rollout.bundle)
+        return {};
     noteMovement(inForce, rollout, now);
     // A bundle never changes under its version, so what was built on it stays.
     const bool isNewBundle = bundle_ == nullptr || bundle_->version != inForce->version;
--- a/bluebellshift/core/steer.h
+++ b/bluebellshift/core/steer.h
@@ -44,7 +44,8 @@
     Steer(const CoreOptions &options, SteerHooks hooks);
 
     // Installs a view. `serving` are the VMs that may be named to callers.
-    // Publishes a snapshot when what callers are told has changed.
+    // Publishes a snapshot when what callers are told has changed. Keeps what it
+    // has when `inForce` is not the bundle that the roll-out names.
     Effects onViewChanged(BundlePointer inForce, BundlePointer previous, const Rollout &rollout,
                           const std::vector<Vm> &vms, const std::vector<VmId> &serving,
                           Instant now);
--- a/bluebellshift/core/testing/shifttest.cpp
+++ b/bluebellshift/core/testing/shifttest.cpp
@@ -31,6 +31,7 @@
     bool isInForce = true;
     std::optional<std::string> unhealthy;
     std::vector<RegionId> unsettled;
+    bool mayAct = true;
     int rank = 0;
     std::uint64_t calls = 0;
     Instant now = Instant::fromMicros(1'000'000);
@@ -47,6 +48,7 @@
         options.clockDrift = 0;
         ShiftHooks hooks;
         hooks.isInForceEverywhere = [this](Revision, Instant) { return isInForce; };
+        hooks.mayAct = [this](Instant) { return mayAct; };
         hooks.whyUnhealthy = [this](Instant) { return unhealthy; };
         hooks.unsettledRegions = [this]() { return unsettled; };
         hooks.rank = [this](Revision) { return rank; };
@@ -197,6 +199,25 @@
     LONGS_EQUAL(1, tick(Duration::seconds(1))->services[0].step);
 }
 
+TEST(Shift, AVmThatMayNotActLeavesItToOthers)
+{
+    mayAct = false;
+    unhealthy = "slow";
+    install();
+    CHECK(!tick(Duration::seconds(10)));
+    mayAct = true;
+    unhealthy.reset();
+    CHECK(tick().has_value());
+}
+
+TEST(Shift, ABundleThatIsNotThereYetChangesNothing)
+{
+    shift->onViewChanged(before, nullptr, rollout, version, now);
+    CHECK(!tick(Duration::seconds(10)));
+    install();
+    CHECK(tick().has_value());
+}
+
 TEST(Shift, AVmOfALaterRankTriesLater)
 {
     rank = 2;
--- a/bluebellshift/core/testing/steertest.cpp
+++ b/bluebellshift/core/testing/steertest.cpp
@@ -150,6 +150,15 @@
     LONGS_EQUAL(0, steer->unsettledRegions().size());
 }
 
+TEST(Steer, ABundleThatIsNotThereYetChangesNothing)
+{
+    rollout.bundle = "2";
+    rollout.services[0].start = { { RegionId("kpk"), 1 } };
+    rollout.services[0].steps = 2;
+    CHECK(install().empty());
+    DOUBLES_EQUAL(0.5, firstChoices()["punjab"], 0.004);
+}
+
 TEST(Steer, PublishesOnlyWhatCallersCanTell)
 {
     std::vector<Vm> vms(2);
