--- a/bluebellshift/core/rollout.cpp
+++ b/bluebellshift/core/rollout.cpp
@@ -12,8 +12,8 @@
 #include <set>
 
 #include "bluebellshift/core/capacity.h"
+#include "bluebellshift/core/jsonfields.h"
 #include "fmt/format.h"
-#include "nlohmann/json.hpp"
 
 namespace bluebellshift::core {
 
@@ -56,90 +56,6 @@
     return "done";
 }
 
-// Reads the fields of one JSON object and remembers the first fault.
-class FieldReader
-{
-public:
-    FieldReader(const Json &json, std::string what)
-        : json_(json)
-        , what_(std::move(what))
-    {
-        if (!json_.is_object())
-            fail("is no JSON object");
-    }
-
-    std::string text(const char *name)
-    {
-        const Json *field = find(name, Json::value_t::string);
-        return field == nullptr ? std::string() : field->get<std::string>();
-    }
-
-    std::int64_t integer(const char *name)
-    {
-        const Json *field = find(name, Json::value_t::number_unsigned);
-        return field == nullptr ? 0 : field->get<std::int64_t>();
-    }
-
-    bool flag(const char *name)
-    {
-        const Json *field = find(name, Json::value_t::boolean);
-        return field != nullptr && field->get<bool>();
-    }
-
-    Json object(const char *name)
-    {
-        const Json *field = find(name, Json::value_t::object);
-        return field == nullptr ? Json::object() : *field;
-    }
-
-    Json array(const char *name)
-    {
-        const Json *field = find(name, Json::value_t::array);
-        return field == nullptr ? Json::array() : *field;
-    }
-
-    void fail(const std::string &message)
-    {
-        if (status_.ok())
-            status_ = absl::InvalidArgumentError(fmt::format("{}: {}", what_, message));
-    }
-
-    // Call last.
-    absl::Status finish()
-    {
-        if (!status_.ok())
-            return status_;
-        for (const auto &item : json_.items()) {
-            if (known_.count(item.key()) == 0)
-                fail(fmt::format("unknown field \"{}\"", item.key()));
-        }
-        return status_;
-    }
-
-private:
-    const Json *find(const char *name, Json::value_t type)
-    {
-        known_.insert(name);
-        if (!json_.is_object())
-            return nullptr;
-        const auto found = json_.find(name);
-        if (found == json_.end()) {
-            fail(fmt::format("field \"{}\" is missing", name));
-            return nullptr;
-        }
-        if (found->type() != type) {
-            fail(fmt::format("field \"{}\" = {} is of the wrong type", name, found->dump()));
-            return nullptr;
-        }
-        return &*found;
-    }
-
-    const Json &json_;
-    std::string what_;
-    std::set<std::string> known_;
-    absl::Status status_;
-};
-
 absl::StatusOr<std::vector<RegionShare>> decodeSplit(const Json &json, const std::string &what)
 {
     std::vector<RegionShare> split;
@@ -161,7 +77,7 @@
 absl::StatusOr<ServiceShift> decodeService(const std::string &name, const Json &json)
 {
     const std::string what = fmt::format("service \"{}\"", name);
-    FieldReader reader(json, what);
+    JsonFields reader(json, what);
     ServiceShift shift;
     shift.service = ServiceId(name);
     shift.step = static_cast<int>(reader.integer("step"));
@@ -325,7 +241,7 @@
     const Json json = Json::parse(text.begin(), text.end(), nullptr, false);
     if (json.is_discarded())
         return absl::InvalidArgumentError("rollout: not JSON");
-    FieldReader reader(json, "rollout");
+    JsonFields reader(json, "rollout");
     Rollout rollout;
     rollout.bundle = reader.text("bundle");
     rollout.previous = reader.text("previous");
--- a/bluebellshift/core/shift.cpp
+++ b/bluebellshift/core/shift.cpp
@@ -89,6 +89,12 @@
     return {};
 }
 
+void Shift::onScheduleChanged(std::optional<ScheduledRollout> schedule, BundlePointer next)
+{
+    schedule_ = std::move(schedule);
+    scheduledBundle_ = std::move(next);
+}
+
 // A watch goes on while what it watches stays; another service's step does not
 // make this one wait again.
 void Shift::restartWatches(const Rollout &rollout, Revision version)
@@ -163,8 +169,10 @@
     return wait * steps;
 }
 
-std::optional<Rollout> Shift::dueChange(Instant now) const
+std::optional<Rollout> Shift::dueChange(Instant now, WallTime wallTime) const
 {
+    if (std::optional<Rollout> next = dueSchedule(wallTime))
+        return next;
     if (std::optional<Rollout> next = dueRegions(now))
         return next;
     if (rollout_.state != RolloutState::Moving)
@@ -176,6 +184,21 @@
     return dueStep(now);
 }
 
+// A VM whose wall clock runs ahead begins early; the schedule trusts the clocks.
+// While the roll-out is paused the schedule waits for an operator, too.
+std::optional<Rollout> Shift::dueSchedule(WallTime wallTime) const
+{
+    const bool isDue = schedule_ && rollout_.state != RolloutState::Paused
+        && schedule_->afterSerial == rollout_.serial && schedule_->at <= wallTime
+        && scheduledBundle_ != nullptr && scheduledBundle_->version == schedule_->bundle;
+    if (!isDue)
+        return std::nullopt;
+    const std::string by = "schedule/" + schedule_->scheduledBy;
+    absl::StatusOr<Rollout> next =
+        beginRollout(rollout_, *bundle_, *scheduledBundle_, by, wallTime);
+    return next.ok() ? std::optional<Rollout>(*std::move(next)) : std::nullopt;
+}
+
 // Lists the regions that are down or ramp up here. No traffic moves by this
 // alone, so it is due at any time; from then on the roll-out is not settled.
 std::optional<Rollout> Shift::dueRegions(Instant now) const
@@ -231,7 +254,7 @@
     }
     if (writtenOver_ == version_)
         return {};
-    std::optional<Rollout> next = dueChange(now);
+    std::optional<Rollout> next = dueChange(now, wallTime);
     if (!next) {
         dueSince_ = Instant::never();
         return {};
@@ -245,7 +268,9 @@
 
 Effects Shift::write(Rollout next, Instant now, WallTime wallTime)
 {
-    next.changedBy = "vm/" + options_.vm.text();
+    const bool isStep = next.serial == rollout_.serial;
+    if (isStep)
+        next.changedBy = "vm/" + options_.vm.text();
     next.changedAt = wallTime;
     written_ = std::move(next);
     writtenOver_ = version_;
--- a/bluebellshift/core/shift.h
+++ b/bluebellshift/core/shift.h
@@ -19,6 +19,7 @@
 #include "bluebellshift/core/event.h"
 #include "bluebellshift/core/options.h"
 #include "bluebellshift/core/rollout.h"
+#include "bluebellshift/core/schedule.h"
 
 namespace bluebellshift::core {
 
@@ -49,7 +50,12 @@
     Effects onViewChanged(BundlePointer inForce, BundlePointer previous, const Rollout &rollout,
                           Revision version, Instant now);
 
-    // Takes the next step if it is due; call about once a second.
+    // Installs what is scheduled, or nothing. `next` is the bundle that it names;
+    // null while this VM does not have it.
+    void onScheduleChanged(std::optional<ScheduledRollout> schedule, BundlePointer next);
+
+    // Takes the next step if it is due, or begins the scheduled roll-out; call
+    // about once a second.
     Effects onTimer(Instant now, WallTime wallTime);
 
     // Ignores replies to calls that are not its own.
@@ -72,7 +78,8 @@
     bool stepIsDue(const ServiceShift &shift, Instant now) const;
     bool isAllDone(Instant now) const;
     Duration settleTime() const;
-    std::optional<Rollout> dueChange(Instant now) const;
+    std::optional<Rollout> dueChange(Instant now, WallTime wallTime) const;
+    std::optional<Rollout> dueSchedule(WallTime wallTime) const;
     std::optional<Rollout> dueRegions(Instant now) const;
     std::optional<Rollout> dueStep(Instant now) const;
     Effects write(Rollout next, Instant now, WallTime wallTime);
@@ -85,6 +92,8 @@
     BundlePointer bundle_;
     BundlePointer previous_;
     Rollout rollout_;
+    std::optional<ScheduledRollout> schedule_;
+    BundlePointer scheduledBundle_;
     Revision version_;
     std::map<ServiceId, Watch> watches_;
     Watch regionsWatch_;                  // of the list of unsettled regions
--- a/bluebellshift/core/testing/shifttest.cpp
+++ b/bluebellshift/core/testing/shifttest.cpp
@@ -34,6 +34,7 @@
     bool mayAct = true;
     int rank = 0;
     std::uint64_t calls = 0;
+    WallTime wallTime;
     Instant now = Instant::fromMicros(1'000'000);
     Revision version { 10 };
     Rollout rollout =
@@ -65,7 +66,7 @@
     std::optional<Rollout> tick(Duration later = Duration())
     {
         now = now + later;
-        for (const Effect &effect : shift->onTimer(now, WallTime())) {
+        for (const Effect &effect : shift->onTimer(now, wallTime)) {
             if (const auto *write = std::get_if<WriteObject>(&effect)) {
                 lastWrite = *write;
                 return *decodeRollout(write->value);
@@ -218,6 +219,60 @@
     CHECK(tick().has_value());
 }
 
+TEST(Shift, AScheduledRolloutBeginsOnceAtItsInstant)
+{
+    rollout = firstRollout(*before, "operator", {});
+    const auto installFirst = [&] { shift->onViewChanged(before, nullptr, rollout, version, now); };
+    installFirst();
+    ScheduledRollout schedule { "2",
+                                rollout.serial,
+                                WallTime::fromMicros(5'000'000),
+                                "2026-12-24T18:00",
+                                "Europe/Warsaw",
+                                "2025b",
+                                "amina" };
+    shift->onScheduleChanged(schedule, nullptr); // its bundle is not here yet
+    wallTime = WallTime::fromMicros(6'000'000);
+    CHECK(!tick());
+    shift->onScheduleChanged(schedule, after);
+    wallTime = WallTime::fromMicros(4'999'999);
+    CHECK(!tick());
+    wallTime = schedule.at;
+    rollout.state = RolloutState::Paused;
+    installFirst();
+    CHECK(!tick());
+    rollout.state = RolloutState::Done;
+    installFirst();
+    const std::optional<Rollout> next = tick();
+    STRCMP_EQUAL("2", next->bundle.c_str());
+    STRCMP_EQUAL("schedule/amina", next->changedBy.c_str());
+    LONGS_EQUAL(rollout.serial + 1, next->serial);
+    LONGS_EQUAL(0, next->services[0].step);
+    accept(*next);
+    const std::optional<Rollout> step = tick();
+    LONGS_EQUAL(next->serial, step->serial); // goes on, and does not begin again
+    LONGS_EQUAL(1, step->services[0].step);
+    // Another roll-out began since: the schedule is void.
+    rollout = firstRollout(*before, "operator", {});
+    rollout.serial = 9;
+    version = Revision(30);
+    shift = makeShift();
+    installFirst();
+    shift->onScheduleChanged(schedule, after);
+    CHECK(!tick());
+}
+
+TEST(Shift, AScheduleIsDecodedStrictly)
+{
+    const ScheduledRollout schedule {
+        "2", 7, WallTime::fromMicros(5), "18:00", "Asia/Karachi", "2025b", "amina"
+    };
+    const std::string json = encodeSchedule(schedule);
+    STRCMP_EQUAL(json.c_str(), encodeSchedule(*decodeSchedule(json)).c_str());
+    for (const char *wrong : { "", "[]", "{}", R"({"bundle":"2","at":5})" })
+        CHECK(!decodeSchedule(wrong).ok());
+}
+
 TEST(Shift, AVmOfALaterRankTriesLater)
 {
     rank = 2;
