Record and replay a reducer; wait a lease before a VM counts as cut off

Cause: a fault seen on a VM must be reproducible, and the tool said of VMs that were silent before a withdrawal that they served no keyed request, at once, though they may hold a fresh view until their lease runs out.

Conclusion: a recording shows whether a fault lies in the core.

--- a/bluebellshift/ctl/commands.cpp
+++ b/bluebellshift/ctl/commands.cpp
@@ -44,6 +44,8 @@
     { "target", "drain", "SERVICE TARGET", 2, drainTarget,
       "Marks a target as leaving: it gets no new work." },
     { "target", "undrain", "SERVICE TARGET", 2, undrainTarget, "Lets a target serve again." },
+    { "recording", "check", "FILE", 1, checkRecording,
+      "Replays a recording of bluebellshiftd; tells where effects differ." },
     { "vm", "status", "", 0, tellVmStatus, "Tells how the VM and its peers are." },
     { "lookup", "", "SERVICE", 1, lookUp, "Asks which VMs a caller is sent to (--client)." },
 };
@@ -131,8 +133,10 @@
     return code;
 }
 
-// The status that one VM gives is one poll old at most for its peers, too, as
-// they tell their revision with each heartbeat.
+// Peers tell their revision with each heartbeat, so one VM's status speaks for
+// all that it hears. A VM that it does not hear may still reach the platform by
+// itself: it is safe only once its lease has run out since the acceptance, as it
+// then either holds the revision or knows that its view is stale.
 int waitInForce(const CommandContext &context, core::Revision revision)
 {
     std::map<core::VmId, bool> isDone;
@@ -153,8 +157,8 @@
                     continue;
                 if (peer.revision >= revision)
                     note(peer.vm, "in force", waited);
-                else if (!peer.isAlive && peer.age >= silenceMost)
-                    note(peer.vm, "cut off (serves no keyed request)", waited);
+                else if (!peer.isAlive && peer.age >= silenceMost && waited >= silenceMost)
+                    note(peer.vm, "cut off (up to date or serving no keyed request)", waited);
                 else
                     isAllDone = false;
             }
--- a/bluebellshift/ctl/commands.h
+++ b/bluebellshift/ctl/commands.h
@@ -62,6 +62,7 @@
 int tellBundleHistory(const CommandContext &context, const Arguments &arguments);
 int drainTarget(const CommandContext &context, const Arguments &arguments);
 int undrainTarget(const CommandContext &context, const Arguments &arguments);
+int checkRecording(const CommandContext &context, const Arguments &arguments);
 int tellVmStatus(const CommandContext &context, const Arguments &arguments);
 int lookUp(const CommandContext &context, const Arguments &arguments);
 
@@ -69,7 +70,7 @@
 int fail(const CommandContext &context, const absl::Status &status);
 
 // Waits until each VM's view has reached a revision, and prints it VM by VM. A
-// VM not heard for `silenceMost` counts as cut off: it serves no keyed request.
+// VM that is not heard counts as cut off once a freshness lease has passed.
 int waitInForce(const CommandContext &context, core::Revision revision);
 
 } // namespace bluebellshift::ctl
--- a/bluebellshift/ctl/fleetcommands.cpp
+++ b/bluebellshift/ctl/fleetcommands.cpp
@@ -1,11 +1,17 @@
-// Commands on settings, targets, VMs and look-ups.
+// Commands on settings, recordings, targets, VMs and look-ups.
+#include <fstream>
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "bluebellshift/core/bundleparser.h"
 #include "bluebellshift/core/object.h"
+#include "bluebellshift/core/reducer.h"
+#include "bluebellshift/core/rollout.h"
 #include "bluebellshift/ctl/commands.h"
 #include "bluebellshift/shell/operators.h"
 #include "bluebellshift/shell/peerkeys.h"
+#include "bluebellshift/shell/recorder.h"
 #include "bluebellshift/shell/settings.h"
 
 namespace bluebellshift::ctl {
@@ -13,6 +19,16 @@
 
 using nlohmann::json;
 
+// Older than any run of a VM: it was never heard.
+constexpr core::Duration ageMost = core::Duration::seconds(100LL * 365 * 86400);
+
+std::string showAge(core::Duration age)
+{
+    if (age > ageMost)
+        return "never heard";
+    return fmt::format("heard {} ms ago", age.toMillis());
+}
+
 int setLeaving(const CommandContext &context, const Arguments &arguments, bool isLeaving)
 {
     const auto accepted = context.client.edit(
@@ -55,6 +71,27 @@
     return code;
 }
 
+int checkRecording(const CommandContext &context, const Arguments &arguments)
+{
+    std::ifstream file(arguments[0], std::ios::binary);
+    if (!file)
+        return fail(context, absl::NotFoundError(fmt::format("cannot read \"{}\"", arguments[0])));
+    const auto report = shell::replay(file, [](const core::CoreOptions &options) {
+        core::View::Hooks hooks;
+        hooks.parseBundle = [](std::string_view toml) { return core::parseBundle(toml); };
+        hooks.parseRollout = [](const std::string &text) { return core::decodeRollout(text); };
+        auto reducer = std::make_shared<core::Reducer>(options, hooks);
+        return [reducer](const core::Event &event) { return reducer->reduce(event); };
+    });
+    if (!report.ok()) {
+        context.printError(std::string(report.status().message()));
+        return exitRefused;
+    }
+    context.print(
+        fmt::format("{} events gave the same {} effects", report->events, report->effects));
+    return exitOk;
+}
+
 int drainTarget(const CommandContext &context, const Arguments &arguments)
 {
     return setLeaving(context, arguments, true);
@@ -75,10 +112,10 @@
                               status->isReady ? "ready" : "not ready (" + status->reason + ")",
                               status->bundle.empty() ? "none" : status->bundle));
     for (const PeerStatus &peer : status->peers)
-        context.print(fmt::format("{:<16} revision {:<8} {}{}{} heard {} ms ago", peer.vm.text(),
+        context.print(fmt::format("{:<16} revision {:<8} {}{}{} {}", peer.vm.text(),
                                   peer.revision.number(), peer.isAlive ? "alive" : "silent",
                                   peer.isReady ? " ready" : " not-ready",
-                                  peer.isLeaving ? " leaving" : "", peer.age.toMillis()));
+                                  peer.isLeaving ? " leaving" : "", showAge(peer.age)));
     return exitOk;
 }
 
--- a/bluebellshift/ctl/testing/ctltest.cpp
+++ b/bluebellshift/ctl/testing/ctltest.cpp
@@ -84,6 +84,7 @@
     Fault fault = Fault::None;
     int writes = 0;
     bool isConnected = true;
+    Duration paused; // by the tool, in total
     std::vector<std::string> lines;
     std::vector<std::string> errors;
     std::unique_ptr<daemon::AdminFace> face;
@@ -165,7 +166,10 @@
             const http::HttpResponse response = face->handle(request);
             return ctl::HttpReply { response.status, response.body };
         };
-        const auto pause = [this](Duration) { slowRevision = std::max(slowRevision, revision); };
+        const auto pause = [this](Duration time) {
+            paused = paused + time;
+            slowRevision = std::max(slowRevision, revision);
+        };
         lines.clear();
         errors.clear();
         const ctl::CommandContext context {
@@ -175,7 +179,7 @@
             [] { return std::string("a new key"); },
             [] { return WallTime::fromMicros(1'796'367'132'000'000); },
             pause,
-            Duration::seconds(2),
+            Duration::seconds(10),
             "",
         };
         return ctl::runCommand(context, arguments);
@@ -210,7 +214,10 @@
     LONGS_EQUAL(ctl::exitUsage, run("amina", { "keys", "withdraw", "multan", "12" }));
     stuckRevision = 3;
     const std::string prefix = digest.substr(0, 10);
+    const Duration before = paused;
     LONGS_EQUAL(ctl::exitOk, run("amina", { "keys", "withdraw", "multan", prefix }));
+    // A VM that is not heard may still accept the key until its lease has run out.
+    CHECK(paused - before >= Duration::seconds(3));
     CHECK(isPrinted("a-1") && isPrinted("in force after") && isPrinted("cut off"));
     CHECK(json::parse(stored("keys", "multan"))["digests"].empty());
 }
--- a/bluebellshift/daemon/main.cpp
+++ b/bluebellshift/daemon/main.cpp
@@ -1,6 +1,9 @@
 // bluebellshiftd: the daemon, the same on every VM.
+#include <sys/stat.h>
+
 #include <csignal>
 #include <cstdio>
+#include <fstream>
 #include <memory>
 #include <string>
 #include <thread>
@@ -14,6 +17,7 @@
 #include "bluebellshift/daemon/node.h"
 #include "bluebellshift/shell/logger.h"
 #include "bluebellshift/shell/peerkeys.h"
+#include "bluebellshift/shell/recorder.h"
 #include "bluebellshift/shell/settings.h"
 
 using namespace bluebellshift;
@@ -33,6 +37,7 @@
 struct Arguments
 {
     std::string settingsFile;
+    std::string recordFile; // empty: nothing is recorded
     bool checkOnly = false;
 };
 
@@ -40,11 +45,14 @@
 int parseArguments(int argc, const char **argv, Arguments *arguments)
 {
     char *settingsFile = nullptr;
+    char *recordFile = nullptr;
     int checkOnly = 0;
     int wantsHelp = 0;
     const poptOption options[] = {
         { "settings", 's', POPT_ARG_STRING, &settingsFile, 0, "Settings in TOML", "FILE" },
         { "check", 'c', POPT_ARG_NONE, &checkOnly, 0, "Check the settings and exit", nullptr },
+        { "record", 0, POPT_ARG_STRING, &recordFile, 0,
+          "Record events and effects, for bluebellctl recording check", "FILE" },
         { "help", 'h', POPT_ARG_NONE, &wantsHelp, 0, "Show this help", nullptr },
         POPT_TABLEEND,
     };
@@ -66,7 +74,10 @@
     if (settingsFile != nullptr)
         arguments->settingsFile = settingsFile;
     arguments->checkOnly = checkOnly != 0;
+    if (recordFile != nullptr)
+        arguments->recordFile = recordFile;
     free(settingsFile);
+    free(recordFile);
     poptFreeContext(context);
     return code;
 }
@@ -104,7 +115,22 @@
     return daemon::NodeAccess { *std::move(keys), *std::move(operators) };
 }
 
-int runNode(shell::Settings settings, daemon::NodeAccess access)
+// Empty if nothing is to be recorded. The recording holds secrets, so only its
+// owner may read it.
+daemon::Node::Observe makeObserver(const std::string &path, const core::CoreOptions &options)
+{
+    if (path.empty())
+        return {};
+    umask(S_IRWXG | S_IRWXO);
+    auto file = std::make_shared<std::ofstream>(path, std::ios::binary);
+    auto recorder = std::make_shared<shell::Recorder>(
+        options, [file](const std::string &bytes) { *file << bytes << std::flush; });
+    return [recorder](const core::Event &event, const core::Effects &effects) {
+        recorder->record(event, effects);
+    };
+}
+
+int runNode(shell::Settings settings, daemon::NodeAccess access, const std::string &recordFile)
 {
     const base::Clock clock = base::systemClock();
     settings.core.incarnation = core::Incarnation(clock.random() >> 1 | 1);
@@ -119,7 +145,8 @@
         sigaddset(&signals, signal);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 
-    daemon::Node node(settings, std::move(access), clock, logger);
+    daemon::Node node(settings, std::move(access), clock, logger,
+                      makeObserver(recordFile, settings.core));
     if (absl::Status status = node.start(); !status.ok()) {
         fmt::print(stderr, "bluebellshiftd: {}\n", std::string(status.message()));
         return exitListen;
@@ -155,5 +182,5 @@
         fmt::print("{}: no faults\n", arguments.settingsFile);
         return exitOk;
     }
-    return runNode(*std::move(settings), *std::move(access));
+    return runNode(*std::move(settings), *std::move(access), arguments.recordFile);
 }
--- a/bluebellshift/daemon/node.cpp
+++ b/bluebellshift/daemon/node.cpp
@@ -120,7 +120,7 @@
 {
 public:
     Implementation(const shell::Settings &settings, NodeAccess access, base::Clock clock,
-                   shell::Logger &logger);
+                   shell::Logger &logger, Observe observe);
     ~Implementation();
 
     absl::Status start();
@@ -151,6 +151,14 @@
     void perform(core::WriteLog effect) { logger_.write(effect.record); }
     void perform(core::Exit effect) { exit_.give(effect.requestsCut); }
 
+    core::Effects reduce(const core::Event &event)
+    {
+        core::Effects effects = reducer_.reduce(event);
+        if (observe_)
+            observe_(event, effects);
+        return effects;
+    }
+
     template<typename Effect> void instruct(Effect effect)
     {
         if (PendingRequestPointer pending = requests_.find(effect.request))
@@ -170,6 +178,7 @@
     const shell::Settings settings_;
     const base::Clock clock_;
     shell::Logger &logger_;
+    const Observe observe_;
     shell::Metrics metrics_;
 
     base::SnapshotCell<core::SteeringSnapshot> snapshot_;
@@ -190,13 +199,14 @@
 };
 
 Node::Implementation::Implementation(const shell::Settings &settings, NodeAccess access,
-                                     base::Clock clock, shell::Logger &logger)
+                                     base::Clock clock, shell::Logger &logger, Observe observe)
     : settings_(settings)
     , clock_(std::move(clock))
     , logger_(logger)
+    , observe_(std::move(observe))
     , forwarder_(forwarderOptions(settings), clock_)
     , reducer_(settings.core, viewHooks())
-    , engine_([this](const core::Event &event) { return reducer_.reduce(event); }, clock_,
+    , engine_([this](const core::Event &event) { return reduce(event); }, clock_,
               [this](core::Effect effect) {
                   metrics_.countEffect(effect);
                   std::visit([this](auto &kind) { perform(std::move(kind)); }, effect);
@@ -360,9 +370,9 @@
 }
 
 Node::Node(const shell::Settings &settings, NodeAccess access, base::Clock clock,
-           shell::Logger &logger)
-    : implementation_(
-        std::make_unique<Implementation>(settings, std::move(access), std::move(clock), logger))
+           shell::Logger &logger, Observe observe)
+    : implementation_(std::make_unique<Implementation>(
+        settings, std::move(access), std::move(clock), logger, std::move(observe)))
 {
 }
 
--- a/bluebellshift/daemon/node.h
+++ b/bluebellshift/daemon/node.h
@@ -5,11 +5,14 @@
 //   int requestsCut = node.waitForExit();   // after node.shutDown()
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <vector>
 
 #include "absl/status/status.h"
 #include "bluebellshift/base/clock.h"
+#include "bluebellshift/core/effect.h"
+#include "bluebellshift/core/event.h"
 #include "bluebellshift/shell/logger.h"
 #include "bluebellshift/shell/operators.h"
 #include "bluebellshift/shell/peerkeys.h"
@@ -27,9 +30,12 @@
 class Node
 {
 public:
+    // Sees each event with its effects, in their order, one at a time.
+    using Observe = std::function<void(const core::Event &, const core::Effects &)>;
+
     // `settings.core` must have its incarnation and secret set.
     Node(const shell::Settings &settings, NodeAccess access, base::Clock clock,
-         shell::Logger &logger);
+         shell::Logger &logger, Observe observe = {});
     ~Node();
 
     // Unavailable: an address can't be listened on.
--- a/bluebellshift/shell/structcodec.h
+++ b/bluebellshift/shell/structcodec.h
@@ -19,6 +19,7 @@
 #include <tuple>
 #include <type_traits>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include <nlohmann/json.hpp>
@@ -39,6 +40,26 @@
 // read as.
 template<typename E> struct EnumRange;
 
+// Codec<T>::encode and decode, if defined, take the place of a list of fields.
+template<typename T> struct Codec;
+template<typename T, typename = void> struct HasCodec : std::false_type
+{
+};
+template<typename T> struct HasCodec<T, std::void_t<decltype(&Codec<T>::encode)>> : std::true_type
+{
+};
+template<typename T> inline constexpr bool hasCodec = HasCodec<T>::value;
+
+// Declared ahead of the templates that call them.
+inline json toJson(const std::string &text);
+inline bool fromJson(const json &value, std::string *text);
+inline json toJson(const core::Duration &duration);
+inline bool fromJson(const json &value, core::Duration *duration);
+
+// A variant as an array of the alternative's number and its fields.
+template<typename... Types> json toJson(const std::variant<Types...> &value);
+template<typename... Types> bool fromJson(const json &value, std::variant<Types...> *result);
+
 template<typename T> json toJson(const T &value);
 
 template<typename Tag> json toJson(const core::TextId<Tag> &id);
@@ -71,34 +92,61 @@
     return duration.toMicros();
 }
 
-inline bool isDefault(const json &value)
+// Converts to the type of any field; never run.
+struct AnyField
+{
+    template<typename T> operator T() const; // NOLINT
+};
+
+template<typename T, std::size_t... Index>
+constexpr auto takesFields(std::index_sequence<Index...>)
+    -> decltype(T { (static_cast<void>(Index), AnyField {})... }, bool())
+{
+    return true;
+}
+template<typename T> constexpr bool takesFields(...)
 {
-    if (value.is_binary())
-        return value.get_binary().empty();
-    if (value.is_number_integer())
-        return value == 0;
-    return value.is_boolean() ? !value.get<bool>() : value.empty();
+    return false;
 }
 
-template<typename T> void appendFields(const T &value, json *array)
+// The number of fields of a plain struct, up to 31.
+template<typename T, std::size_t Guess = 31> constexpr std::size_t fieldCount()
 {
-    std::apply([&](auto... member) { (array->push_back(toJson(value.*member)), ...); },
+    if constexpr (Guess == 0 || takesFields<T>(std::make_index_sequence<Guess>()))
+        return Guess;
+    else
+        return fieldCount<T, Guess - 1>();
+}
+
+template<typename T> json allFields(const T &value)
+{
+    static_assert(std::tuple_size_v<decltype(Fields<T>::list)> == fieldCount<T>(),
+                  "Fields<T>::list must name every field");
+    json array = json::array();
+    std::apply([&](auto... member) { (array.push_back(toJson(value.*member)), ...); },
                Fields<T>::list);
-    while (!array->empty() && isDefault(array->back()))
-        array->erase(array->size() - 1);
+    return array;
+}
+
+template<typename T> json toFieldArray(const T &value)
+{
+    static const json defaults = allFields(T());
+    json array = allFields(value);
+    while (!array.empty() && array.back() == defaults[array.size() - 1])
+        array.erase(array.size() - 1);
+    return array;
 }
 
 template<typename T> json toJson(const T &value)
 {
-    if constexpr (std::is_enum_v<T>) {
+    if constexpr (hasCodec<T>)
+        return Codec<T>::encode(value);
+    else if constexpr (std::is_enum_v<T>)
         return static_cast<int>(value);
-    } else if constexpr (std::is_arithmetic_v<T>) {
+    else if constexpr (std::is_arithmetic_v<T>)
         return value;
-    } else {
-        json array = json::array();
-        appendFields(value, &array);
-        return array;
-    }
+    else
+        return toFieldArray(value);
 }
 
 // Each fromJson returns false if `value` cannot be a T.
@@ -192,7 +240,14 @@
 
 template<typename T> bool fromJson(const json &value, T *result)
 {
-    if constexpr (std::is_same_v<T, bool>) {
+    if constexpr (hasCodec<T>) {
+        return Codec<T>::decode(value, result);
+    } else if constexpr (std::is_floating_point_v<T>) {
+        if (!value.is_number())
+            return false;
+        *result = value.get<T>();
+        return true;
+    } else if constexpr (std::is_same_v<T, bool>) {
         if (!value.is_boolean())
             return false;
         *result = value.get<bool>();
@@ -211,4 +266,30 @@
     }
 }
 
+template<typename... Types> json toJson(const std::variant<Types...> &value)
+{
+    json array = std::visit([](const auto &body) { return toFieldArray(body); }, value);
+    array.insert(array.begin(), json(value.index()));
+    return array;
+}
+
+template<std::size_t Index, typename Variant>
+bool readAlternative(std::size_t type, const json &array, Variant *result)
+{
+    if constexpr (Index == std::variant_size_v<Variant>) {
+        return false;
+    } else {
+        if (type != Index)
+            return readAlternative<Index + 1>(type, array, result);
+        return readFields(array, 1, &result->template emplace<Index>());
+    }
+}
+
+template<typename... Types> bool fromJson(const json &value, std::variant<Types...> *result)
+{
+    if (!value.is_array() || value.empty() || !value[0].is_number_unsigned())
+        return false;
+    return readAlternative<0>(value[0].get<std::size_t>(), value, result);
+}
+
 } // namespace bluebellshift::shell
