--- a/bluebellshift/experiments/load.cpp
+++ b/bluebellshift/experiments/load.cpp
@@ -10,7 +10,6 @@
 using core::AccountLimit;
 using core::Duration;
 using core::FleetWorld;
-using core::Instant;
 
 namespace {
 
