Give every quiet target its turn to be probed

Cause: at most 8 targets of a service were probed every 0.5 s, always from the head of the list. With 50 quiet targets the last 18 were never probed, so that their notice to leave could go unheard while the platform is down. Change: a quarter of the targets may be probed at each call.

--- a/bluebellshift/core/dispatch.h
+++ b/bluebellshift/core/dispatch.h
@@ -44,7 +44,6 @@
 {
 public:
     static constexpr Duration queuePollInterval = Duration::millis(5);
-    static constexpr Duration probeInterval = Duration::millis(500);
     static constexpr int targetsTriedMost = 4; // for slots, at one decision in one region
 
     Dispatch(const CoreOptions &options, DispatchHooks hooks);
--- a/bluebellshift/core/dispatchend.cpp
+++ b/bluebellshift/core/dispatchend.cpp
@@ -432,7 +432,7 @@
     const BundlePointer bundle = hooks_.bundle();
     if (now < nextProbe_ || !bundle)
         return;
-    nextProbe_ = now + probeInterval;
+    nextProbe_ = now + TargetChooser::probeInterval;
     for (const Service &service : bundle->services) {
         const std::vector<Target> &targets = hooks_.targetsOf(service.id);
         chooser_.update(targets, now);
--- a/bluebellshift/core/targetchooser.cpp
+++ b/bluebellshift/core/targetchooser.cpp
@@ -376,6 +376,10 @@
 std::vector<const Target *> TargetChooser::takeProbes(const std::vector<Target> &targets,
                                                       Instant now)
 {
+    // Spreads the probes, yet each target has its turn within quietBeforeProbe.
+    const auto calls =
+        static_cast<std::size_t>(quietBeforeProbe.toMicros() / probeInterval.toMicros());
+    const std::size_t probesMost = targets.size() / calls + 1;
     std::vector<const Target *> due;
     for (const Target &target : targets) {
         const auto found = states_.find(target.id);
--- a/bluebellshift/core/targetchooser.h
+++ b/bluebellshift/core/targetchooser.h
@@ -73,7 +73,7 @@
     static constexpr double slowFrom = 2; // times what is usual
     static constexpr Duration waitForFasterMost = Duration::millis(150);
     static constexpr Duration quietBeforeProbe = Duration::seconds(2);
-    static constexpr std::size_t probesMost = 8; // for each call of takeProbes
+    static constexpr Duration probeInterval = Duration::millis(500); // between calls of takeProbes
     static constexpr std::size_t candidatesMost = 64;
 
     explicit TargetChooser(BudgetHooks budget);
@@ -96,7 +96,7 @@
     void onProbeEnded(const ProbeEnded &probe, Instant now, std::vector<LogRecord> &changes);
 
     // The targets to probe now: ejected ones, and those of which this VM holds a
-    // slot and has heard nothing for quietBeforeProbe.
+    // slot and has heard nothing for quietBeforeProbe. Call every probeInterval.
     std::vector<const Target *> takeProbes(const std::vector<Target> &targets, Instant now);
 
     // Forgets targets that no list has named for a while.
--- a/bluebellshift/core/testing/targetchoosertest.cpp
+++ b/bluebellshift/core/testing/targetchoosertest.cpp
@@ -169,3 +169,26 @@
     now_ = now_ + Duration::seconds(1);
     CHECK_EQUAL(1U, chooser_.takeProbes(world_.targets, now_).size());
 }
+
+// A quiet target's notice that it leaves is known in less than 3 s.
+TEST(TargetChooser, EveryQuietTargetHasItsTurn)
+{
+    while (world_.targets.size() < 50) {
+        world_.targets.push_back(world_.targets[0]);
+        world_.targets.back().id = TargetId(std::to_string(world_.targets.size()));
+    }
+    chooser_.update(world_.targets, now_);
+    std::map<TargetId, Instant> heard;
+    Duration longest;
+    for (int call = 0; call < 60; ++call) {
+        for (const Target *target : chooser_.takeProbes(world_.targets, now_)) {
+            if (heard.count(target->id) > 0)
+                longest = std::max(longest, now_ - heard[target->id]);
+            heard[target->id] = now_;
+            chooser_.onProbeEnded({ target->id, true, false, 0 }, now_, changes_);
+        }
+        now_ = now_ + TargetChooser::probeInterval;
+    }
+    CHECK_EQUAL(world_.targets.size(), heard.size());
+    CHECK(longest <= Duration::millis(2500));
+}
