Count a step in force only a lease after a quorum holds it

Cause: the reducer took a VM for lapsed when it had not heard it for a lease. A majority of VMs that is cut off from the store extends its lease by its own word, and would steer by the old step while the others go on. A VM that was not ready also paused the roll-out for all. Change: Reclaim::isHeldByQuorum, the quorum that writes of ledger/members use, is public; Shift waits a lease after it. The reducer uses it and mayAct. The walk's model was wrong in one point: with the store down, runs that had restarted counted as speaking for the newest view. It now uses voters and a majority, cuts groups off, and takes VMs that are not heard for lapsed: stricter than before.

--- a/bluebellshift/core/fleet.cpp
+++ b/bluebellshift/core/fleet.cpp
@@ -318,4 +318,9 @@
     return peer != nullptr && peer->viewRevision >= revision;
 }
 
+bool Fleet::isHeldByQuorum(Revision revision) const
+{
+    return reclaim_.isHeldByQuorum(revision, membership_);
+}
+
 } // namespace bluebellshift::core
--- a/bluebellshift/core/fleet.h
+++ b/bluebellshift/core/fleet.h
@@ -94,6 +94,8 @@
     // True once a peer has acknowledged a view of at least this revision; false
     // for VMs never heard.
     bool hasAcknowledged(const VmId &vm, Revision revision) const;
+    // See Reclaim::isHeldByQuorum.
+    bool isHeldByQuorum(Revision revision) const;
 
     const Membership &membership() const { return membership_; }
     const Ledger &ledger() const { return ledger_; }
--- a/bluebellshift/core/reclaim.cpp
+++ b/bluebellshift/core/reclaim.cpp
@@ -81,29 +81,36 @@
     }
 }
 
-bool Reclaim::holdsCurrent(const Voter &voter, const Membership &membership) const
+bool Reclaim::holds(const Voter &voter, Revision revision, const Membership &membership) const
 {
     if (voter.vm == options_.vm && voter.incarnation == options_.incarnation)
-        return viewRevision_ >= list_.version;
+        return viewRevision_ >= revision;
     if (membership.isSuperseded(voter.vm, voter.incarnation))
         return true; // it has ended, and will speak no more
     const Peer *peer = membership.find(voter.vm);
     if (peer == nullptr || peer->provenAt == Instant::never())
         return false;
-    return peer->incarnation == voter.incarnation && peer->viewRevision >= list_.version;
+    return peer->incarnation == voter.incarnation && peer->viewRevision >= revision;
 }
 
-bool Reclaim::isQuorumOf(const std::vector<Voter> &voters, const Membership &membership) const
+bool Reclaim::isQuorumOf(const std::vector<Voter> &voters, Revision revision,
+                         const Membership &membership) const
 {
     std::size_t holders = 0;
     for (const Voter &voter : voters)
-        holders += holdsCurrent(voter, membership) ? 1 : 0;
+        holders += holds(voter, revision, membership) ? 1 : 0;
     return holders * 2 >= voters.size();
 }
 
+bool Reclaim::isHeldByQuorum(Revision revision, const Membership &membership) const
+{
+    return isQuorumOf(list_.voters(), revision, membership)
+        && isQuorumOf(list_.previousVoters, revision, membership);
+}
+
 bool Reclaim::hasQuorum(const Membership &membership) const
 {
-    return isQuorumOf(list_.voters(), membership) && isQuorumOf(list_.previousVoters, membership);
+    return isHeldByQuorum(list_.version, membership);
 }
 
 std::vector<Member> Reclaim::membersToExpel(const Membership &membership, Instant now) const
--- a/bluebellshift/core/reclaim.h
+++ b/bluebellshift/core/reclaim.h
@@ -62,10 +62,16 @@
     // anew under another incarnation.
     std::vector<Member> membersToExpel(const Membership &membership, Instant now) const;
 
+    // Whether at least half of the voters, of this version and of the one before,
+    // are known to have installed a revision. From a lease later on, no VM that
+    // lacks it can have its lease extended by the word of others.
+    bool isHeldByQuorum(Revision revision, const Membership &membership) const;
+
 private:
-    bool holdsCurrent(const Voter &voter, const Membership &membership) const;
+    bool holds(const Voter &voter, Revision revision, const Membership &membership) const;
     bool hasQuorum(const Membership &membership) const;
-    bool isQuorumOf(const std::vector<Voter> &voters, const Membership &membership) const;
+    bool isQuorumOf(const std::vector<Voter> &voters, Revision revision,
+                    const Membership &membership) const;
     bool haveAllClosed(const Ledger &ledger) const;
     bool mayFold(const Membership &membership, const Ledger &ledger, Instant now);
     MemberList plan(const Membership &membership, const Ledger &ledger, Instant now);
--- a/bluebellshift/core/reducer.cpp
+++ b/bluebellshift/core/reducer.cpp
@@ -166,11 +166,10 @@
     hooks.isInForceEverywhere = [this](Revision revision, Instant) {
         return isInForceEverywhere(revision);
     };
-    hooks.whyUnhealthy = [this](Instant) -> std::optional<std::string> {
-        if (!wasReady_)
-            return "this VM is not ready: " + reasonBefore_;
-        return std::nullopt;
-    };
+    hooks.isHeldByQuorum = [this](Revision revision) { return fleet_.isHeldByQuorum(revision); };
+    hooks.mayAct = [this](Instant) { return wasReady_; };
+    // Nothing that this VM measures speaks for the whole fleet yet.
+    hooks.whyUnhealthy = [](Instant) { return std::nullopt; };
     hooks.unsettledRegions = [this] { return steer_.unsettledRegions(); };
     hooks.rank = [this](Revision revision) { return rankOf(revision); };
     hooks.newCall = [this] { return CallId(++lastCall_); };
--- a/bluebellshift/core/shift.cpp
+++ b/bluebellshift/core/shift.cpp
@@ -71,6 +71,8 @@
 {
     if (!hooks_.mayAct)
         hooks_.mayAct = [](Instant) { return true; };
+    if (!hooks_.isHeldByQuorum)
+        hooks_.isHeldByQuorum = [](Revision) { return true; };
 }
 
 Effects Shift::onViewChanged(BundlePointer inForce, BundlePointer previous, const Rollout &rollout,
@@ -103,10 +105,10 @@
         Watch &watch = watches_[shift.service];
         if (watch.serial == rollout.serial && watch.step == shift.step)
             continue;
-        watch = Watch { rollout.serial, shift.step, version, Instant::never() };
+        watch = Watch { rollout.serial, shift.step, version, Instant::never(), Instant::never() };
     }
     if (regionsWatch_.step < 0 || rollout.unsettledRegions != rollout_.unsettledRegions)
-        regionsWatch_ = Watch { rollout.serial, 0, version, Instant::never() };
+        regionsWatch_ = Watch { rollout.serial, 0, version, Instant::never(), Instant::never() };
 }
 
 void Shift::observeAll(Instant now)
@@ -116,13 +118,27 @@
     observe(regionsWatch_, now);
 }
 
+// A VM that is cut off may look lapsed while others still extend its lease, so
+// what is not heard counts only a lease after a quorum holds the revision.
 void Shift::observe(Watch &watch, Instant now) const
 {
-    const bool isKnown = watch.inForceSince != Instant::never();
-    if (!isKnown && hooks_.isInForceEverywhere(watch.firstSeen, now))
+    if (watch.inForceSince != Instant::never())
+        return;
+    if (watch.heldSince == Instant::never() && hooks_.isHeldByQuorum(watch.firstSeen))
+        watch.heldSince = now;
+    const bool hasLapsed = watch.heldSince != Instant::never()
+        && now - watch.heldSince >= withDrift(options_.freshnessLease);
+    if (hasLapsed && hooks_.isInForceEverywhere(watch.firstSeen, now))
         watch.inForceSince = now;
 }
 
+Duration Shift::withDrift(Duration wait) const
+{
+    const double micros = static_cast<double>(wait.toMicros());
+    return Duration::micros(
+        static_cast<std::int64_t>(std::ceil(micros * (1 + 2 * options_.clockDrift))));
+}
+
 bool Shift::hasRunOut(const Watch &watch, Duration wait, Instant now) const
 {
     return watch.inForceSince != Instant::never() && now - watch.inForceSince >= wait;
--- a/bluebellshift/core/shift.h
+++ b/bluebellshift/core/shift.h
@@ -28,6 +28,10 @@
     // Whether every VM that may steer has installed this revision: each one alive
     // has said so, and the lease of each other has lapsed.
     std::function<bool(Revision, Instant now)> isInForceEverywhere;
+    // Whether enough VMs have installed this revision that none without it can
+    // have its lease extended by others. A lease is waited for after that, since a
+    // VM which is not heard may steer until then. Default: always.
+    std::function<bool(Revision)> isHeldByQuorum;
     // Whether this VM may act now; while it may not, others do. Default: always.
     std::function<bool(Instant now)> mayAct;
     // Why no more traffic should move for anybody; nothing when all is well. The
@@ -68,12 +72,14 @@
         std::uint64_t serial = 0;
         int step = -1;
         Revision firstSeen;                      // the object's version that brought it
-        Instant inForceSince = Instant::never(); // as observed here
+        Instant heldSince = Instant::never();    // by a quorum, as observed here
+        Instant inForceSince = Instant::never(); // the same, by all
     };
 
     void restartWatches(const Rollout &rollout, Revision version);
     void observeAll(Instant now);
     void observe(Watch &watch, Instant now) const;
+    Duration withDrift(Duration wait) const;
     bool hasRunOut(const Watch &watch, Duration wait, Instant now) const;
     bool stepIsDue(const ServiceShift &shift, Instant now) const;
     bool isAllDone(Instant now) const;
--- a/bluebellshift/core/testing/shifttest.cpp
+++ b/bluebellshift/core/testing/shifttest.cpp
@@ -31,6 +31,8 @@
     bool isInForce = true;
     std::optional<std::string> unhealthy;
     std::vector<RegionId> unsettled;
+    Duration lease; // none, but where a test is about it
+    bool isHeld = true;
     bool mayAct = true;
     int rank = 0;
     std::uint64_t calls = 0;
@@ -47,8 +49,10 @@
         CoreOptions options;
         options.vm = VmId("vm-1");
         options.clockDrift = 0;
+        options.freshnessLease = lease;
         ShiftHooks hooks;
         hooks.isInForceEverywhere = [this](Revision, Instant) { return isInForce; };
+        hooks.isHeldByQuorum = [this](Revision) { return isHeld; };
         hooks.mayAct = [this](Instant) { return mayAct; };
         hooks.whyUnhealthy = [this](Instant) { return unhealthy; };
         hooks.unsettledRegions = [this]() { return unsettled; };
@@ -118,6 +122,23 @@
     CHECK(!tick(Duration::seconds(1000)));
 }
 
+TEST(Shift, InForceIsALeaseAfterAQuorumHoldsIt)
+{
+    lease = Duration::seconds(3);
+    isHeld = false;
+    shift = makeShift();
+    install();
+    accept(*tick());
+    // None that is heard lacks the step, but those not heard may be a majority
+    // that extends its leases without it.
+    CHECK(!tick(Duration::seconds(300)));
+    isHeld = true;
+    CHECK(!tick());
+    CHECK(!tick(Duration::seconds(3))); // in force from here on
+    CHECK(!tick(Duration::millis(64999)));
+    CHECK(tick(Duration::millis(1)).has_value());
+}
+
 TEST(Shift, ARestartedVmWaitsAnew)
 {
     install();
--- a/bluebellshift/core/testing/shiftwalktest.cpp
+++ b/bluebellshift/core/testing/shiftwalktest.cpp
@@ -118,7 +118,9 @@
     double drift = 0;
     Duration offset;
     bool isRunning = false;
-    bool isCutOff = false; // from the store
+    bool isCutOff = false; // from the store and from all VMs that are not cut off
+    Instant cutSince;
+    bool isVoter = false; // this run has joined through the store
     Instant refreshedAt = Instant::never();
     Revision installed;
     int epoch = 0;
@@ -207,6 +209,7 @@
         hooks.isInForceEverywhere = [this](Revision revision, Instant) {
             return !chance(0.3) && isInForceEverywhere(revision);
         };
+        hooks.isHeldByQuorum = [this](Revision revision) { return isHeldByQuorum(revision); };
         hooks.whyUnhealthy = [this](Instant) {
             return !isCalm_ && chance(0.002) ? std::optional<std::string>("slow") : std::nullopt;
         };
@@ -216,6 +219,7 @@
         vm.shift = std::make_unique<Shift>(options, hooks);
         vm.replies.clear();
         vm.isRunning = true;
+        vm.isVoter = false;
         vm.installed = Revision();
         vm.refreshedAt = Instant::never();
         beginEpoch(vm);
@@ -229,10 +233,13 @@
 
     bool isFresh(const ModelVm &vm) const { return vm.isRunning && now_ - vm.refreshedAt <= lease; }
 
+    // As a VM that is not cut off sees it: who is not heard for a lease may have
+    // lapsed, or may not.
     bool isInForceEverywhere(Revision revision) const
     {
         for (const ModelVm &vm : vms_) {
-            if (isFresh(vm) && vm.installed < revision)
+            const bool isUnheard = vm.isCutOff && now_ - vm.cutSince > lease;
+            if (isFresh(vm) && vm.installed < revision && !isUnheard)
                 return false;
         }
         return true;
@@ -242,12 +249,14 @@
     {
         const int index = anyOf(vmCount);
         ModelVm &vm = vms_[index];
-        if (chance(0.01))
+        if (chance(0.01)) {
             vm.isCutOff = !vm.isCutOff;
+            vm.cutSince = now_;
+        }
         if (chance(0.004))
             restart(index);
         if (chance(0.002))
-            vm.isRunning = false;
+            vm.isRunning = vm.isVoter = false;
         else if (!vm.isRunning && chance(0.2))
             restart(index);
         if (chance(0.004))
@@ -319,20 +328,40 @@
         check();
     }
 
-    // A VM is fresh when it has just heard from the store, or, with the store
-    // down for all, when no one has a newer view.
+    // The newest revision among those whom a VM hears, if more than half of the
+    // voters are; a run that ended speaks no more.
+    Revision wordOfMajority(const ModelVm &to) const
+    {
+        Revision newest;
+        int speaking = 0;
+        for (const ModelVm &vm : vms_) {
+            if (!vm.isRunning || !vm.isVoter || vm.isCutOff != to.isCutOff)
+                continue;
+            ++speaking;
+            newest = std::max(newest, vm.installed);
+        }
+        return 2 * speaking > vmCount ? newest : Revision();
+    }
+
+    bool isHeldByQuorum(Revision revision) const
+    {
+        int holding = 0;
+        for (const ModelVm &vm : vms_)
+            holding += !vm.isVoter || vm.installed >= revision ? 1 : 0;
+        return 2 * holding >= vmCount;
+    }
+
+    // A VM is fresh when it has just heard from the store, or, when it can't reach
+    // the store, by the word of a majority.
     void refresh(ModelVm &vm)
     {
-        if (vm.isCutOff || chance(0.3))
+        if (chance(0.3))
             return;
-        Revision newest = store_.newest();
-        if (store_.isDown) {
-            newest = Revision();
-            for (const ModelVm &other : vms_)
-                newest = std::max(newest, other.installed);
-            if (newest == Revision())
-                return;
-        }
+        const bool isReachable = !store_.isDown && !vm.isCutOff;
+        const Revision newest = isReachable ? store_.newest() : wordOfMajority(vm);
+        if (newest == Revision())
+            return;
+        vm.isVoter = vm.isVoter || isReachable;
         if (!isFresh(vm) && vm.refreshedAt != Instant::never())
             beginEpoch(vm);
         vm.refreshedAt = now_;
