--- a/bluebellshift/core/ledger.cpp
+++ b/bluebellshift/core/ledger.cpp
@@ -33,7 +33,6 @@
 
 constexpr double demandMemory = 1.0;    // seconds
 constexpr double demandMargin = 1.0;    // share kept for the smoothed demand
-constexpr double tokenReserve = 0.1;    // seconds of demand that are not lent
 constexpr double tokenLookahead = 0.1;  // seconds of demand that a hub borrows ahead
 constexpr double singleHubTokens = 250; // a smaller burst is not divided between hubs
 // Longer than a round trip between regions.
@@ -458,7 +457,7 @@
 {
     if (isLeaving_)
         return 0;
-    return account.waiting + static_cast<std::int64_t>(account.demand * tokenReserve);
+    return account.waiting;
 }
 
 std::int64_t Ledger::spareShare(const Account &account) const
