Probe busy targets too; claim "ran" only after a final status line

Cause: an answer to a request put off the next probe although it need not tell that the target leaves, so a busy target's notice went unheard. A connection closed before any answer was reported as run.

--- a/bluebellshift/core/targetchooser.cpp
+++ b/bluebellshift/core/targetchooser.cpp
@@ -288,7 +288,6 @@
     const bool wasHeard = ended.outcome == AttemptOutcome::Answered
         || ended.outcome == AttemptOutcome::Shed || ended.outcome == AttemptOutcome::TooLarge;
     if (wasHeard) {
-        state.heardAt = now;
         noteReport(state, ended.reportedBusySlots, now);
         noteLeaving(target, state, ended.targetLeaving, changes);
     }
@@ -358,7 +357,7 @@
         return;
     State &state = found->second;
     state.probedAt = Instant::never();
-    state.heardAt = now; // a failed probe too is no reason to ask again at once
+    state.probeEndedAt = now; // a failed probe too is no reason to ask again at once
     if (!probe.isHealthy && !probe.isLeaving)
         return;
     noteReport(state, probe.reportedBusySlots, now);
@@ -376,9 +375,9 @@
 std::vector<const Target *> TargetChooser::takeProbes(const std::vector<Target> &targets,
                                                       Instant now)
 {
-    // Spreads the probes, yet each target has its turn within quietBeforeProbe.
+    // Spreads the probes, yet each target has its turn within timeBetweenProbes.
     const auto calls =
-        static_cast<std::size_t>(quietBeforeProbe.toMicros() / probeInterval.toMicros());
+        static_cast<std::size_t>(timeBetweenProbes.toMicros() / probeInterval.toMicros());
     const std::size_t probesMost = targets.size() / calls + 1;
     std::vector<const Target *> due;
     for (const Target &target : targets) {
@@ -386,7 +385,7 @@
         if (target.isLeaving || found == states_.end() || due.size() >= probesMost)
             continue;
         State &state = found->second;
-        if (now < state.probedAt + probeTimeout || now < state.heardAt + quietBeforeProbe)
+        if (now < state.probedAt + probeTimeout || now < state.probeEndedAt + timeBetweenProbes)
             continue;
         const bool isUsed = !state.sent.empty() || now < state.ejectedUntil
             || budget_.available(slotAccount(target.id), now) >= 1;
--- a/bluebellshift/core/targetchooser.h
+++ b/bluebellshift/core/targetchooser.h
@@ -72,7 +72,7 @@
     static constexpr Duration shedMost = Duration::seconds(2);
     static constexpr double slowFrom = 2; // times what is usual
     static constexpr Duration waitForFasterMost = Duration::millis(150);
-    static constexpr Duration quietBeforeProbe = Duration::seconds(2);
+    static constexpr Duration timeBetweenProbes = Duration::seconds(2);
     static constexpr Duration probeInterval = Duration::millis(500); // between calls of takeProbes
     static constexpr std::size_t candidatesMost = 64;
 
@@ -96,7 +96,9 @@
     void onProbeEnded(const ProbeEnded &probe, Instant now, std::vector<LogRecord> &changes);
 
     // The targets to probe now: ejected ones, and those of which this VM holds a
-    // slot and has heard nothing for quietBeforeProbe. Call every probeInterval.
+    // slot, if the last probe ended timeBetweenProbes ago. An answer to a request is
+    // no substitute, as it need not tell that the target leaves. Call every
+    // probeInterval.
     std::vector<const Target *> takeProbes(const std::vector<Target> &targets, Instant now);
 
     // Forgets targets that no list has named for a while.
@@ -123,7 +125,7 @@
         Instant ejectedUntil = Instant::never();
         int sheds = 0; // one after another
         Instant shedUntil = Instant::never();
-        Instant heardAt = Instant::never();
+        Instant probeEndedAt = Instant::never();
         Instant probedAt = Instant::never();
     };
 
--- a/bluebellshift/core/testing/targetchoosertest.cpp
+++ b/bluebellshift/core/testing/targetchoosertest.cpp
@@ -155,7 +155,7 @@
     CHECK(ruledOut("t5") == RuledOut::No);
 }
 
-TEST(TargetChooser, ProbesOnlyWhatIsUsedAndQuiet)
+TEST(TargetChooser, ProbesOnlyWhatIsUsed)
 {
     for (const Target &target : world_.targets)
         budget_.set(slotAccount(target.id), 0);
@@ -167,6 +167,7 @@
     now_ = now_ + Duration::seconds(1);
     CHECK(chooser_.takeProbes(world_.targets, now_).empty());
     now_ = now_ + Duration::seconds(1);
+    end("t3", AttemptOutcome::Answered); // need not have told that it leaves
     CHECK_EQUAL(1U, chooser_.takeProbes(world_.targets, now_).size());
 }
 
--- a/bluebellshift/daemon/requestrunner.cpp
+++ b/bluebellshift/daemon/requestrunner.cpp
@@ -86,6 +86,7 @@
     ended.outcome = result.outcome;
     ended.answer = std::move(result.answer);
     ended.reportedBusySlots = result.reportedBusySlots;
+    ended.answerBegun = result.answerBegun;
     hooks_.post(std::move(ended));
 }
 
--- a/bluebellshift/http/forwarder.cpp
+++ b/bluebellshift/http/forwarder.cpp
@@ -47,6 +47,7 @@
     const base::Clock *clock = nullptr;
     std::size_t bytesMost = 0;
     std::shared_ptr<core::Answer> answer = std::make_shared<core::Answer>();
+    bool answerBegun = false;
     bool lengthAnnounced = false;
     bool tooLarge = false;
     bool leaseEnded = false;
@@ -66,6 +67,9 @@
     auto *transfer = static_cast<Transfer *>(user);
     const std::string line(data, size * count);
     if (line.compare(0, 5, "HTTP/") == 0) {
+        // An interim status such as 100 says nothing about the request's run.
+        const auto status = line.find(' ') + 1;
+        transfer->answerBegun = status < line.size() && line[status] != '1';
         transfer->answer->headers.clear();
         transfer->lengthAnnounced = false;
         return size * count;
@@ -324,6 +328,7 @@
     const long status = connection->status();
     const bool isWhole = transfer.lengthAnnounced || needsNoLength(attempt, status);
     result.outcome = outcomeOf(code, connection->sentSomething(), transfer, isWhole);
+    result.answerBegun = transfer.answerBegun;
     if (result.outcome != AttemptOutcome::Answered)
         return result;
 
--- a/bluebellshift/http/forwarder.h
+++ b/bluebellshift/http/forwarder.h
@@ -50,6 +50,7 @@
         core::AttemptOutcome outcome = core::AttemptOutcome::NeverSent;
         core::AnswerPointer answer; // Answered and Shed
         int reportedBusySlots = -1; // from the header Load-Report; -1: none
+        bool answerBegun = false;   // a final status line came
     };
 
     Forwarder(ForwarderOptions options, base::Clock clock);
--- a/bluebellshift/http/testing/forwardertest.cpp
+++ b/bluebellshift/http/testing/forwardertest.cpp
@@ -63,6 +63,7 @@
           AttemptOutcome::Cut },
         { "ended by the connection alone", "HTTP/1.1 200 OK\r\n\r\nok", AttemptOutcome::Cut },
         { "no answer", "", AttemptOutcome::Cut },
+        { "interim answer alone", "HTTP/1.1 100 Continue\r\n\r\n", AttemptOutcome::Cut },
         { "too large",
           "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(large.size()) + "\r\n\r\n" + large,
           AttemptOutcome::TooLarge },
@@ -77,6 +78,9 @@
             forwarder.send(attemptTo(server.port(), clock), neverCancelled);
         LONGS_EQUAL_TEXT(static_cast<int>(c.outcome), static_cast<int>(result.outcome), c.name);
         LONGS_EQUAL_TEXT(1, server.requestCount(), c.name);
+        const bool hasFinalStatus =
+            !c.answer.empty() && c.answer.find(" 100 ") == std::string::npos;
+        CHECK_EQUAL_TEXT(hasFinalStatus, result.answerBegun, c.name);
     }
 }
 
