Check only the runs counted since the load tool's start

Cause: a second load run against the same targets with the same seed had the same caller ids, and every request was reported as run twice.

Change: the counts before the run are subtracted, and caller ids carry the run.

--- a/bluebellshift/load/callers.cpp
+++ b/bluebellshift/load/callers.cpp
@@ -84,7 +84,7 @@
     , scheduledAt_(scheduledAt)
     , outcome_(outcome)
 {
-    sent_.callerId = callerIdOf(shared.schedule.seed, position);
+    sent_.callerId = callerIdOf(shared.options.run, position);
     sent_.isTicketed = needsTicket();
     if (arrival.isOnce)
         sent_.body.assign(shared.options.bodyBytes, static_cast<char>('a' + position % 26));
--- a/bluebellshift/load/callers.h
+++ b/bluebellshift/load/callers.h
@@ -20,6 +20,7 @@
     core::Duration retryPause = core::Duration::millis(50); // grows with each attempt
     std::size_t bodyBytes = 64;                             // of requests that may not be repeated
     unsigned threads = 2;
+    std::uint64_t run = 0; // part of each X-Caller-Id
 };
 
 // Sends every request at its instant, whatever became of earlier ones, and
--- a/bluebellshift/load/main.cpp
+++ b/bluebellshift/load/main.cpp
@@ -3,6 +3,7 @@
 // callers were told does not agree with what the targets counted.
 #include <fmt/core.h>
 
+#include <chrono>
 #include <csignal>
 #include <fstream>
 
@@ -34,15 +35,17 @@
 }
 
 // Adds the check to `result`. Returns false when it found something.
-bool checkTargets(const CommandLine &line, const std::vector<Arrival> &arrivals,
-                  const std::vector<Outcome> &outcomes, Json &result)
+bool checkTargets(const CommandLine &line, const RunCounts &before,
+                  const std::vector<Arrival> &arrivals, const std::vector<Outcome> &outcomes,
+                  Json &result)
 {
-    const absl::StatusOr<RunCounts> counts = fetchRuns(line.runsFrom);
-    if (!counts.ok()) {
-        fmt::print(stderr, "{}\n", std::string(counts.status().message()));
+    const absl::StatusOr<RunCounts> after = fetchRuns(line.runsFrom);
+    if (!after.ok()) {
+        fmt::print(stderr, "{}\n", std::string(after.status().message()));
         return false;
     }
-    const RunCheck check = checkRuns(line.schedule.seed, arrivals, outcomes, *counts);
+    const RunCounts counts = countsSince(before, *after);
+    const RunCheck check = checkRuns(line.callers.run, arrivals, outcomes, counts);
     result["runs"] = jsonOf(check);
     fmt::print("{}", tableOf(check));
     return check.isClean();
@@ -50,6 +53,11 @@
 
 int runLoad(const CommandLine &line)
 {
+    const absl::StatusOr<RunCounts> before = fetchRuns(line.runsFrom);
+    if (!before.ok()) {
+        fmt::print(stderr, "{}\n", std::string(before.status().message()));
+        return exitUsage;
+    }
     const std::vector<Arrival> arrivals = makeSchedule(line.schedule);
     const std::vector<Outcome> outcomes = runCallers(line.callers, line.schedule, arrivals);
     const Summary summary = summarize(line.schedule, arrivals, outcomes);
@@ -57,7 +65,7 @@
     fmt::print("{}", tableOf(summary));
     bool isClean = summary.all.wrong == 0 && summary.all.keysSeen == 0;
     if (!line.runsFrom.empty())
-        isClean = checkTargets(line, arrivals, outcomes, result) && isClean;
+        isClean = checkTargets(line, *before, arrivals, outcomes, result) && isClean;
     if (!line.output.empty())
         std::ofstream(line.output) << result.dump(1, ' ') << "\n";
     return isClean ? 0 : exitBroken;
@@ -68,10 +76,13 @@
 int main(int argc, const char **argv)
 {
     std::signal(SIGPIPE, SIG_IGN);
-    const absl::StatusOr<CommandLine> line = parseCommandLine(argc, argv);
+    absl::StatusOr<CommandLine> line = parseCommandLine(argc, argv);
     if (!line.ok()) {
         fmt::print(stderr, "{}\n", std::string(line.status().message()));
         return exitUsage;
     }
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    line->callers.run = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(now).count());
     return line->compared.empty() ? runLoad(*line) : compareFiles(line->compared);
 }
--- a/bluebellshift/load/runcheck.cpp
+++ b/bluebellshift/load/runcheck.cpp
@@ -17,6 +17,18 @@
     return found == counts.end() ? 0 : found->second;
 }
 
+std::map<std::string, std::uint32_t> growth(const std::map<std::string, std::uint32_t> &before,
+                                            const std::map<std::string, std::uint32_t> &after)
+{
+    std::map<std::string, std::uint32_t> grown;
+    for (const auto &[key, count] : after) {
+        const std::uint32_t earlier = countOf(before, key);
+        if (count > earlier)
+            grown[key] = count - earlier;
+    }
+    return grown;
+}
+
 void addExample(RunCheck &check, const std::string &text)
 {
     if (check.examples.size() < examplesMost)
@@ -48,19 +60,24 @@
 
 } // namespace
 
-std::string callerIdOf(std::uint64_t seed, std::size_t position)
+std::string callerIdOf(std::uint64_t run, std::size_t position)
+{
+    return "caller-" + std::to_string(run) + "-" + std::to_string(position);
+}
+
+RunCounts countsSince(const RunCounts &before, const RunCounts &after)
 {
-    return "caller-" + std::to_string(seed) + "-" + std::to_string(position);
+    return { growth(before.byTicket, after.byTicket), growth(before.byCaller, after.byCaller) };
 }
 
-RunCheck checkRuns(std::uint64_t seed, const std::vector<Arrival> &arrivals,
+RunCheck checkRuns(std::uint64_t run, const std::vector<Arrival> &arrivals,
                    const std::vector<Outcome> &outcomes, const RunCounts &counts)
 {
     RunCheck check;
     std::map<std::string, std::uint32_t> unused = counts.byTicket;
     for (std::size_t i = 0; i < arrivals.size(); ++i) {
         const Outcome &outcome = outcomes[i];
-        const std::string callerId = callerIdOf(seed, i);
+        const std::string callerId = callerIdOf(run, i);
         const std::uint32_t runs = countOf(counts.byCaller, callerId);
         checkClaim(check, outcome, runs, callerId);
         if (outcome.ticketId.empty())
--- a/bluebellshift/load/runcheck.h
+++ b/bluebellshift/load/runcheck.h
@@ -39,11 +39,14 @@
     }
 };
 
-// The X-Caller-Id of the arrival at a position.
-std::string callerIdOf(std::uint64_t seed, std::size_t position);
+// Takes away what had been counted before the run.
+RunCounts countsSince(const RunCounts &before, const RunCounts &after);
+
+// The X-Caller-Id of the arrival at a position; `run` tells runs apart.
+std::string callerIdOf(std::uint64_t run, std::size_t position);
 
 // `outcomes` has the outcome of each arrival at the same position.
-RunCheck checkRuns(std::uint64_t seed, const std::vector<Arrival> &arrivals,
+RunCheck checkRuns(std::uint64_t run, const std::vector<Arrival> &arrivals,
                    const std::vector<Outcome> &outcomes, const RunCounts &counts);
 
 } // namespace bluebellshift::load
--- a/bluebellshift/load/testing/callerstest.cpp
+++ b/bluebellshift/load/testing/callerstest.cpp
@@ -230,6 +230,7 @@
         callersOf({ { "127.0.0.1", targets.port(0) }, { "127.0.0.1", targets.port(1) } });
     callers.isDirect = true;
     callers.threads = 2;
+    callers.run = 77;
     const std::vector<Arrival> arrivals = makeSchedule(schedule);
     const std::vector<Outcome> outcomes = runCallers(callers, schedule, arrivals);
     const Summary summary = summarize(schedule, arrivals, outcomes);
@@ -238,7 +239,7 @@
     LONGS_EQUAL(cut, summary.all.failed);
     LONGS_EQUAL(400 - cut, summary.all.answered);
     const RunCounts counts = *fetchRuns({ { "127.0.0.1", targets.port(1) } });
-    const RunCheck check = checkRuns(schedule.seed, arrivals, outcomes, counts);
+    const RunCheck check = checkRuns(callers.run, arrivals, outcomes, counts);
     CHECK(check.isClean());
     LONGS_EQUAL(400 - cut, check.claimedRan);
     LONGS_EQUAL(cut, check.unknown);
--- a/bluebellshift/load/testing/summarytest.cpp
+++ b/bluebellshift/load/testing/summarytest.cpp
@@ -196,6 +196,17 @@
     LONGS_EQUAL(1, check.strangers);
 }
 
+TEST(Summary, WhatWasCountedBeforeTheRunIsTakenAway)
+{
+    const RunCounts before { { { "old", 2 }, { "both", 1 } }, { { "caller-0-0", 1 } } };
+    const RunCounts after { { { "old", 2 }, { "both", 3 }, { "new", 1 } },
+                            { { "caller-0-0", 1 } } };
+    const RunCounts counts = countsSince(before, after);
+    CHECK(
+        (counts.byTicket == std::map<std::string, std::uint32_t> { { "both", 2 }, { "new", 1 } }));
+    CHECK(counts.byCaller.empty());
+}
+
 TEST(Summary, ATicketThatNoCallerUsedIsNoticed)
 {
     RunCounts counts;
