Ask for all that a waiting request lacks, for all that wait

Cause: with shares gathered at hubs, tokens are lent for what waits. A request that lacked a token of a region or a link asked for its own one alone, and for the other accounts only after that had come; at 60% of the limits more than half of the requests ran out of time. Links were debited in bytes and limited in bits. Change: ask at once for every account that is short, and of rates for as much as all waiting requests need; links are debited in bits.

--- a/bluebellshift/core/dispatch.cpp
+++ b/bluebellshift/core/dispatch.cpp
@@ -23,8 +23,9 @@
 
 namespace {
 
-constexpr std::size_t consideredTextMost = 400;          // bytes of one log line
-constexpr Duration wantInterval = Duration::millis(40);  // for a slot of one target
+constexpr std::size_t consideredTextMost = 400;         // bytes of one log line
+constexpr Duration wantInterval = Duration::millis(40); // for a slot of one target
+constexpr double bitsPerByte = 8;
 constexpr double overheadBytes = 1024;                   // of the headers of a request or answer
 constexpr double firstAnswerBytes = 4096;                // before any answer was seen
 constexpr std::uint64_t randomStep = 0x9e3779b97f4a7c15; // odd, so that it visits all values
@@ -287,16 +288,14 @@
         if (++triedHere > targetsTriedMost)
             break;
         std::vector<Debit> debits = debitsOf(pending, *target);
+        pending.candidate = target->id;
         const std::optional<AccountId> lacking = hooks_.budget.takeAll(debits, now);
         if (!lacking) {
             pending.taken = std::move(debits);
             send(pending, *target, considered, now, effects);
             return Sending::Sent;
         }
-        const auto debit = std::find_if(debits.begin(), debits.end(), [&](const Debit &entry) {
-            return entry.account == *lacking;
-        });
-        noteShortage(pending, *debit, now);
+        noteShortage(pending, debits, *lacking, now);
         if (pending.shortage == RefusalCode::OverRate)
             return Sending::TeamShort;
         if (*lacking != slotAccount(target->id) && *lacking != connectionAccount(target->id))
@@ -332,15 +331,28 @@
     hooks_.budget.want({ wanted, 1 }, now);
 }
 
-void Dispatch::noteShortage(Pending &pending, const Debit &lacking, Instant now)
+// Asks for all that the request lacks, not for the first account alone: one
+// after another, each would cost a round trip. Of a rate, what all that wait
+// here will need is asked for at once.
+void Dispatch::noteShortage(Pending &pending, const std::vector<Debit> &debits,
+                            const AccountId &lacking, Instant now)
 {
-    const bool isTeam = pending.paysRate && lacking.account == teamAccount(pending.team);
+    const AccountId team = teamAccount(pending.team);
+    const bool isTeam = pending.paysRate && lacking == team;
     pending.shortage = isTeam ? RefusalCode::OverRate : RefusalCode::NoCapacity;
-    Debit wanted = lacking;
-    if (isTeam)
-        wanted.tokens = static_cast<double>(queue_.waitingOf(pending.team));
-    pending.lacking = lacking.account;
-    hooks_.budget.want(wanted, now);
+    pending.lacking = lacking;
+    for (const Debit &debit : debits) {
+        if (hooks_.budget.available(debit.account, now) >= debit.tokens)
+            continue;
+        Debit wanted = debit;
+        const bool isCount = debit.account == slotAccount(pending.candidate)
+            || debit.account == connectionAccount(pending.candidate);
+        const std::size_t waiting =
+            debit.account == team ? queue_.waitingOf(pending.team) : queue_.size();
+        if (!isCount)
+            wanted.tokens *= static_cast<double>(std::max<std::size_t>(waiting, 1));
+        hooks_.budget.want(wanted, now);
+    }
 }
 
 std::vector<Debit> Dispatch::debitsOf(const Pending &pending, const Target &target) const
@@ -352,9 +364,10 @@
         const auto seen = answerBytes_.find(pending.arrived.service);
         const double answerBytes = seen == answerBytes_.end() ? firstAnswerBytes : seen->second;
         const double requestBytes = overheadBytes + static_cast<double>(pending.arrived.bodyBytes);
-        debits.push_back({ linkAccount(options_.region, target.region), requestBytes });
         debits.push_back(
-            { linkAccount(target.region, options_.region), overheadBytes + answerBytes });
+            { linkAccount(options_.region, target.region), bitsPerByte * requestBytes });
+        debits.push_back({ linkAccount(target.region, options_.region),
+                           bitsPerByte * (overheadBytes + answerBytes) });
     }
     if (pending.paysRate && !pending.hasPaid)
         debits.push_back({ teamAccount(pending.team), 1 });
--- a/bluebellshift/core/dispatch.h
+++ b/bluebellshift/core/dispatch.h
@@ -101,6 +101,7 @@
         int attempts = 0;
         Instant sentAt;
         TargetId target;
+        TargetId candidate; // the target last tried for its slots
         RegionId region;
         std::vector<TargetId> tried;
         std::vector<Debit> taken; // for the attempt; slot and connection come first
@@ -127,7 +128,8 @@
     void wantSlot(Pending &pending, const Ranking &ranking, Instant now);
     std::optional<Sending> tryRegion(Pending &pending, const RegionId &region, Instant now,
                                      std::string &considered, Effects &effects);
-    void noteShortage(Pending &pending, const Debit &lacking, Instant now);
+    void noteShortage(Pending &pending, const std::vector<Debit> &debits, const AccountId &lacking,
+                      Instant now);
     std::vector<Debit> debitsOf(const Pending &pending, const Target &target) const;
     void send(Pending &pending, const Target &target, const std::string &considered, Instant now,
               Effects &effects);
