--- a/bluebellshift/daemon/callerrequest.cpp
+++ b/bluebellshift/daemon/callerrequest.cpp
@@ -11,6 +11,7 @@
 #include <xxhash.h>
 
 #include "absl/status/status.h"
+#include "bluebellshift/base/hex.h"
 #include "bluebellshift/base/secrets.h"
 
 namespace bluebellshift::daemon {
@@ -88,15 +89,6 @@
     return value->substr(sizeof bearerPrefix - 1);
 }
 
-int hexValue(char c)
-{
-    if (c >= '0' && c <= '9')
-        return c - '0';
-    if (c >= 'a' && c <= 'f')
-        return c - 'a' + 10;
-    return -1;
-}
-
 // Whether an encoded character has no need to be: a target may decode it
 // before it looks for the route.
 bool isNeedlesslyEncoded(int c)
@@ -115,8 +107,8 @@
     for (std::size_t i = 0; i < lower.size(); ++i) {
         if (lower[i] != '%')
             continue;
-        const int high = i + 2 < lower.size() ? hexValue(lower[i + 1]) : -1;
-        const int low = i + 2 < lower.size() ? hexValue(lower[i + 2]) : -1;
+        const int high = i + 2 < lower.size() ? base::hexValue(lower[i + 1]) : -1;
+        const int low = i + 2 < lower.size() ? base::hexValue(lower[i + 2]) : -1;
         if (high < 0 || low < 0 || isNeedlesslyEncoded(high * 16 + low))
             return true;
     }
--- a/bluebellshift/daemon/refusaltext.cpp
+++ b/bluebellshift/daemon/refusaltext.cpp
@@ -8,55 +8,48 @@
 
 namespace {
 
-constexpr RefusalText refusalTexts[] = {
-    { RefusalCode::None, "internal", 500 },
-    { RefusalCode::MalformedRequest, "malformed-request", 400 },
-    { RefusalCode::KeyMissing, "key-missing", 401 },
-    { RefusalCode::KeyUnknown, "key-unknown", 401 },
-    { RefusalCode::ServiceUnknown, "service-unknown", 404 },
-    { RefusalCode::RouteUnknown, "route-unknown", 404 },
-    { RefusalCode::TicketMissing, "ticket-missing", 428 },
-    { RefusalCode::TicketForged, "ticket-forged", 403 },
-    { RefusalCode::TicketOfAnotherTeam, "ticket-of-another-team", 403 },
-    { RefusalCode::TicketExpired, "ticket-expired", 410 },
-    { RefusalCode::TicketInProgress, "ticket-in-progress", 409 },
-    { RefusalCode::OutcomeUnknown, "outcome-unknown", 504 },
-    { RefusalCode::OverRate, "over-rate", 429 },
-    { RefusalCode::NoCapacity, "no-capacity", 503 },
-    { RefusalCode::RecordsFull, "records-full", 503 },
-    { RefusalCode::ViewStale, "view-stale", 503 },
-    { RefusalCode::NotReady, "not-ready", 503 },
-    { RefusalCode::Leaving, "leaving", 503 },
-    { RefusalCode::DeadlinePassed, "deadline-passed", 504 },
-    { RefusalCode::TargetFailed, "target-failed", 502 },
-    { RefusalCode::TargetTimedOut, "target-timed-out", 504 },
-    { RefusalCode::AnswerCut, "answer-cut", 502 },
-    { RefusalCode::AnswerTooLarge, "answer-too-large", 502 },
-    { RefusalCode::HomeUnreachable, "home-unreachable", 503 },
+struct RefusalStatus
+{
+    RefusalCode code;
+    int status; // HTTP
 };
 
-} // namespace
+constexpr RefusalStatus refusalStatuses[] = {
+    { RefusalCode::None, 500 },
+    { RefusalCode::MalformedRequest, 400 },
+    { RefusalCode::KeyMissing, 401 },
+    { RefusalCode::KeyUnknown, 401 },
+    { RefusalCode::ServiceUnknown, 404 },
+    { RefusalCode::RouteUnknown, 404 },
+    { RefusalCode::TicketMissing, 428 },
+    { RefusalCode::TicketForged, 403 },
+    { RefusalCode::TicketOfAnotherTeam, 403 },
+    { RefusalCode::TicketExpired, 410 },
+    { RefusalCode::TicketInProgress, 409 },
+    { RefusalCode::OutcomeUnknown, 504 },
+    { RefusalCode::OverRate, 429 },
+    { RefusalCode::NoCapacity, 503 },
+    { RefusalCode::RecordsFull, 503 },
+    { RefusalCode::ViewStale, 503 },
+    { RefusalCode::NotReady, 503 },
+    { RefusalCode::Leaving, 503 },
+    { RefusalCode::DeadlinePassed, 504 },
+    { RefusalCode::TargetFailed, 502 },
+    { RefusalCode::TargetTimedOut, 504 },
+    { RefusalCode::AnswerCut, 502 },
+    { RefusalCode::AnswerTooLarge, 502 },
+    { RefusalCode::HomeUnreachable, 503 },
+};
 
-const RefusalText &refusalTextOf(RefusalCode code)
-{
-    for (const RefusalText &text : refusalTexts) {
-        if (text.code == code)
-            return text;
-    }
-    return refusalTexts[0];
-}
+} // namespace
 
-const char *runText(core::Run run)
+int statusOf(RefusalCode code)
 {
-    switch (run) {
-    case core::Run::NotRun:
-        return "not-run";
-    case core::Run::Ran:
-        return "ran";
-    case core::Run::Unknown:
-        break;
+    for (const RefusalStatus &entry : refusalStatuses) {
+        if (entry.code == code)
+            return entry.status;
     }
-    return "unknown";
+    return refusalStatuses[0].status;
 }
 
 http::HttpResponse jsonResponse(int status, const std::string &body)
@@ -70,11 +63,10 @@
 
 http::HttpResponse refusalResponse(const core::Refusal &refusal)
 {
-    const RefusalText &text = refusalTextOf(refusal.code);
-    const nlohmann::json body = { { "code", text.text },
-                                  { "run", runText(refusal.run) },
+    const nlohmann::json body = { { "code", core::toText(refusal.code) },
+                                  { "run", core::toText(refusal.run) },
                                   { "message", refusal.message } };
-    http::HttpResponse response = jsonResponse(text.status, body.dump());
+    http::HttpResponse response = jsonResponse(statusOf(refusal.code), body.dump());
     if (refusal.retryAfterMillis > 0) {
         const int seconds = (refusal.retryAfterMillis + 999) / 1000;
         response.headers.push_back({ "Retry-After", std::to_string(seconds) });
--- a/bluebellshift/daemon/refusaltext.h
+++ b/bluebellshift/daemon/refusaltext.h
@@ -1,5 +1,4 @@
-// The text and the HTTP status of each refusal code; docs/interface.md lists
-// them.
+// Refusals as HTTP answers; docs/interface.md lists codes and statuses.
 #pragma once
 
 #include <string>
@@ -9,17 +8,8 @@
 
 namespace bluebellshift::daemon {
 
-struct RefusalText
-{
-    core::RefusalCode code;
-    const char *text; // stable: callers may depend on it
-    int status;       // HTTP
-};
-
-const RefusalText &refusalTextOf(core::RefusalCode code);
-
-// "not-run", "ran" or "unknown".
-const char *runText(core::Run run);
+// The HTTP status of a refusal.
+int statusOf(core::RefusalCode code);
 
 // {"code", "run", "message"} with the status of the code.
 http::HttpResponse refusalResponse(const core::Refusal &refusal);
--- a/bluebellshift/http/httpserver.cpp
+++ b/bluebellshift/http/httpserver.cpp
@@ -3,6 +3,7 @@
 // has gone, so the sockets are kept by client address and port as
 // libmicrohttpd reports them.
 #include "bluebellshift/http/httpserver.h"
+#include "bluebellshift/base/hex.h"
 
 #include <arpa/inet.h>
 #include <cstring>
@@ -22,26 +23,15 @@
 constexpr int statusBodyTooLarge = 413;
 constexpr int statusHeadersTooLarge = 431;
 
-int hexValue(char c)
-{
-    if (c >= '0' && c <= '9')
-        return c - '0';
-    if (c >= 'a' && c <= 'f')
-        return c - 'a' + 10;
-    if (c >= 'A' && c <= 'F')
-        return c - 'A' + 10;
-    return -1;
-}
-
 std::string percentDecoded(const std::string &text)
 {
     std::string decoded;
     for (std::size_t i = 0; i < text.size(); ++i) {
-        const bool isEscape = text[i] == '%' && i + 2 < text.size() && hexValue(text[i + 1]) >= 0
-            && hexValue(text[i + 2]) >= 0;
+        const bool isEscape = text[i] == '%' && i + 2 < text.size()
+            && base::hexValue(text[i + 1]) >= 0 && base::hexValue(text[i + 2]) >= 0;
         if (isEscape) {
             decoded.push_back(
-                static_cast<char>(hexValue(text[i + 1]) * 16 + hexValue(text[i + 2])));
+                static_cast<char>(base::hexValue(text[i + 1]) * 16 + base::hexValue(text[i + 2])));
             i += 2;
         } else {
             decoded.push_back(text[i] == '+' ? ' ' : text[i]);
--- a/bluebellshift/shell/crypto.cpp
+++ b/bluebellshift/shell/crypto.cpp
@@ -1,6 +1,7 @@
 // Failures of the library's primitives on valid arguments mean that no secret
 // can be kept, so they stop the process.
 #include "bluebellshift/shell/crypto.h"
+#include "bluebellshift/base/hex.h"
 
 #include <array>
 #include <cstdlib>
@@ -23,17 +24,6 @@
     std::abort();
 }
 
-int hexDigit(char c)
-{
-    if (c >= '0' && c <= '9')
-        return c - '0';
-    if (c >= 'a' && c <= 'f')
-        return c - 'a' + 10;
-    if (c >= 'A' && c <= 'F')
-        return c - 'A' + 10;
-    return -1;
-}
-
 std::array<unsigned char, nonceBytes> frameNonce(std::uint64_t number)
 {
     std::array<unsigned char, nonceBytes> nonce {};
@@ -61,8 +51,8 @@
 {
     std::string bytes;
     for (std::size_t i = 0; i + 1 < hex.size(); i += 2) {
-        const int high = hexDigit(hex[i]);
-        const int low = hexDigit(hex[i + 1]);
+        const int high = base::hexValue(hex[i]);
+        const int low = base::hexValue(hex[i + 1]);
         if (high < 0 || low < 0)
             return absl::InvalidArgumentError("not hexadecimal digits");
         bytes += static_cast<char>(high * 16 + low);
