Let a leaving VM give away what it held as a hub

Cause: a VM that leaves went on counting itself among the hubs of an account, as the hubs are chosen anew only when the peers change; it kept the shares that had gathered there until it exited, 22 s later. Ruled out: the death of the VM, since it was still heard; the refusals began with its shutdown and ended with its exit. Change: the hubs are chosen anew when leaving begins. Expulsions, reclaimed shares and the bundle in force are logged; shutdown-begun is logged once. LeavingVmGivesItsSharesAway, now for each VM in turn, fails without the change (a share of 259,259,260 kept) and passes with it.

--- a/bluebellshift/core/fleet.cpp
+++ b/bluebellshift/core/fleet.cpp
@@ -59,11 +59,31 @@
     return absl::OkStatus();
 }
 
+void Fleet::logExpulsions(const MemberList &before, const MemberList &after, Effects *effects)
+{
+    auto write = [effects](const LogEvent &event, const Member &member) {
+        std::vector<LogField> fields { { "vm", member.vm.text() },
+                                       { "epoch", std::to_string(member.epoch) } };
+        effects->push_back(WriteLog { LogRecord { event, std::move(fields) } });
+    };
+    for (const Member &member : after.members) {
+        const Member *known = before.find(member.vm, member.epoch);
+        if (member.isExpelled && known != nullptr && !known->isExpelled)
+            write(log::memberExpelled, member);
+    }
+    for (const Member &member : before.members) {
+        if (member.isExpelled && after.find(member.vm, member.epoch) == nullptr)
+            write(log::sharesReclaimed, member);
+    }
+}
+
 void Fleet::installMembers(const MemberList &list, Instant now, Effects *effects)
 {
     std::uint64_t epochBefore = ledger_.epoch();
+    const MemberList before = reclaim_.members();
     reclaim_.setMembers(list);
     const MemberList &newest = reclaim_.members();
+    logExpulsions(before, newest, effects);
     ledger_.setMembers(newest, now);
     std::vector<VmId> members;
     std::vector<Vm> vms;
--- a/bluebellshift/core/fleet.h
+++ b/bluebellshift/core/fleet.h
@@ -102,6 +102,7 @@
     const Freshness &freshness() const { return freshness_; }
 
 private:
+    static void logExpulsions(const MemberList &before, const MemberList &after, Effects *effects);
     void installMembers(const MemberList &list, Instant now, Effects *effects);
     void updatePeers(Instant now);
     void sendHeartbeats(Instant now, Effects *effects);
--- a/bluebellshift/core/ledger.cpp
+++ b/bluebellshift/core/ledger.cpp
@@ -447,6 +447,14 @@
 
 // ---- Lending
 
+// The hubs have to be chosen anew: a VM that goes on counting itself as a hub
+// would keep the shares that gather there.
+void Ledger::setLeaving()
+{
+    isLeaving_ = true;
+    ++peersVersion_;
+}
+
 std::int64_t Ledger::neededShare(const Account &account) const
 {
     if (isLeaving_)
--- a/bluebellshift/core/ledger.h
+++ b/bluebellshift/core/ledger.h
@@ -65,7 +65,7 @@
     void setMembers(const MemberList &list, Instant now);
     void setPeers(const std::vector<LedgerPeer> &peers);
     // A VM that leaves lends whatever is asked and reserves nothing.
-    void setLeaving() { isLeaving_ = true; }
+    void setLeaving();
 
     // The contracts of BudgetHooks. Time that runs back counts as no time.
     std::optional<AccountId> takeAll(const std::vector<Debit> &debits, Instant now);
--- a/bluebellshift/core/reducer.cpp
+++ b/bluebellshift/core/reducer.cpp
@@ -75,6 +75,7 @@
 
     void start();
     void afterInstall(View::Installed installed, Instant asOf);
+    void logBundle();
     void installLimits();
     void installPeers();
     void publish();
@@ -116,6 +117,7 @@
     Instant nextSeedAsk_ = Instant::never();
     std::vector<VmId> servingBefore_;
     std::vector<Vm> peersBefore_;
+    std::string bundleBefore_; // the version last logged
     bool wasReady_ = false;
     std::string reasonBefore_;
     Instant validUntilTold_ = Instant::never();
@@ -335,6 +337,7 @@
     if (!status.ok())
         log(log::objectInvalid, { { "message", std::string(status.message()) } });
 
+    logBundle();
     installLimits();
     installPeers();
     publish();
@@ -344,6 +347,15 @@
     emit(dispatch_.onViewChanged(now_));
 }
 
+void Reducer::State::logBundle()
+{
+    if (view_.bundle() == nullptr || view_.bundle()->version == bundleBefore_)
+        return;
+    log(log::bundleInForce,
+        { { "bundle", view_.bundle()->version }, { "previous", bundleBefore_ } });
+    bundleBefore_ = view_.bundle()->version;
+}
+
 void Reducer::State::installLimits()
 {
     if (view_.bundle() == nullptr)
@@ -516,7 +528,6 @@
     if (isLeaving_)
         return;
     isLeaving_ = true;
-    log(log::shutdownBegun, { { "pending", std::to_string(dispatch_.pendingCount()) } });
     emit(fleet_.beginLeaving(now_));
 }
 
--- a/bluebellshift/core/testing/fleettest.cpp
+++ b/bluebellshift/core/testing/fleettest.cpp
@@ -297,17 +297,21 @@
     LONGS_EQUAL(0, stale);
 }
 
+// Each VM in turn, since some are hubs of some accounts.
 TEST(Fleet, LeavingVmGivesItsSharesAway)
 {
-    Scene scene(13);
-    scene.isSpending = false;
-    scene.world.startAll();
-    scene.world.run(startUp);
-    scene.world.leave(0);
-    scene.world.run(Duration::seconds(1));
-    for (const AccountLimit &limit : testLimits()) {
-        LONGS_EQUAL(0, scene.world.fleet(0).ledger().share(limit.account));
-        LONGS_EQUAL(wholeShare, scene.held(limit.account));
+    const std::size_t size = Scene(13).world.size();
+    for (std::size_t vm = 0; vm < size; ++vm) {
+        Scene scene(13);
+        scene.isSpending = false;
+        scene.world.startAll();
+        scene.world.run(startUp);
+        scene.world.leave(vm);
+        scene.world.run(Duration::seconds(1));
+        for (const AccountLimit &limit : testLimits()) {
+            LONGS_EQUAL(0, scene.world.fleet(vm).ledger().share(limit.account));
+            LONGS_EQUAL(wholeShare, scene.held(limit.account));
+        }
     }
 }
 
