Remove two functions that nothing needs

Cause: a read-through of the whole change. Change: both removed. Behaviour is as it was. Conclusion: none beyond that.

--- a/bluebellshift/core/fleet.cpp
+++ b/bluebellshift/core/fleet.cpp
@@ -326,16 +326,6 @@
     return result;
 }
 
-std::vector<VmId> Fleet::peersWithNewerView() const
-{
-    std::vector<VmId> result;
-    for (const auto &[id, peer] : membership_.peers()) {
-        if (peer.viewRevision > freshness_.revision())
-            result.push_back(id);
-    }
-    return result;
-}
-
 bool Fleet::hasAcknowledged(const VmId &vm, Revision revision) const
 {
     const Peer *peer = membership_.find(vm);
--- a/bluebellshift/core/fleet.h
+++ b/bluebellshift/core/fleet.h
@@ -87,8 +87,6 @@
     Instant validUntil(Instant now) const;
     // The VMs that steering answers may name, this one included.
     std::vector<VmId> serving(Instant now) const;
-    // Peers whose view is newer than this VM's, to be asked for it.
-    std::vector<VmId> peersWithNewerView() const;
     // Told to other VMs as load; steering uses it too.
     void setRequestsInFlight(std::uint32_t requests) { requestsInFlight_ = requests; }
     // True once a peer has acknowledged a view of at least this revision; false
--- a/bluebellshift/core/reducer.cpp
+++ b/bluebellshift/core/reducer.cpp
@@ -29,11 +29,6 @@
     std::move(more.begin(), more.end(), std::back_inserter(all));
 }
 
-LogRecord record(const LogEvent &event, std::vector<LogField> fields)
-{
-    return { event, std::move(fields) };
-}
-
 } // namespace
 
 class Reducer::State
@@ -92,7 +87,7 @@
     template<typename Part> void emit(Part effects) { append(effects_, std::move(effects)); }
     void log(const LogEvent &event, std::vector<LogField> fields)
     {
-        effects_.push_back(WriteLog { record(event, std::move(fields)) });
+        effects_.push_back(WriteLog { LogRecord { event, std::move(fields) } });
     }
 
     const CoreOptions options_;
