--- a/bluebellshift/core/logevent.h
+++ b/bluebellshift/core/logevent.h
@@ -27,6 +27,8 @@
 inline constexpr LogEvent shutdownBegun { 103, LogLevel::Info, "shutdown-begun" };
 inline constexpr LogEvent linesDropped { 104, LogLevel::Warning, "lines-dropped" };
 inline constexpr LogEvent readyChanged { 105, LogLevel::Info, "ready-changed" };
+inline constexpr LogEvent settingsReloaded { 106, LogLevel::Info, "settings-reloaded" };
+inline constexpr LogEvent settingsFaulty { 107, LogLevel::Error, "settings-faulty" };
 // 2xx: the view
 inline constexpr LogEvent viewInstalled { 201, LogLevel::Info, "view-installed" };
 inline constexpr LogEvent viewStale { 202, LogLevel::Warning, "view-stale" };
@@ -34,6 +36,11 @@
 inline constexpr LogEvent objectInvalid { 204, LogLevel::Error, "object-invalid" };
 inline constexpr LogEvent bundleInForce { 205, LogLevel::Info, "bundle-in-force" };
 inline constexpr LogEvent oldViewIgnored { 206, LogLevel::Warning, "old-view-ignored" };
+inline constexpr LogEvent configInForce { 207, LogLevel::Info, "config-in-force" };
+inline constexpr LogEvent storeLost { 208, LogLevel::Warning, "store-lost" };
+inline constexpr LogEvent storeRegained { 209, LogLevel::Info, "store-regained" };
+inline constexpr LogEvent registryListed { 210, LogLevel::Info, "registry-listed" };
+inline constexpr LogEvent entryUnreadable { 211, LogLevel::Error, "entry-unreadable" };
 // 3xx: membership
 inline constexpr LogEvent peerAlive { 301, LogLevel::Info, "peer-alive" };
 inline constexpr LogEvent peerSuspected { 302, LogLevel::Warning, "peer-suspected" };
@@ -45,6 +52,7 @@
 inline constexpr LogEvent memberExpelled { 402, LogLevel::Warning, "member-expelled" };
 inline constexpr LogEvent sharesReclaimed { 403, LogLevel::Info, "shares-reclaimed" };
 inline constexpr LogEvent selfExpelled { 404, LogLevel::Warning, "self-expelled" };
+inline constexpr LogEvent shareMoved { 405, LogLevel::Info, "share-moved" };
 // 5xx: requests
 inline constexpr LogEvent requestRouted { 501, LogLevel::Info, "request-routed" };
 inline constexpr LogEvent requestRefused { 502, LogLevel::Info, "request-refused" };
@@ -55,6 +63,12 @@
 inline constexpr LogEvent targetEjected { 507, LogLevel::Warning, "target-ejected" };
 inline constexpr LogEvent targetReturned { 508, LogLevel::Info, "target-returned" };
 inline constexpr LogEvent targetLeaving { 509, LogLevel::Info, "target-leaving" };
+inline constexpr LogEvent callerGone { 510, LogLevel::Info, "caller-gone" };
+inline constexpr LogEvent targetJoined { 511, LogLevel::Info, "target-joined" };
+inline constexpr LogEvent targetGone { 512, LogLevel::Info, "target-gone" };
+inline constexpr LogEvent targetLapsed { 513, LogLevel::Warning, "target-lapsed" };
+inline constexpr LogEvent domainEvacuated { 514, LogLevel::Info, "domain-evacuated" };
+inline constexpr LogEvent domainReturned { 515, LogLevel::Info, "domain-returned" };
 // 6xx: steering
 inline constexpr LogEvent snapshotPublished { 601, LogLevel::Info, "snapshot-published" };
 inline constexpr LogEvent shiftStepTaken { 602, LogLevel::Info, "shift-step-taken" };
--- a/bluebellshift/core/message.h
+++ b/bluebellshift/core/message.h
@@ -14,6 +14,7 @@
 #include "bluebellshift/core/ids.h"
 #include "bluebellshift/core/object.h"
 #include "bluebellshift/core/units.h"
+#include "bluebellshift/core/vmreport.h"
 
 namespace bluebellshift::core {
 
@@ -160,6 +161,6 @@
 };
 
 using Message = std::variant<Heartbeat, BorrowRequest, BorrowReply, ViewRequest, ViewReply,
-                             RelayRequest, RelayReply, RelayCancel>;
+                             RelayRequest, RelayReply, RelayCancel, VmReport>;
 
 } // namespace bluebellshift::core
--- a/bluebellshift/core/reducer.cpp
+++ b/bluebellshift/core/reducer.cpp
@@ -67,6 +67,8 @@
     void hear(const RelayRequest &message);
     void hear(const RelayReply &message);
     void hear(const RelayCancel &message);
+    // Said between gateways only.
+    void hear(const VmReport &) {}
 
     void start();
     void afterInstall(View::Installed installed, Instant asOf);
--- /dev/null
+++ b/bluebellshift/gateway/fleet.cpp
@@ -0,0 +1,238 @@
+#include "bluebellshift/gateway/fleet.h"
+
+#include <algorithm>
+
+#include "bluebellshift/gateway/hashing.h"
+
+namespace bluebellshift::gateway {
+namespace {
+
+double demandOf(const std::vector<TeamDemand> &demands, const TeamId &team)
+{
+    for (const TeamDemand &demand : demands) {
+        if (demand.team == team)
+            return static_cast<double>(demand.milliRequestsPerSecond) / 1000;
+    }
+    return 0;
+}
+
+} // namespace
+
+Fleet::Fleet(const GatewayOptions &options, std::function<void(core::LogRecord)> log)
+    : options_(options)
+    , log_(std::move(log))
+{
+}
+
+void Fleet::put(const VmEntry &entry, Revision revision, Instant now)
+{
+    const auto [position, isNew] = entries_.try_emplace(entry.id);
+    Peer &peer = position->second;
+    const bool isRestarted = !isNew && peer.entry.incarnation != entry.incarnation;
+    peer.entry = entry;
+    peer.revision = revision;
+    if (isNew || isRestarted) {
+        peer.hash = hashText(entry.id.text());
+        peer.listedAt = now;
+        if (peer.incarnation != entry.incarnation) {
+            peer.isLost = false;
+            peer.heardAt = Instant::never();
+            replaceUses(peer, {});
+        }
+    }
+}
+
+void Fleet::remove(const VmId &vm, Instant now)
+{
+    const auto found = entries_.find(vm);
+    if (found == entries_.end())
+        return;
+    replaceUses(found->second, {});
+    departed_.push_back({ now + shareHold, found->second.report.demands });
+    noteHeard(found->second, false, "it left the registry");
+    entries_.erase(found);
+}
+
+void Fleet::onReport(const VmId &from, Incarnation incarnation, const VmReport &report,
+                     Instant now)
+{
+    const auto found = entries_.find(from);
+    if (found == entries_.end())
+        return; // it will speak again once the registry names it
+    Peer &peer = found->second;
+    const bool isSameRun = peer.incarnation == incarnation;
+    if (isSameRun && report.sequence <= peer.report.sequence)
+        return;
+    replaceUses(peer, report.uses);
+    if (!peer.report.isLeaving && report.isLeaving)
+        log_({ core::log::peerLeaving, { { "vm", from.text() } } });
+    peer.report = report;
+    peer.incarnation = incarnation;
+    peer.heardAt = now;
+    peer.isLost = false;
+    noteHeard(peer, true, "it reports");
+}
+
+void Fleet::onLost(const VmId &vm, Instant now)
+{
+    const auto found = entries_.find(vm);
+    if (found == entries_.end())
+        return;
+    found->second.isLost = true;
+    replaceUses(found->second, {});
+    noteHeard(found->second, false, "its connection ended");
+}
+
+void Fleet::onTimer(Instant now)
+{
+    for (auto &[id, peer] : entries_) {
+        if (peer.wasHeard && !isHeard(peer, now)) {
+            replaceUses(peer, {});
+            noteHeard(peer, false, "silence");
+        }
+    }
+    departed_.erase(std::remove_if(departed_.begin(), departed_.end(),
+                                   [&](const Departed &gone) { return gone.until <= now; }),
+                    departed_.end());
+}
+
+std::vector<VmEntry> Fleet::peers() const
+{
+    std::vector<VmEntry> all;
+    for (const auto &[id, peer] : entries_)
+        all.push_back(peer.entry);
+    return all;
+}
+
+std::vector<VmId> Fleet::heardPeers(Instant now) const
+{
+    std::vector<VmId> heard;
+    for (const auto &[id, peer] : entries_) {
+        if (isHeard(peer, now))
+            heard.push_back(id);
+    }
+    return heard;
+}
+
+std::vector<std::pair<VmId, Revision>> Fleet::staleEntries(Duration silence, Instant now) const
+{
+    std::vector<std::pair<VmId, Revision>> stale;
+    if (isCutOff(now))
+        return stale;
+    for (const auto &[id, peer] : entries_) {
+        if (now - std::max(peer.heardAt, peer.listedAt) > silence)
+            stale.emplace_back(id, peer.revision);
+    }
+    return stale;
+}
+
+std::vector<Endpoint> Fleet::addressesFor(const RegionId &region, const FailureDomainId &domain,
+                                          bool isSelfReady, Instant now) const
+{
+    std::vector<Endpoint> inDomain;
+    std::vector<Endpoint> inRegion;
+    std::vector<Endpoint> elsewhere;
+    const auto add = [&](const VmEntry &vm) {
+        if (vm.failureDomain == domain)
+            inDomain.push_back(vm.callers);
+        (vm.region == region ? inRegion : elsewhere).push_back(vm.callers);
+    };
+    if (isSelfReady)
+        add(options_.vm);
+    const bool cutOff = isCutOff(now);
+    for (const auto &[id, peer] : entries_) {
+        const bool isNewcomer = peer.heardAt == Instant::never() && !peer.isLost
+            && now - peer.listedAt < newcomerTime;
+        const bool isServing = isHeard(peer, now)
+            ? peer.report.isReady && !peer.report.isLeaving
+            : isNewcomer || cutOff;
+        if (isServing)
+            add(peer.entry);
+    }
+    std::vector<Endpoint> &chosen = inDomain.size() >= addressesWanted ? inDomain
+        : !inRegion.empty()                                            ? inRegion
+                                                                       : elsewhere;
+    if (chosen.size() > addressesMost)
+        chosen.resize(addressesMost);
+    return chosen;
+}
+
+int Fleet::othersInFlight(std::uint32_t target) const
+{
+    const auto found = inFlight_.find(target);
+    return found == inFlight_.end() ? 0 : found->second;
+}
+
+std::size_t Fleet::rankFor(std::uint64_t target, Instant now) const
+{
+    const std::uint64_t own = mixHashes(hashText(options_.vm.id.text()), target);
+    std::size_t before = 0;
+    for (const auto &[id, peer] : entries_) {
+        if (isHeard(peer, now) && mixHashes(peer.hash, target) < own)
+            ++before;
+    }
+    return before;
+}
+
+double Fleet::shareOf(const TeamId &team, double ownDemand, double rate, Instant now) const
+{
+    const double even = 1.0 / static_cast<double>(vmCount());
+    const double idle = idleShare * rate * even;
+    const double own = std::min(ownDemand, rate) + idle;
+    double sum = own;
+    bool isAnyHeard = entries_.empty();
+    for (const auto &[id, peer] : entries_) {
+        isAnyHeard = isAnyHeard || isHeard(peer, now);
+        const bool stillCounts = now - peer.heardAt < shareHold;
+        sum += idle + (stillCounts ? std::min(rate, demandOf(peer.report.demands, team)) : 0);
+    }
+    for (const Departed &gone : departed_)
+        sum += std::min(rate, demandOf(gone.demands, team));
+    if (!isAnyHeard)
+        return cutOffShare * even;
+    return sum <= 0 ? even : own / sum;
+}
+
+bool Fleet::isHeard(const Peer &peer, Instant now) const
+{
+    return !peer.isLost && now - peer.heardAt < silenceMost;
+}
+
+bool Fleet::isCutOff(Instant now) const
+{
+    std::size_t known = 0;
+    std::size_t heard = 0;
+    for (const auto &[id, peer] : entries_) {
+        if (now - peer.listedAt < newcomerTime)
+            continue;
+        ++known;
+        heard += isHeard(peer, now) ? 1 : 0;
+    }
+    return known > 0 && static_cast<double>(heard) < heardLeast * static_cast<double>(known);
+}
+
+void Fleet::replaceUses(Peer &peer, const std::vector<TargetUse> &uses)
+{
+    for (const TargetUse &use : peer.report.uses) {
+        const auto found = inFlight_.find(use.target);
+        if (found == inFlight_.end())
+            continue;
+        found->second -= use.inFlight;
+        if (found->second <= 0)
+            inFlight_.erase(found);
+    }
+    peer.report.uses = uses;
+    for (const TargetUse &use : uses)
+        inFlight_[use.target] += use.inFlight;
+}
+
+void Fleet::noteHeard(Peer &peer, bool isHeard, const char *reason)
+{
+    if (peer.wasHeard == isHeard)
+        return;
+    peer.wasHeard = isHeard;
+    log_({ isHeard ? core::log::peerAlive : core::log::peerSuspected,
+           { { "vm", peer.entry.id.text() }, { "reason", reason } } });
+}
+
+} // namespace bluebellshift::gateway
--- /dev/null
+++ b/bluebellshift/gateway/fleet.h
@@ -0,0 +1,102 @@
+// This VM's view of the other VMs: who is there, who is heard, and what each told of
+// its demand and of the targets it uses.
+//
+//   Fleet fleet(options, log);
+//   fleet.put(entry, revision, now);              // the registry named a VM
+//   fleet.onReport(vm, incarnation, report, now); // it spoke
+//   for (const Endpoint &address : fleet.addressesFor(region, domain, now))
+//       ... // where callers of that place may connect
+//
+// A VM that is not heard is left out of look-ups, unless this VM hears almost nobody:
+// then it is itself cut off and can't tell. A VM that is not heard keeps its part of
+// every team's limit for shareHold, as it may still serve callers.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+#include "bluebellshift/core/logevent.h"
+#include "bluebellshift/core/vmreport.h"
+#include "bluebellshift/gateway/options.h"
+
+namespace bluebellshift::gateway {
+
+class Fleet
+{
+public:
+    static constexpr Duration silenceMost = Duration::millis(2500);  // five reports
+    static constexpr Duration newcomerTime = Duration::seconds(3);   // to be heard first
+    static constexpr Duration shareHold = Duration::seconds(15);
+    static constexpr double heardLeast = 0.34; // of the others; below, this VM is cut off
+    static constexpr std::size_t addressesMost = 64;
+    static constexpr std::size_t addressesWanted = 2; // in a failure domain, or its region counts
+    // A VM without demand of a team keeps this part of an even share.
+    static constexpr double idleShare = 0.25;
+    static constexpr double cutOffShare = 0.5; // of an even share, before others were heard
+
+    Fleet(const GatewayOptions &options, std::function<void(core::LogRecord)> log);
+
+    void put(const VmEntry &entry, Revision revision, Instant now);
+    void remove(const VmId &vm, Instant now);
+    void onReport(const VmId &from, Incarnation incarnation, const VmReport &report, Instant now);
+    void onLost(const VmId &vm, Instant now);
+    // Forgets what has grown old; call several times a second.
+    void onTimer(Instant now);
+
+    // The other VMs that the registry names.
+    std::vector<VmEntry> peers() const;
+    // Those of them that are heard.
+    std::vector<VmId> heardPeers(Instant now) const;
+    std::size_t vmCount() const { return entries_.size() + 1; }
+    // The revision under which the registry holds this VM's own entry.
+    void putOwn(Revision revision) { ownRevision_ = revision; }
+
+    // Entries that nobody has been heard under for that long.
+    std::vector<std::pair<VmId, Revision>> staleEntries(Duration silence, Instant now) const;
+
+    std::vector<Endpoint> addressesFor(const RegionId &region, const FailureDomainId &domain,
+                                       bool isSelfReady, Instant now) const;
+
+    int othersInFlight(std::uint32_t target) const;
+    // This VM's place, from 0, in an order of the VMs that are heard; each target has
+    // an order of its own.
+    std::size_t rankFor(std::uint64_t target, Instant now) const;
+    // This VM's part of a team's limit; `own` is the demand it last reported.
+    double shareOf(const TeamId &team, double ownDemand, double rate, Instant now) const;
+
+private:
+    struct Peer
+    {
+        VmEntry entry;
+        Revision revision;
+        std::uint64_t hash = 0;
+        Instant listedAt;
+        Instant heardAt = Instant::never();
+        Incarnation incarnation; // of the last report
+        VmReport report;
+        bool isLost = false; // its connection ended, and nothing came since
+        bool wasHeard = false; // as last logged
+    };
+    // What a VM that is gone may still be spending.
+    struct Departed
+    {
+        Instant until;
+        std::vector<TeamDemand> demands;
+    };
+
+    bool isHeard(const Peer &peer, Instant now) const;
+    bool isCutOff(Instant now) const;
+    void replaceUses(Peer &peer, const std::vector<TargetUse> &uses);
+    void noteHeard(Peer &peer, bool isHeard, const char *reason);
+
+    const GatewayOptions &options_;
+    const std::function<void(core::LogRecord)> log_;
+    std::map<VmId, Peer> entries_;
+    std::vector<Departed> departed_;
+    std::unordered_map<std::uint32_t, int> inFlight_; // of all others, by target
+    Revision ownRevision_;
+};
+
+} // namespace bluebellshift::gateway
--- /dev/null
+++ b/bluebellshift/gateway/reducer.cpp
@@ -0,0 +1,526 @@
+// The state of one gateway: a part for each concern, and the events handed to them.
+//
+// An entry of the registry that goes away while the store was just lost is not taken
+// for gone at once: targets register again within about two seconds of the store's
+// return if they live. Until then they are used on; one that is still missing then is
+// gone. docs/design/platform.md tells what happens to each belief during an outage.
+#include "bluebellshift/gateway/reducer.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "bluebellshift/gateway/dispatcher.h"
+#include "bluebellshift/gateway/fleet.h"
+#include "bluebellshift/gateway/storelink.h"
+#include "bluebellshift/gateway/targetpool.h"
+#include "bluebellshift/gateway/teamquotas.h"
+
+namespace bluebellshift::gateway {
+namespace {
+
+constexpr Duration reportInterval = Duration::millis(500);
+constexpr std::size_t fullRateVms = 24; // a larger fleet reports less often
+constexpr Duration demandMemory = Duration::millis(1500); // time constant of the smoothing
+constexpr Duration writeTimeout = Duration::millis(1000);
+constexpr Duration writeRetry = Duration::millis(400);
+constexpr Duration entryKept = Duration::seconds(90); // of a VM that nobody hears
+constexpr Duration stopServing = Duration::seconds(3); // after a stop was asked for
+constexpr Duration stopMargin = Duration::millis(300); // before the process is killed
+constexpr Duration bootWait = Duration::millis(1500);  // to hear the others' demand
+constexpr Duration lookupTtlAim = Duration::seconds(2);
+constexpr double shareMoveLogged = 0.1; // changes of a share by more are logged
+
+} // namespace
+
+class Reducer::State
+{
+public:
+    explicit State(const GatewayOptions &options);
+
+    void start(Instant now, std::uint64_t random);
+    void reduce(const Event &event);
+    Instant nextWake() const;
+    Effects takeEffects() { return std::exchange(effects_, {}); }
+
+    GatewayOptions options_;
+    Effects effects_;
+    Instant now_;
+    std::uint64_t random_ = 0;
+    TrafficConfigPointer config_;
+    Fleet fleet_;
+    TargetPool pool_;
+    TeamQuotas quotas_;
+    Dispatcher dispatcher_;
+    StoreLink store_;
+
+    bool isReady() const;
+
+private:
+    void on(const TimerFired &event);
+    void on(const RegistryListed &event) { store_.onListed(event, now_); }
+    void on(const RegistryChanged &event) { store_.onChanged(event, now_); }
+    void on(const RegistryFailed &event) { store_.onFailed(event, random_, now_); }
+    void on(const StoreWritten &event);
+    void on(const StoreWriteFailed &event);
+    void on(const RequestArrived &event) { dispatcher_.onArrived(event, random_, now_); }
+    void on(const CallerGone &event) { dispatcher_.onGone(event, now_); }
+    void on(const AttemptEnded &event) { dispatcher_.onEnded(event, random_, now_); }
+    void on(const PeerSaid &event)
+    {
+        fleet_.onReport(event.from, event.incarnation, event.report, now_);
+    }
+    void on(const PeerLost &event) { fleet_.onLost(event.vm, now_); }
+    void on(const StopAsked &event);
+
+    void onEntry(Registry registry, const RegistryEntry &entry);
+    void onListed(Registry registry);
+    void onConfig(const RegistryEntry &entry);
+    void onTarget(const RegistryEntry &entry);
+    void onVm(const RegistryEntry &entry);
+    void noteUnreadable(Registry registry, const RegistryEntry &entry);
+
+    void writeOwnEntry();
+    void setPeers();
+    void report();
+    void removeLapsed();
+    void removeStaleVms();
+    void updateShares();
+    void noteReady();
+    void stop();
+    void log(core::LogRecord record) { effects_.push_back(WriteLog { std::move(record) }); }
+    void perform(Effect effect) { effects_.push_back(std::move(effect)); }
+
+    std::string peerKey_; // hex; empty until it is known
+    bool isKeyAsked_ = false;
+    bool isEntryWritten_ = false;
+    bool isEntryBusy_ = false;
+    bool mustCreateEntry_ = true;
+    Instant entryDueAt_ = Instant::never();
+    std::map<TargetId, Instant> lapsed_; // until when they may return
+    std::map<TeamId, double> demand_;    // requests a second, smoothed, as last reported
+    std::map<TeamId, double> loggedShare_;
+    std::uint64_t reportSequence_ = 0;
+    Instant reportAt_ = Instant::never();
+    Instant startedAt_ = Instant::never();
+    bool wasReady_ = false;
+    bool isStopping_ = false;
+    Instant stopServingAt_ = Instant::never();
+    Instant killedAt_ = Instant::never();
+    bool hasExited_ = false;
+};
+
+Reducer::State::State(const GatewayOptions &options)
+    : options_(options)
+    , fleet_(options_, [this](core::LogRecord record) { log(std::move(record)); })
+    , pool_(options_,
+            { [this](std::uint32_t target, Instant) { return fleet_.othersInFlight(target); },
+              [this](std::uint64_t target, Instant now) { return fleet_.rankFor(target, now); },
+              [this](core::LogRecord record) { log(std::move(record)); } })
+    , quotas_(options_.bounds)
+    , dispatcher_(options_,
+                  { [this] { return config_; }, [this] { return isReady() || isStopping_; },
+                    [this] { return fleet_.vmCount(); },
+                    [this](Effect effect) { perform(std::move(effect)); } },
+                  pool_, quotas_)
+    , store_({ [this](Effect effect) { perform(std::move(effect)); },
+               [this](Registry registry, const RegistryEntry &entry) { onEntry(registry, entry); },
+               [this](Registry registry) { onListed(registry); },
+               [this](core::LogRecord record) { log(std::move(record)); } })
+{
+}
+
+void Reducer::State::start(Instant now, std::uint64_t random)
+{
+    now_ = now;
+    random_ = random;
+    startedAt_ = now;
+    reportAt_ = now;
+    entryDueAt_ = now;
+    store_.start(random, now);
+    writeOwnEntry();
+}
+
+void Reducer::State::reduce(const Event &event)
+{
+    now_ = event.now;
+    random_ = event.random;
+    std::visit([this](const auto &body) { on(body); }, event.body);
+    noteReady();
+}
+
+Instant Reducer::State::nextWake() const
+{
+    Instant next = reportAt_;
+    for (const Instant at : { store_.nextWake(), dispatcher_.nextWake(), entryDueAt_ }) {
+        if (at != Instant::never())
+            next = std::min(next, at);
+    }
+    return next;
+}
+
+bool Reducer::State::isReady() const
+{
+    const bool knowsFleet = store_.isListed(Registry::Vms)
+        && (now_ - startedAt_ >= bootWait || fleet_.heardPeers(now_).size() + 1 == fleet_.vmCount());
+    return config_ != nullptr && store_.isListed(Registry::Targets)
+        && store_.isListed(Registry::Evacuations) && knowsFleet && !isStopping_;
+}
+
+void Reducer::State::on(const TimerFired &)
+{
+    store_.onTimer(now_);
+    if (entryDueAt_ != Instant::never() && now_ >= entryDueAt_)
+        writeOwnEntry();
+    if (now_ >= reportAt_) {
+        report();
+        fleet_.onTimer(now_);
+        updateShares();
+        removeLapsed();
+        removeStaleVms();
+    }
+    dispatcher_.onTimer(random_, now_);
+    if (isStopping_)
+        stop();
+}
+
+void Reducer::State::onEntry(Registry registry, const RegistryEntry &entry)
+{
+    if (!entry.isGone && std::holds_alternative<UnreadableEntry>(entry.value))
+        noteUnreadable(registry, entry);
+    switch (registry) {
+    case Registry::Traffic:
+        onConfig(entry);
+        break;
+    case Registry::Targets:
+        onTarget(entry);
+        break;
+    case Registry::Evacuations:
+        pool_.setEvacuated(FailureDomainId(entry.name), !entry.isGone, now_);
+        break;
+    case Registry::Vms:
+        onVm(entry);
+        break;
+    case Registry::PeerKeys:
+        if (const auto *key = std::get_if<PeerKeyEntry>(&entry.value); key && !entry.isGone) {
+            peerKey_ = key->secretHex;
+            setPeers();
+        }
+        break;
+    }
+    dispatcher_.onRoomChanged(random_, now_);
+}
+
+void Reducer::State::onListed(Registry registry)
+{
+    log({ core::log::registryListed, { { "registry", toText(registry) } } });
+    if (registry == Registry::PeerKeys && peerKey_.empty() && !isKeyAsked_) {
+        isKeyAsked_ = true;
+        perform(CreatePeerKey { options_.peerKeyCandidate, writeTimeout });
+    }
+}
+
+void Reducer::State::onConfig(const RegistryEntry &entry)
+{
+    const auto *value = std::get_if<TrafficConfigPointer>(&entry.value);
+    if (entry.isGone || value == nullptr)
+        return; // what is in force stays so
+    const TrafficConfigPointer &config = *value;
+    if (config_ && config->version <= config_->version)
+        return;
+    log({ core::log::configInForce,
+          { { "config", std::to_string(config->version.number()) },
+            { "previous", config_ ? std::to_string(config_->version.number()) : "none" },
+            { "revision", std::to_string(entry.revision.number()) },
+            { "teams", std::to_string(config->teams.size()) },
+            { "services", std::to_string(config->services.size()) } } });
+    config_ = config;
+    pool_.setConfig(config_);
+    quotas_.setConfig(*config_, now_);
+    updateShares();
+}
+
+void Reducer::State::onTarget(const RegistryEntry &entry)
+{
+    const TargetId id(entry.name);
+    const auto *target = std::get_if<Target>(&entry.value);
+    if (!entry.isGone && target != nullptr) {
+        lapsed_.erase(id);
+        pool_.put(*target, now_);
+        return;
+    }
+    if (!entry.isGone || pool_.find(id) == nullptr) {
+        pool_.remove(id, "its entry can't be read", now_);
+        return;
+    }
+    const bool mayReturn = store_.regainedAt() != Instant::never()
+        && now_ - store_.regainedAt() < options_.bounds.lapseReturn;
+    if (mayReturn && !pool_.find(id)->isDraining) {
+        lapsed_[id] = store_.regainedAt() + options_.bounds.lapseReturn;
+        log({ core::log::targetLapsed, { { "target", id.text() } } });
+        return;
+    }
+    perform(ForgetTarget { id });
+    pool_.remove(id, "its entry is gone", now_);
+}
+
+void Reducer::State::removeLapsed()
+{
+    for (auto entry = lapsed_.begin(); entry != lapsed_.end();) {
+        if (now_ < entry->second) {
+            ++entry;
+            continue;
+        }
+        perform(ForgetTarget { entry->first });
+        pool_.remove(entry->first, "its entry did not return", now_);
+        entry = lapsed_.erase(entry);
+    }
+}
+
+void Reducer::State::onVm(const RegistryEntry &entry)
+{
+    const VmId id(entry.name);
+    if (id == options_.vm.id) {
+        fleet_.putOwn(entry.revision);
+        if (entry.isGone && isEntryWritten_ && !isStopping_) {
+            isEntryWritten_ = false;
+            mustCreateEntry_ = true;
+            entryDueAt_ = now_;
+        }
+        return;
+    }
+    const auto *vm = std::get_if<VmEntry>(&entry.value);
+    if (!entry.isGone && vm != nullptr)
+        fleet_.put(*vm, entry.revision, now_);
+    else
+        fleet_.remove(id, now_);
+    setPeers();
+    updateShares();
+}
+
+void Reducer::State::noteUnreadable(Registry registry, const RegistryEntry &entry)
+{
+    log({ core::log::entryUnreadable,
+          { { "registry", toText(registry) },
+            { "entry", entry.name },
+            { "revision", std::to_string(entry.revision.number()) },
+            { "problem", std::get<UnreadableEntry>(entry.value).problem } } });
+}
+
+void Reducer::State::writeOwnEntry()
+{
+    entryDueAt_ = Instant::never();
+    if (isEntryWritten_ || isEntryBusy_ || isStopping_)
+        return;
+    isEntryBusy_ = true;
+    perform(WriteVm { options_.vm, mustCreateEntry_, writeTimeout });
+}
+
+void Reducer::State::on(const StoreWritten &event)
+{
+    if (event.registry == Registry::PeerKeys) {
+        store_.refresh(Registry::PeerKeys, now_);
+        return;
+    }
+    isEntryBusy_ = false;
+    isEntryWritten_ = true;
+    store_.refresh(Registry::Vms, now_);
+    store_.onTimer(now_);
+}
+
+void Reducer::State::on(const StoreWriteFailed &event)
+{
+    if (event.registry == Registry::PeerKeys) {
+        // Another VM was first, or the store is away: the next list tells.
+        isKeyAsked_ = false;
+        store_.refresh(Registry::PeerKeys, now_);
+        return;
+    }
+    if (!isEntryBusy_)
+        return; // a removal; the entry is looked after again by whoever starts next
+    isEntryBusy_ = false;
+    if (event.failure == StoreFailure::Conflict || event.failure == StoreFailure::Missing) {
+        mustCreateEntry_ = event.failure == StoreFailure::Missing;
+        entryDueAt_ = now_;
+        return;
+    }
+    entryDueAt_ = now_ + writeRetry
+        + Duration::micros(static_cast<std::int64_t>(random_ % writeRetry.toMicros()));
+}
+
+void Reducer::State::setPeers()
+{
+    if (!peerKey_.empty())
+        perform(SetPeers { fleet_.peers(), peerKey_ });
+}
+
+// Tells the others what this VM does, and smooths its demand to what it tells.
+void Reducer::State::report()
+{
+    const auto vms = static_cast<std::int64_t>(fleet_.vmCount());
+    const auto slowdown = std::max<std::int64_t>(1, vms / static_cast<std::int64_t>(fullRateVms));
+    const Duration interval = reportInterval * slowdown;
+    reportAt_ = now_ + interval;
+    const double keep = std::exp(-interval.toSeconds() / demandMemory.toSeconds());
+    const std::map<TeamId, int> arrivals = dispatcher_.takeArrivals();
+    for (auto &[team, demand] : demand_)
+        demand *= keep;
+    for (const auto &[team, count] : arrivals)
+        demand_[team] += (1 - keep) * count / interval.toSeconds();
+    VmReport report;
+    report.sequence = ++reportSequence_;
+    report.isReady = isReady();
+    report.isLeaving = isStopping_;
+    report.configVersion = config_ ? config_->version.number() : 0;
+    for (const auto &[team, demand] : demand_) {
+        const auto millis = static_cast<std::int64_t>(demand * 1000);
+        if (millis > 0)
+            report.demands.push_back({ team, millis });
+    }
+    report.uses = pool_.uses();
+    std::vector<VmId> to;
+    for (const VmEntry &peer : fleet_.peers())
+        to.push_back(peer.id);
+    if (!to.empty())
+        perform(SendReport { std::move(to), std::move(report) });
+}
+
+void Reducer::State::updateShares()
+{
+    if (!config_)
+        return;
+    for (const Team &team : config_->teams) {
+        if (team.ratePerSecond <= 0)
+            continue;
+        const auto demand = demand_.find(team.id);
+        const double own = demand == demand_.end() ? 0 : demand->second;
+        const double share = fleet_.shareOf(team.id, own, team.ratePerSecond, now_);
+        quotas_.setShare(team.id, share, now_);
+        double &logged = loggedShare_[team.id];
+        if (std::abs(share - logged) < shareMoveLogged)
+            continue;
+        log({ core::log::shareMoved,
+              { { "team", team.id.text() },
+                { "share", std::to_string(share) },
+                { "previous", std::to_string(logged) },
+                { "demand", std::to_string(own) } } });
+        logged = share;
+    }
+}
+
+// Entries of VMs that are gone for good. The first of those that are heard removes
+// them, so that the others need not.
+void Reducer::State::removeStaleVms()
+{
+    if (store_.isLost() || fleet_.rankFor(0, now_) != 0)
+        return;
+    for (const auto &[vm, revision] : fleet_.staleEntries(entryKept, now_))
+        perform(RemoveVm { vm, revision, writeTimeout });
+}
+
+void Reducer::State::noteReady()
+{
+    const bool ready = isReady();
+    if (ready == wasReady_)
+        return;
+    wasReady_ = ready;
+    log({ core::log::readyChanged,
+          { { "ready", ready ? "yes" : "no" },
+            { "reason", isStopping_ ? "stopping" : ready ? "all registries are known" : "start" },
+            { "vms", std::to_string(fleet_.vmCount()) },
+            { "config", config_ ? std::to_string(config_->version.number()) : "none" } } });
+    reportAt_ = now_; // the others learn of it at once
+}
+
+void Reducer::State::on(const StopAsked &event)
+{
+    if (isStopping_)
+        return;
+    isStopping_ = true;
+    stopServingAt_ = now_ + std::min(stopServing, event.grace / 2);
+    killedAt_ = now_ + event.grace - stopMargin;
+    log({ core::log::shutdownBegun,
+          { { "pending", std::to_string(dispatcher_.pendingCount()) },
+            { "stayMs", std::to_string((stopServingAt_ - now_).toMillis()) } } });
+    perform(CloseConnections {});
+    perform(RemoveVm { options_.vm.id, Revision(), writeTimeout });
+    report();
+}
+
+void Reducer::State::stop()
+{
+    if (hasExited_ || now_ < stopServingAt_)
+        return;
+    dispatcher_.refuseNew();
+    if (now_ >= killedAt_)
+        dispatcher_.endAll(now_);
+    if (dispatcher_.pendingCount() > 0)
+        return;
+    hasExited_ = true;
+    perform(Exit {});
+}
+
+Reducer::Reducer(const GatewayOptions &options)
+    : state_(std::make_unique<State>(options))
+{
+}
+
+Reducer::~Reducer() = default;
+
+Effects Reducer::start(Instant now, std::uint64_t random)
+{
+    state_->start(now, random);
+    return state_->takeEffects();
+}
+
+Effects Reducer::reduce(const Event &event)
+{
+    state_->reduce(event);
+    return state_->takeEffects();
+}
+
+Instant Reducer::nextWake() const
+{
+    return state_->nextWake();
+}
+
+void Reducer::setBounds(const FleetBounds &bounds)
+{
+    state_->options_.bounds = bounds;
+}
+
+bool Reducer::isReady() const
+{
+    return state_->isReady();
+}
+
+const CallerLimits &Reducer::callerLimits() const
+{
+    static const CallerLimits defaults;
+    return state_->config_ ? state_->config_->limits : defaults;
+}
+
+std::vector<Endpoint> Reducer::addressesFor(const RegionId &region, const FailureDomainId &domain,
+                                            Instant now) const
+{
+    return state_->fleet_.addressesFor(region, domain, state_->isReady(), now);
+}
+
+Duration Reducer::lookupTtl() const
+{
+    return std::min(lookupTtlAim, state_->options_.bounds.lookupTtlMost);
+}
+
+Reducer::Readings Reducer::readings(Instant now) const
+{
+    Readings readings;
+    readings.pending = state_->dispatcher_.pendingCount();
+    readings.vms = state_->fleet_.vmCount();
+    readings.vmsHeard = state_->fleet_.heardPeers(now).size() + 1;
+    readings.targets = state_->pool_.ids().size();
+    readings.configVersion = state_->config_ ? state_->config_->version.number() : 0;
+    readings.storeAge = now - state_->store_.heardAt();
+    readings.isStoreLost = state_->store_.isLost();
+    return readings;
+}
+
+} // namespace bluebellshift::gateway
--- /dev/null
+++ b/bluebellshift/gateway/storelink.cpp
@@ -0,0 +1,209 @@
+#include "bluebellshift/gateway/storelink.h"
+
+#include <algorithm>
+
+namespace bluebellshift::gateway {
+namespace {
+
+constexpr std::array<Registry, registryCount> allRegistries = {
+    Registry::Traffic, Registry::Targets, Registry::Evacuations, Registry::Vms, Registry::PeerKeys,
+};
+
+// While the store is lost, this one is asked for.
+constexpr Registry askedWhenLost = Registry::Traffic;
+
+} // namespace
+
+StoreLink::StoreLink(StoreLinkHooks hooks)
+    : hooks_(std::move(hooks))
+{
+}
+
+bool StoreLink::isWatched(Registry registry)
+{
+    return registry != Registry::Vms && registry != Registry::PeerKeys;
+}
+
+void StoreLink::start(std::uint64_t random, Instant now)
+{
+    for (const Registry registry : allRegistries)
+        stateOf(registry).dueAt = now;
+    onTimer(now);
+}
+
+void StoreLink::onTimer(Instant now)
+{
+    for (const Registry registry : allRegistries) {
+        const State &state = stateOf(registry);
+        if (state.isBusy || state.dueAt == Instant::never() || now < state.dueAt)
+            continue;
+        if (isLost_ && registry != askedWhenLost)
+            continue;
+        call(registry, now);
+    }
+}
+
+Instant StoreLink::nextWake() const
+{
+    Instant next = Instant::never();
+    for (const Registry registry : allRegistries) {
+        const State &state = stateOf(registry);
+        if (state.isBusy || state.dueAt == Instant::never()
+            || (isLost_ && registry != askedWhenLost))
+            continue;
+        next = next == Instant::never() ? state.dueAt : std::min(next, state.dueAt);
+    }
+    return next;
+}
+
+void StoreLink::refresh(Registry registry, Instant now)
+{
+    State &state = stateOf(registry);
+    if (!state.isBusy)
+        state.dueAt = now;
+}
+
+void StoreLink::call(Registry registry, Instant now)
+{
+    State &state = stateOf(registry);
+    state.isBusy = true;
+    if (state.mustList || !isWatched(registry)) {
+        // The first list must be the newest; what is only polled may lag after it.
+        const bool mayBeStale = state.isListed && !isWatched(registry);
+        hooks_.perform(ListRegistry { registry, state.listedUpTo, mayBeStale, callTimeout });
+        return;
+    }
+    const Duration wait = isLost_ ? Duration() : watchWait;
+    const Duration timeout = isLost_ ? callTimeout : watchWait + watchMargin;
+    hooks_.perform(WatchRegistry { registry, state.revision, wait, timeout });
+}
+
+void StoreLink::onListed(const RegistryListed &listed, Instant now)
+{
+    noteAnswer(now);
+    State &state = stateOf(listed.registry);
+    state.isBusy = false;
+    state.dueAt = now;
+    if (state.isFirstPage) {
+        state.isFirstPage = false;
+        state.listedAt = listed.at; // changes during later pages are then watched
+    }
+    for (const RegistryEntry &entry : listed.entries) {
+        state.named.insert(entry.name);
+        state.listedUpTo = entry.name;
+        apply(listed.registry, entry);
+    }
+    if (!listed.hasMore || listed.entries.empty())
+        finishList(listed.registry, now);
+    onTimer(now);
+}
+
+void StoreLink::finishList(Registry registry, Instant now)
+{
+    State &state = stateOf(registry);
+    std::vector<std::string> gone;
+    for (const auto &[name, revision] : state.known) {
+        if (state.named.count(name) == 0)
+            gone.push_back(name);
+    }
+    for (const std::string &name : gone) {
+        state.known.erase(name);
+        RegistryEntry entry;
+        entry.name = name;
+        entry.isGone = true;
+        hooks_.onEntry(registry, entry);
+    }
+    state.named.clear();
+    state.listedUpTo.clear();
+    state.isFirstPage = true;
+    state.mustList = false;
+    state.isListed = true;
+    state.revision = state.listedAt;
+    if (!isWatched(registry)) {
+        const bool isSettled = registry == Registry::PeerKeys && !state.known.empty();
+        state.dueAt = isSettled ? Instant::never() : now + pollInterval;
+    }
+    hooks_.onListed(registry);
+}
+
+void StoreLink::onChanged(const RegistryChanged &changed, Instant now)
+{
+    noteAnswer(now);
+    State &state = stateOf(changed.registry);
+    state.isBusy = false;
+    state.dueAt = now;
+    for (const RegistryEntry &entry : changed.entries)
+        apply(changed.registry, entry);
+    state.revision = std::max(state.revision, changed.at);
+    onTimer(now);
+}
+
+// Hands on what is newer than what is known: events of a watch that began at a list's
+// first page may be older than its last.
+void StoreLink::apply(Registry registry, const RegistryEntry &entry)
+{
+    State &state = stateOf(registry);
+    const auto known = state.known.find(entry.name);
+    if (known != state.known.end()
+        && (entry.isGone ? entry.revision < known->second : entry.revision <= known->second))
+        return;
+    if (entry.isGone) {
+        if (known == state.known.end())
+            return;
+        state.known.erase(known);
+    } else {
+        state.known[entry.name] = entry.revision;
+    }
+    hooks_.onEntry(registry, entry);
+}
+
+void StoreLink::onFailed(const RegistryFailed &failed, std::uint64_t random, Instant now)
+{
+    State &state = stateOf(failed.registry);
+    state.isBusy = false;
+    if (failed.failure == StoreFailure::HistoryGone) {
+        noteAnswer(now);
+        state.mustList = true;
+        state.dueAt = now;
+        onTimer(now);
+        return;
+    }
+    ++failures_;
+    if (!isLost_ && failures_ >= failuresToLose) {
+        isLost_ = true;
+        lostAt_ = now;
+        hooks_.log({ core::log::storeLost,
+                     { { "registry", toText(failed.registry) },
+                       { "failure", toText(failed.failure) },
+                       { "heardMsAgo", std::to_string((now - heardAt_).toMillis()) } } });
+    }
+    // Doubles up to retryMost, with half of it left to chance.
+    const int doublings = std::min(failures_, 8);
+    const Duration full = std::min(retryMost, retryFirst * (1LL << doublings));
+    const auto half = static_cast<std::uint64_t>(full.toMicros() / 2 + 1);
+    state.dueAt = now + full / 2 + Duration::micros(static_cast<std::int64_t>(random % half));
+    if (state.mustList) { // begin the list anew: its pages may not fit together
+        state.named.clear();
+        state.listedUpTo.clear();
+        state.isFirstPage = true;
+    }
+}
+
+void StoreLink::noteAnswer(Instant now)
+{
+    failures_ = 0;
+    heardAt_ = now;
+    if (!isLost_)
+        return;
+    isLost_ = false;
+    regainedAt_ = now;
+    hooks_.log({ core::log::storeRegained,
+                 { { "lostMs", std::to_string((now - lostAt_).toMillis()) } } });
+    for (const Registry registry : allRegistries) {
+        State &state = stateOf(registry);
+        if (!state.isBusy && state.dueAt != Instant::never())
+            state.dueAt = now;
+    }
+}
+
+} // namespace bluebellshift::gateway
--- /dev/null
+++ b/bluebellshift/gateway/storelink.h
@@ -0,0 +1,104 @@
+// Keeps this VM's copies of the store's registries: which call to make next, and what
+// its result means.
+//
+//   StoreLink link(options, hooks);
+//   link.start(now);                    // hooks.perform gets ListRegistry effects
+//   link.onListed(listed, now);         // hooks.onEntry gets each entry that changed
+//   link.onTimer(now);                  // at or after link.nextWake()
+//
+// A registry is listed once and watched from there. A watch whose history is gone is
+// followed by a new list. After two failures one after another the store counts as
+// lost: one call at a time asks whether it is back, so that an outage costs little.
+// While it is lost nothing that is known is forgotten.
+#pragma once
+
+#include <array>
+#include <functional>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+
+#include "bluebellshift/gateway/effect.h"
+#include "bluebellshift/gateway/event.h"
+
+namespace bluebellshift::gateway {
+
+struct StoreLinkHooks
+{
+    std::function<void(Effect)> perform;
+    // An entry is new, changed or gone.
+    std::function<void(Registry, const RegistryEntry &)> onEntry;
+    // A registry has been listed in full.
+    std::function<void(Registry)> onListed;
+    std::function<void(core::LogRecord)> log;
+};
+
+class StoreLink
+{
+public:
+    static constexpr Duration callTimeout = Duration::millis(1000);
+    // A watch that the store has forgotten is found out after this and watchMargin,
+    // which must stay under the users' contact time.
+    static constexpr Duration watchWait = Duration::millis(2400);
+    static constexpr Duration watchMargin = Duration::millis(700); // for the answer to come
+    static constexpr Duration pollInterval = Duration::seconds(4); // of what is not watched
+    static constexpr Duration retryFirst = Duration::millis(30);
+    static constexpr Duration retryMost = Duration::millis(800);
+    static constexpr int failuresToLose = 2; // one after another
+
+    explicit StoreLink(StoreLinkHooks hooks);
+
+    void start(std::uint64_t random, Instant now);
+    void onListed(const RegistryListed &listed, Instant now);
+    void onChanged(const RegistryChanged &changed, Instant now);
+    void onFailed(const RegistryFailed &failed, std::uint64_t random, Instant now);
+    void onTimer(Instant now);
+    Instant nextWake() const;
+
+    // Lists a registry again as soon as may be; for one that isn't watched.
+    void refresh(Registry registry, Instant now);
+
+    bool isListed(Registry registry) const { return stateOf(registry).isListed; }
+    bool isLost() const { return isLost_; }
+    // When the store last came back; never if it was not lost yet.
+    Instant regainedAt() const { return regainedAt_; }
+    // When an answer last came.
+    Instant heardAt() const { return heardAt_; }
+
+private:
+    struct State
+    {
+        bool isListed = false;
+        bool isBusy = false;       // a call is under way
+        Instant dueAt = Instant::never(); // of the next call, if not busy; never: none
+        bool mustList = true;
+        std::string listedUpTo;    // the last name of the pages so far
+        bool isFirstPage = true;
+        Revision listedAt;         // of the first page
+        Revision revision;         // to watch from
+        std::unordered_set<std::string> named; // by the list under way
+        std::unordered_map<std::string, Revision> known;
+    };
+
+    State &stateOf(Registry registry) { return states_[static_cast<std::size_t>(registry)]; }
+    const State &stateOf(Registry registry) const
+    {
+        return states_[static_cast<std::size_t>(registry)];
+    }
+    static bool isWatched(Registry registry);
+
+    void call(Registry registry, Instant now);
+    void apply(Registry registry, const RegistryEntry &entry);
+    void finishList(Registry registry, Instant now);
+    void noteAnswer(Instant now);
+
+    const StoreLinkHooks hooks_;
+    std::array<State, registryCount> states_;
+    int failures_ = 0; // one after another, over all registries
+    bool isLost_ = false;
+    Instant lostAt_ = Instant::never();
+    Instant regainedAt_ = Instant::never();
+    Instant heardAt_ = Instant::never();
+};
+
+} // namespace bluebellshift::gateway
--- /dev/null
+++ b/bluebellshift/gateway/targetpool.h
@@ -0,0 +1,154 @@
+// The targets of every service, what this VM believes of each, and the choice
+// among them.
+//
+//   TargetPool pool(options, hooks);
+//   pool.put(target, now);                       // the registry named it
+//   Choice choice = pool.choose(wish, now);
+//   if (choice.target != nullptr && choice.finish <= hoped) {
+//       pool.onSent(choice.target->id, wish, now);
+//       ... // pool.onEnded(id, ended, now)
+//   }
+//
+// A choice is the target at which the request is expected to finish first: the way
+// there and back, the wait for a slot, the work, which is shorter where the request's
+// object is warm, and what recent failures there have cost. docs/design/platform.md
+// gives the ways weighed and their figures.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "bluebellshift/core/logevent.h"
+#include "bluebellshift/gateway/event.h"
+#include "bluebellshift/gateway/options.h"
+#include "bluebellshift/gateway/registry.h"
+
+namespace bluebellshift::gateway {
+
+// What a request needs of a target.
+struct Wish
+{
+    ServiceId service;
+    const std::vector<RegionId> *routeRegions = nullptr; // null or empty: all
+    const std::vector<RegionId> *teamRegions = nullptr;
+    std::uint64_t object = 0; // hash of its affinity key; 0: none
+    const std::vector<TargetId> *tried = nullptr;
+    std::string route;  // the name under which work times are learned
+    std::size_t bodyBytes = 0;
+};
+
+struct Choice
+{
+    const Target *target = nullptr; // null: none may be used now
+    Duration finish;                // expected, from now
+    int ownInFlight = 0;
+    int othersInFlight = 0;
+    bool isWarm = false;
+    std::string ruledOut; // counts of the targets ruled out, by reason
+};
+
+struct PoolHooks
+{
+    // How many requests the other VMs have at a target, as far as they told.
+    std::function<int(std::uint32_t target, Instant now)> othersInFlight;
+    // This VM's place among those that may send to a cold target, from 0; the others
+    // agree on it without a message.
+    std::function<std::size_t(std::uint64_t target, Instant now)> rankForColdTarget;
+    std::function<void(core::LogRecord)> log;
+};
+
+class TargetPool
+{
+public:
+    // VMs that may send to one cold target, so that few need to keep to its bound.
+    static constexpr std::size_t coldSendersMost = 3;
+    static constexpr double coldBoundUsed = 0.75;  // the rest is for VMs that disagree
+    static constexpr double coldWorkFactor = 2;    // a cold target's work against a warm one's
+    static constexpr double objectsKept = 16;      // that a target is taken to keep warm
+    static constexpr double warmWorkFactor = 0.7;  // of the work, with a warm object
+    static constexpr Duration firstWork = Duration::millis(300); // before any was measured
+    static constexpr Duration failureHalfLife = Duration::seconds(3);
+    static constexpr Duration failureCost = Duration::millis(900); // of a request sent in vain
+    static constexpr Duration unreachablePause = Duration::millis(500);
+    static constexpr Duration unreachablePauseMost = Duration::seconds(4);
+    static constexpr Duration loadReportUse = Duration::millis(600);
+    static constexpr Duration wayInRegion = Duration::millis(8);      // there and back
+    static constexpr Duration wayBetweenRegions = Duration::millis(90);
+    static constexpr double crossDomainMillisPerKilobyte = 2; // weight of traffic that costs
+
+    TargetPool(const GatewayOptions &options, PoolHooks hooks);
+
+    // The registry named a target. One with a newer start replaces what was known.
+    void put(const Target &target, Instant now);
+    void remove(const TargetId &target, const char *reason, Instant now);
+    // Nothing more is sent to the targets of these failure domains.
+    void setEvacuated(const FailureDomainId &domain, bool isEvacuated, Instant now);
+    // The services' policies may have changed.
+    void setConfig(TrafficConfigPointer config) { config_ = std::move(config); }
+
+    const Target *find(const TargetId &target) const;
+    std::vector<TargetId> ids() const;
+    bool hasTargets(const ServiceId &service) const;
+
+    Choice choose(const Wish &wish, std::uint64_t random, Instant now) const;
+
+    void onSent(const TargetId &target, const Wish &wish, Instant now);
+    // `took` is since it was sent; zero: not to be learned from.
+    void onEnded(const TargetId &target, const Wish &wish, const AttemptEnded &ended,
+                 Duration took, Instant now);
+    void onCancelled(const TargetId &target, Instant now);
+
+    std::vector<TargetUse> uses() const;
+    // Slots of the service that may be used now, and how many this VM uses.
+    int slotsOf(const ServiceId &service, Instant now) const;
+    Duration expectedWork(const std::string &route) const;
+
+private:
+    struct State
+    {
+        Target target;
+        std::uint64_t hash = 0;
+        RegionId region;
+        int inFlight = 0;
+        Instant coldUntil = Instant::never();
+        Instant coldSentAt = Instant::never(); // the last request while it was cold
+        double failure = 0; // part of recent requests that failed, 0 to 1
+        Instant failureAt = Instant::never();
+        int unreachable = 0; // connections that failed one after another
+        Instant avoidedUntil = Instant::never();
+        double slowness = 1; // its work against the route's usual
+        int reportedOthers = 0;
+        Instant reportedAt = Instant::never();
+    };
+
+    enum class RuledOut { No, Draining, Evacuated, Region, Tried, Avoided, Cold, Full };
+
+    RuledOut ruleOut(const State &state, const Wish &wish, Instant now) const;
+    bool isCold(const State &state, Instant now) const { return now < state.coldUntil; }
+    Duration coldSpacing(const State &state) const;
+    double failureOf(const State &state, Instant now) const;
+    int othersAt(const State &state, Instant now) const;
+    bool isWarm(const State &state, const Wish &wish) const;
+    double homeFraction(const ServiceId &service) const;
+    Duration wayTo(const State &state) const;
+    Duration finishAt(const State &state, const Wish &wish, int others, bool isWarm,
+                      Instant now) const;
+    void noteFailure(State &state, bool isFailed, Instant now);
+    void learnWork(State &state, const Wish &wish, Duration took, Instant now);
+    State *findState(const TargetId &target);
+
+    const GatewayOptions &options_;
+    const PoolHooks hooks_;
+    TrafficConfigPointer config_;
+    std::unordered_map<TargetId, State> states_;
+    std::unordered_map<ServiceId, std::vector<State *>> byService_; // into states_
+    std::unordered_set<FailureDomainId> evacuated_;
+    std::unordered_map<std::string, double> work_; // milliseconds of a cold object, by route
+    std::unordered_map<ServiceId, std::unordered_set<std::uint64_t>> objects_; // seen
+};
+
+} // namespace bluebellshift::gateway
--- /dev/null
+++ b/bluebellshift/gateway/teamquotas.h
@@ -0,0 +1,63 @@
+// Holds each team to its rate and burst over all VMs together.
+//
+//   TeamQuotas quotas(bounds);
+//   quotas.setConfig(*config, now);
+//   quotas.setShare(team, 0.25, now);   // this VM's part of the team's limit
+//   if (!quotas.take(team, now))
+//       ... // over the limit; quotas.untilNext(team, now) says when to come back
+//
+// Each VM runs a token bucket with its share of the rate and the burst. While the
+// shares add up to one, all VMs together admit at most burst + rate x time in any
+// window; the bounds leave room beyond that for shares that are being moved.
+#pragma once
+
+#include <unordered_map>
+
+#include "bluebellshift/gateway/options.h"
+#include "bluebellshift/gateway/trafficconfig.h"
+
+namespace bluebellshift::gateway {
+
+class TeamQuotas
+{
+public:
+    // Part of the bounds' slack that the buckets use; the rest is for shares on the move.
+    static constexpr double slackUsed = 0.4;
+
+    explicit TeamQuotas(const FleetBounds &bounds)
+        : bounds_(bounds)
+    {
+    }
+
+    // Limits of teams that stay are changed at once; a bucket keeps what it holds, up
+    // to its new size. The bucket of a team that is new starts empty.
+    void setConfig(const TrafficConfig &config, Instant now);
+    void setShare(const TeamId &team, double share, Instant now);
+    double shareOf(const TeamId &team) const;
+
+    // Takes one request's token. True for a team without a limit.
+    bool take(const TeamId &team, Instant now);
+    // Gives a token back for a request that certainly was not run.
+    void giveBack(const TeamId &team);
+    // When take() may succeed again; zero: now.
+    Duration untilNext(const TeamId &team, Instant now);
+
+private:
+    struct Bucket
+    {
+        double rate = 0;  // of the whole fleet, tokens a second; 0: no limit
+        double burst = 0; // likewise, tokens
+        double share = 0; // this VM's part, 0 to 1
+        double tokens = 0;
+        Instant filledAt;
+    };
+
+    double sizeOf(const Bucket &bucket) const;
+    void fill(Bucket &bucket, Instant now) const;
+    Bucket *limited(const TeamId &team);
+
+    const FleetBounds &bounds_;
+    std::unordered_map<TeamId, Bucket> buckets_;
+};
+
+} // namespace bluebellshift::gateway
--- /dev/null
+++ b/bluebellshift/gateway/trafficconfig.h
@@ -0,0 +1,115 @@
+// What the operator wants of the gateway: which requests go to which service, for
+// whom, and within which limits.
+//
+//   TrafficConfigPointer config = ...;
+//   const RouteRule *route = config->findRoute("tickets.example", "/hold/2");
+//   const Team *team = config->findTeam(key);
+//
+// A configuration is immutable once it is built; a newer one replaces it whole.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "bluebellshift/core/ids.h"
+#include "bluebellshift/core/units.h"
+
+namespace bluebellshift::gateway {
+
+using ConfigVersion = core::NumberId<struct ConfigVersionTag>; // only grows
+using core::Duration;
+using core::FailureDomainId;
+using core::Instant;
+using core::RegionId;
+using core::ServiceId;
+using core::TargetId;
+using core::TeamId;
+using core::VmId;
+
+// What a caller may send, and how long it may take or stay idle.
+struct CallerLimits
+{
+    std::uint32_t headerBytesMost = 16 * 1024;
+    std::uint64_t bodyBytesMost = 64 * 1024 * 1024;
+    Duration headerTimeout = Duration::seconds(3);
+    Duration idleTimeout = Duration::seconds(15);
+};
+
+struct WeightedService
+{
+    ServiceId service;
+    double weight = 1; // relative to the route's other services
+};
+
+struct RouteRule
+{
+    std::string name;
+    std::string pathPrefix;    // begins and ends with '/'
+    bool isRepeatable = false; // idempotent: may run more than once
+    bool isOpen = false;       // needs no key
+    bool isSticky = false;     // targets are faster with an object they know
+    int priority = 0;          // 0: the most urgent
+    Duration latencyObjective = Duration::seconds(1);
+    Duration timeout = Duration::seconds(10); // the longest that a caller is kept waiting
+    int attemptsMost = 1;                     // targets to which one request may be sent
+    std::vector<WeightedService> services;    // not empty
+    std::vector<RegionId> allowedRegions;     // empty: all
+};
+
+struct HostRoutes
+{
+    std::string host;
+    std::vector<RouteRule> rules; // the longest prefix first
+};
+
+struct ServicePolicy
+{
+    ServiceId id;
+    std::string healthPath;
+    int connectionsMost = 0;                // of one target, from all VMs together
+    Duration warmup;                        // how long a target stays cold
+    double coldRequestsPerSecond = 0;       // that a cold target bears; 0: any
+};
+
+struct Team
+{
+    TeamId id;
+    std::vector<std::string> keys;
+    std::optional<int> priority; // goes before the route's
+    double ratePerSecond = 0;    // over all VMs together; 0: no limit
+    double burst = 0;            // requests
+    std::vector<RegionId> allowedRegions; // empty: all
+};
+
+struct TrafficConfig
+{
+    ConfigVersion version;
+    CallerLimits limits;
+    std::vector<HostRoutes> hosts;
+    std::vector<ServicePolicy> services;
+    std::vector<Team> teams;
+
+    // Builds the tables that the look-ups below need; call once all is filled in.
+    void index();
+
+    // The rule with the longest prefix of `path` at `host`, whose port and letter case
+    // don't count; null if there is none.
+    const RouteRule *findRoute(const std::string &host, const std::string &path) const;
+    const Team *findTeamByKey(const std::string &key) const;
+    const ServicePolicy *findService(const ServiceId &service) const;
+    const Team *findTeam(const TeamId &team) const;
+
+private:
+    std::unordered_map<std::string, std::size_t> hostIndex_;
+    std::unordered_map<std::string, std::size_t> keyIndex_;
+    std::unordered_map<ServiceId, std::size_t> serviceIndex_;
+    std::unordered_map<TeamId, std::size_t> teamIndex_;
+};
+
+using TrafficConfigPointer = std::shared_ptr<const TrafficConfig>;
+
+} // namespace bluebellshift::gateway
--- /dev/null
+++ b/bluebellshift/gatewayd/logwriter.h
@@ -0,0 +1,44 @@
+// Writes log lines to standard output without ever waiting for its reader.
+//
+//   LogWriter writer(loop, STDOUT_FILENO);
+//   writer.append(line);          // leaves within flushInterval
+//   writer.flush();               // at the process's end
+//
+// Lines gather in memory and leave together, which costs one system call instead of
+// one each. A reader that stops reading costs lines, which are counted, not service.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace bluebellshift::gatewayd {
+
+class LogWriter
+{
+public:
+    static constexpr std::size_t bufferBytesMost = 1024 * 1024; // lines beyond are dropped
+    static constexpr std::size_t flushBytes = 32 * 1024;
+    static constexpr int flushMillis = 100;
+
+    LogWriter(boost::asio::io_context &loop, int descriptor);
+    LogWriter(const LogWriter &) = delete;
+    LogWriter &operator=(const LogWriter &) = delete;
+
+    void append(const std::string &line);
+    void flush();
+    std::uint64_t linesDropped() const { return linesDropped_; }
+
+private:
+    void scheduleFlush();
+
+    const int descriptor_;
+    boost::asio::steady_timer timer_;
+    std::string buffer_;
+    bool isScheduled_ = false;
+    std::uint64_t linesDropped_ = 0;
+};
+
+} // namespace bluebellshift::gatewayd
--- /dev/null
+++ b/bluebellshift/gatewayd/metrics.cpp
@@ -0,0 +1,140 @@
+#include "bluebellshift/gatewayd/metrics.h"
+
+#include <unordered_map>
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace bluebellshift::gatewayd {
+namespace {
+
+// Seconds: around the users' objectives of 0.3 to 1.2 s.
+const prometheus::Histogram::BucketBoundaries latencyBuckets = { 0.005, 0.02, 0.05, 0.1, 0.2, 0.3,
+                                                                 0.4,   0.6,  0.8,  1.2, 2,   4 };
+
+std::string fieldOf(const core::LogRecord &record, const std::string &name)
+{
+    for (const core::LogField &field : record.fields) {
+        if (field.name == name)
+            return field.value;
+    }
+    return {};
+}
+
+} // namespace
+
+class Metrics::Families
+{
+public:
+    Families()
+        : events(prometheus::BuildCounter()
+                     .Name("bluebellshift_events_total")
+                     .Help("Logged events, written or not.")
+                     .Register(registry))
+        , refusals(prometheus::BuildCounter()
+                       .Name("bluebellshift_refusals_total")
+                       .Help("Requests refused, by status and reason.")
+                       .Register(registry))
+        , attempts(prometheus::BuildCounter()
+                       .Name("bluebellshift_failed_attempts_total")
+                       .Help("Attempts at targets without success, by outcome.")
+                       .Register(registry))
+        , storeCalls(prometheus::BuildGauge()
+                         .Name("bluebellshift_store_calls")
+                         .Help("Calls to the platform's store since the start, by outcome.")
+                         .Register(registry))
+        , gauges(prometheus::BuildGauge()
+                     .Name("bluebellshift_state")
+                     .Help("What the VM holds and believes, by name.")
+                     .Register(registry))
+        , latencies(prometheus::BuildHistogram()
+                        .Name("bluebellshift_request_seconds")
+                        .Help("Times of requests, by part.")
+                        .Register(registry))
+        , total(latencies.Add({ { "part", "total" } }, latencyBuckets))
+        , queue(latencies.Add({ { "part", "queue" } }, latencyBuckets))
+        , target(latencies.Add({ { "part", "target" } }, latencyBuckets))
+    {
+    }
+
+    void setGauge(const char *name, double value)
+    {
+        gauges.Add({ { "name", name } }).Set(value);
+    }
+
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Counter> &events;
+    prometheus::Family<prometheus::Counter> &refusals;
+    prometheus::Family<prometheus::Counter> &attempts;
+    prometheus::Family<prometheus::Gauge> &storeCalls;
+    prometheus::Family<prometheus::Gauge> &gauges;
+    prometheus::Family<prometheus::Histogram> &latencies;
+    prometheus::Histogram &total;
+    prometheus::Histogram &queue;
+    prometheus::Histogram &target;
+    // Looking a counter up by its labels takes longer than counting.
+    std::unordered_map<int, prometheus::Counter *> eventCounters;
+};
+
+Metrics::Metrics()
+    : families_(std::make_unique<Families>())
+{
+}
+
+Metrics::~Metrics() = default;
+
+void Metrics::countLog(const core::LogRecord &record)
+{
+    prometheus::Counter *&counter = families_->eventCounters[record.event.number];
+    if (counter == nullptr)
+        counter = &families_->events.Add({ { "event", record.event.name } });
+    counter->Increment();
+    if (record.event.number == core::log::requestRefused.number)
+        families_->refusals
+            .Add({ { "status", fieldOf(record, "status") }, { "reason", fieldOf(record, "code") } })
+            .Increment();
+    else if (record.event.number == core::log::attemptFailed.number)
+        families_->attempts.Add({ { "outcome", fieldOf(record, "outcome") } }).Increment();
+}
+
+void Metrics::observeRequest(core::Duration total)
+{
+    families_->total.Observe(total.toSeconds());
+}
+
+void Metrics::observeQueue(core::Duration waited)
+{
+    families_->queue.Observe(waited.toSeconds());
+}
+
+void Metrics::observeTarget(core::Duration atTarget)
+{
+    families_->target.Observe(atTarget.toSeconds());
+}
+
+std::string Metrics::text(const MetricsReadings &readings)
+{
+    Families &f = *families_;
+    f.storeCalls.Add({ { "outcome", "done" } }).Set(static_cast<double>(readings.storeCallsDone));
+    f.storeCalls.Add({ { "outcome", "refused" } })
+        .Set(static_cast<double>(readings.storeCallsRefused));
+    f.storeCalls.Add({ { "outcome", "unanswered" } })
+        .Set(static_cast<double>(readings.storeCallsUnanswered));
+    f.setGauge("ready", readings.isReady ? 1 : 0);
+    f.setGauge("requests_pending", static_cast<double>(readings.gateway.pending));
+    f.setGauge("vms_known", static_cast<double>(readings.gateway.vms));
+    f.setGauge("vms_heard", static_cast<double>(readings.gateway.vmsHeard));
+    f.setGauge("targets_known", static_cast<double>(readings.gateway.targets));
+    f.setGauge("config_version", static_cast<double>(readings.gateway.configVersion));
+    f.setGauge("store_age_seconds", readings.gateway.storeAge.toSeconds());
+    f.setGauge("store_lost", readings.gateway.isStoreLost ? 1 : 0);
+    f.setGauge("target_connections_made", static_cast<double>(readings.targetConnectionsMade));
+    f.setGauge("caller_connections", static_cast<double>(readings.callerConnections));
+    f.setGauge("log_lines_dropped", static_cast<double>(readings.logLinesDropped));
+    return prometheus::TextSerializer().Serialize(f.registry.Collect());
+}
+
+} // namespace bluebellshift::gatewayd
--- /dev/null
+++ b/bluebellshift/gatewayd/metrics.h
@@ -0,0 +1,53 @@
+// What one gateway counts, in Prometheus' text format. docs/operators/metrics.md lists
+// it.
+//
+//   Metrics metrics;
+//   metrics.countLog(record);              // each decision, as it is logged
+//   std::string text = metrics.text(readings);
+//
+// Most counters follow the log's events, so that the two can't disagree.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "bluebellshift/core/logevent.h"
+#include "bluebellshift/core/units.h"
+#include "bluebellshift/gateway/reducer.h"
+
+namespace bluebellshift::gatewayd {
+
+// What other parts count themselves, read at each scrape.
+struct MetricsReadings
+{
+    gateway::Reducer::Readings gateway;
+    bool isReady = false;
+    std::uint64_t storeCallsDone = 0;
+    std::uint64_t storeCallsRefused = 0;
+    std::uint64_t storeCallsUnanswered = 0;
+    std::uint64_t targetConnectionsMade = 0;
+    std::uint64_t callerConnections = 0;
+    std::uint64_t logLinesDropped = 0;
+};
+
+class Metrics
+{
+public:
+    Metrics();
+    ~Metrics();
+    Metrics(const Metrics &) = delete;
+    Metrics &operator=(const Metrics &) = delete;
+
+    void countLog(const core::LogRecord &record);
+    void observeRequest(core::Duration total);
+    void observeQueue(core::Duration waited);
+    void observeTarget(core::Duration atTarget);
+    std::string text(const MetricsReadings &readings);
+
+private:
+    class Families;
+    std::unique_ptr<Families> families_;
+};
+
+} // namespace bluebellshift::gatewayd
--- /dev/null
+++ b/bluebellshift/gatewayd/settings.cpp
@@ -0,0 +1,122 @@
+#include "bluebellshift/gatewayd/settings.h"
+
+#include <cstdlib>
+
+namespace bluebellshift::gatewayd {
+namespace {
+
+using core::Duration;
+
+constexpr Duration durationMost = Duration::seconds(3600);
+constexpr double numberMost = 1e9;
+constexpr std::int64_t logLinesMost = 100'000;
+
+// Descriptors that are not for callers' connections: listeners, the store, targets,
+// peers and files.
+constexpr std::int64_t descriptorsKept = 1200;
+constexpr std::int64_t connectionsLeast = 200;
+
+core::Endpoint endpoint(shell::TomlTable &table, const char *key)
+{
+    const std::string text = table.text(key);
+    const auto colon = text.rfind(':');
+    const int port = colon == std::string::npos ? 0 : std::atoi(text.c_str() + colon + 1);
+    if (text.empty())
+        return {}; // reported already
+    if (colon == 0 || port < 1 || port > 65535) {
+        table.fault(key, table.describe(key) + " is not ADDRESS:PORT");
+        return {};
+    }
+    return { text.substr(0, colon), static_cast<std::uint16_t>(port) };
+}
+
+Duration seconds(shell::TomlTable &table, const char *key, Duration fallback)
+{
+    const double value =
+        table.number(key, 0, durationMost.toSeconds(), fallback.toSeconds());
+    return Duration::micros(static_cast<std::int64_t>(value * 1e6));
+}
+
+void readVm(shell::TomlTable table, gateway::VmEntry *vm)
+{
+    vm->id = core::VmId(table.text("id"));
+    vm->region = core::RegionId(table.text("region"));
+    vm->failureDomain = core::FailureDomainId(table.text("failure_domain"));
+}
+
+void readListen(shell::TomlTable table, GatewaySettings *settings)
+{
+    settings->gateway.vm.callers = endpoint(table, "callers");
+    settings->gateway.vm.peers = endpoint(table, "peers");
+    settings->ready = endpoint(table, "ready");
+    settings->lookups = endpoint(table, "lookups");
+    settings->metrics = endpoint(table, "metrics");
+}
+
+void readBounds(shell::TomlTable table, gateway::FleetBounds *bounds)
+{
+    bounds->repeatRatio = table.number("repeat_ratio", 0, 1, bounds->repeatRatio);
+    bounds->repeatWindow = seconds(table, "repeat_window_seconds", bounds->repeatWindow);
+    bounds->repeatSlack = table.number("repeat_slack", 0, numberMost, bounds->repeatSlack);
+    bounds->quotaWindow = seconds(table, "quota_window_seconds", bounds->quotaWindow);
+    bounds->quotaOverage = table.number("quota_overage", 0, numberMost, bounds->quotaOverage);
+    bounds->quotaSlack = table.number("quota_slack", 0, numberMost, bounds->quotaSlack);
+    bounds->coldOverage = table.number("cold_overage", 0, numberMost, bounds->coldOverage);
+    bounds->coldSlack = table.number("cold_slack", 0, numberMost, bounds->coldSlack);
+    bounds->lookupTtlMost = seconds(table, "lookup_ttl_most_seconds", bounds->lookupTtlMost);
+}
+
+} // namespace
+
+absl::StatusOr<GatewaySettings> parseGatewaySettings(const std::string &file,
+                                                     const std::string &text,
+                                                     std::vector<shell::SettingsFault> *faults)
+{
+    std::vector<shell::SettingsFault> found;
+    GatewaySettings settings;
+    shell::TomlDocument document(file, text, &found);
+    if (document.isParsed()) {
+        shell::TomlTable root = document.root();
+        readVm(root.table("vm"), &settings.gateway.vm);
+        readListen(root.table("listen"), &settings);
+        shell::TomlTable platform = root.table("platform");
+        settings.store = endpoint(platform, "store");
+        for (shell::TomlTable &domain : root.tables("failure_domain")) {
+            const core::FailureDomainId id(domain.text("name"));
+            settings.gateway.regionOf[id] = core::RegionId(domain.text("region"));
+        }
+        if (root.has("bounds"))
+            readBounds(root.table("bounds"), &settings.gateway.bounds);
+        if (root.has("limits")) {
+            shell::TomlTable limits = root.table("limits");
+            settings.stopGrace = seconds(limits, "stop_grace_seconds", settings.stopGrace);
+            settings.logLinesPerSecond = static_cast<int>(limits.integer(
+                "log_lines_per_second", 1, logLinesMost, settings.logLinesPerSecond));
+            const std::int64_t descriptors =
+                limits.integer("descriptors", descriptorsKept + connectionsLeast, 1 << 24, 4096);
+            settings.connectionsMost = static_cast<std::size_t>(descriptors - descriptorsKept);
+        }
+        const auto &vm = settings.gateway.vm;
+        if (settings.gateway.regionOf.count(vm.failureDomain) == 0)
+            found.push_back({ file, 0,
+                              "vm.failure_domain \"" + vm.failureDomain.text()
+                                  + "\" is not among the failure_domain tables" });
+        root.finish();
+    }
+    if (faults != nullptr)
+        *faults = found;
+    if (!found.empty())
+        return shell::faultsToStatus(found);
+    return settings;
+}
+
+absl::StatusOr<GatewaySettings> loadGatewaySettings(const std::string &path,
+                                                    std::vector<shell::SettingsFault> *faults)
+{
+    std::string text;
+    if (absl::Status status = shell::readTextFile(path, &text); !status.ok())
+        return status;
+    return parseGatewaySettings(path, text, faults);
+}
+
+} // namespace bluebellshift::gatewayd
--- /dev/null
+++ b/bluebellshift/gatewayd/settings.h
@@ -0,0 +1,39 @@
+// The settings of one gateway, from TOML. docs/operators/gateway.md shows every key.
+//
+//   absl::StatusOr<GatewaySettings> settings = loadGatewaySettings("gateway.toml");
+//   if (!settings.ok())
+//       fmt::print(stderr, "{}\n", settings.status().message()); // every fault
+//
+// Reading is strict, as of the daemon's settings (shell/settings.h).
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "bluebellshift/gateway/options.h"
+#include "bluebellshift/shell/tomlreader.h"
+
+namespace bluebellshift::gatewayd {
+
+struct GatewaySettings
+{
+    gateway::GatewayOptions gateway; // incarnation and peerKeyCandidate are left to fill in
+    core::Endpoint ready;            // where the platform asks whether this VM is ready
+    core::Endpoint lookups;          // where callers ask for a VM
+    core::Endpoint metrics;
+    core::Endpoint store;
+    core::Duration stopGrace = core::Duration::seconds(6); // between SIGTERM and SIGKILL
+    int logLinesPerSecond = 4000;
+    std::size_t connectionsMost = 2000; // of callers
+};
+
+absl::StatusOr<GatewaySettings>
+parseGatewaySettings(const std::string &file, const std::string &text,
+                     std::vector<shell::SettingsFault> *faults = nullptr);
+
+// The same from a file; also NotFound or PermissionDenied.
+absl::StatusOr<GatewaySettings>
+loadGatewaySettings(const std::string &path, std::vector<shell::SettingsFault> *faults = nullptr);
+
+} // namespace bluebellshift::gatewayd
--- /dev/null
+++ b/bluebellshift/net/httpclient.cpp
@@ -0,0 +1,498 @@
+// A connection keeps one read outstanding for its whole life. While it is idle, any
+// event of that read ends it: a close, a reset, or bytes that nobody asked for. That
+// is the cheapest way to learn of a target's close before the next request, and the
+// only one that sees a second answer that arrives late.
+//
+// A second answer may also arrive after the next request has left. The id that an
+// answer repeats tells it from the one that is due; the connection is then used for
+// nothing else.
+#include "bluebellshift/net/httpclient.h"
+
+#include <algorithm>
+#include <chrono>
+#include <optional>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include "bluebellshift/net/httpmessage.h"
+
+namespace bluebellshift::net {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using Clock = std::chrono::steady_clock;
+using boost::system::error_code;
+
+constexpr std::size_t readBytes = 4096;              // asked of the socket at a time
+constexpr std::uint32_t headerBytesMost = 64 * 1024; // of an answer
+constexpr std::size_t idleMost = 8;                  // connections of one pool
+constexpr std::chrono::seconds keptMost { 8 };       // idle, if the answer told nothing
+constexpr std::chrono::milliseconds keptMargin { 1000 }; // before the other end's own time-out
+constexpr std::chrono::seconds sweepInterval { 1 };
+constexpr int passedOverMost = 2; // answers to other requests
+
+// A peer that lost power acknowledges nothing: these find it out within about
+// three seconds, also while an answer is awaited.
+constexpr int keepAliveIdleSeconds = 1;
+constexpr int keepAliveIntervalSeconds = 1;
+constexpr int keepAliveProbes = 2;
+constexpr int unacknowledgedMostMillis = 3000;
+
+std::chrono::microseconds toChrono(core::Duration duration)
+{
+    return std::chrono::microseconds(duration.toMicros());
+}
+
+void setOptions(asio::ip::tcp::socket &socket)
+{
+    error_code ignored; // a socket without them still works, only slower to notice a loss
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    const int handle = socket.native_handle();
+    const auto set = [handle](int option, int value) {
+        setsockopt(handle, IPPROTO_TCP, option, &value, sizeof(value));
+    };
+    set(TCP_KEEPIDLE, keepAliveIdleSeconds);
+    set(TCP_KEEPINTVL, keepAliveIntervalSeconds);
+    set(TCP_KEEPCNT, keepAliveProbes);
+    set(TCP_USER_TIMEOUT, unacknowledgedMostMillis);
+}
+
+// The time that `Keep-Alive: timeout=N` states, or nothing.
+std::optional<std::chrono::seconds> statedKeepAlive(const core::Answer &answer)
+{
+    const std::string *value = findHeader(answer.headers, "Keep-Alive");
+    if (value == nullptr)
+        return std::nullopt;
+    const auto at = value->find("timeout=");
+    if (at == std::string::npos)
+        return std::nullopt;
+    return std::chrono::seconds(std::strtol(value->c_str() + at + 8, nullptr, 10));
+}
+
+} // namespace
+
+const char *toText(CallOutcome outcome)
+{
+    switch (outcome) {
+    case CallOutcome::Answered:
+        return "answered";
+    case CallOutcome::ConnectFailed:
+        return "connect-failed";
+    case CallOutcome::Cut:
+        return "cut";
+    case CallOutcome::Malformed:
+        return "malformed";
+    case CallOutcome::TimedOut:
+        return "timed-out";
+    }
+    return "unknown";
+}
+
+class HttpClient::Connection : public std::enable_shared_from_this<HttpClient::Connection>
+{
+public:
+    Connection(HttpClient &client, std::string pool)
+        : client_(client)
+        , pool_(std::move(pool))
+        , socket_(client.loop_)
+        , timer_(client.loop_)
+    {
+        ++client_.openCount_;
+    }
+    ~Connection() { --client_.openCount_; }
+
+    const std::string &pool() const { return pool_; }
+    Clock::time_point idleSince() const { return idleSince_; }
+    bool isExpired(Clock::time_point now) const { return now - idleSince_ >= keptFor_; }
+
+    void begin(CallId call, const core::Endpoint &endpoint, std::string bytes,
+               const CallOptions &options, Callback callback)
+    {
+        call_ = call;
+        options_ = options;
+        callback_ = std::move(callback);
+        outgoing_ = std::move(bytes);
+        isWritten_ = false;
+        answer_.reset();
+        result_ = CallResult();
+        result_.isReused = isConnected_;
+        passedOver_ = 0;
+        beginParser();
+        deadline_ = Clock::now() + toChrono(options.timeout);
+        if (isConnected_) {
+            setTimer(deadline_, CallOutcome::TimedOut);
+            write();
+            return;
+        }
+        connect(endpoint);
+    }
+
+    // Ends the connection without a word to the caller.
+    void close()
+    {
+        callback_ = nullptr;
+        call_ = 0;
+        isClosed_ = true;
+        error_code ignored; // the socket is given up either way
+        timer_.cancel(ignored);
+        socket_.close(ignored);
+    }
+
+private:
+    using Parser = http::response_parser<http::string_body>;
+
+    void connect(const core::Endpoint &endpoint)
+    {
+        error_code error;
+        const auto address = asio::ip::make_address(endpoint.address, error);
+        if (error) {
+            asio::post(client_.loop_, [self = shared_from_this()] {
+                self->end(CallOutcome::ConnectFailed);
+            });
+            return;
+        }
+        ++client_.connectionsMade_;
+        setTimer(std::min(deadline_, Clock::now() + toChrono(options_.connectTimeout)),
+                 CallOutcome::ConnectFailed);
+        socket_.async_connect({ address, endpoint.port },
+                              [self = shared_from_this()](error_code failed) {
+                                  self->onConnected(failed);
+                              });
+    }
+
+    void onConnected(error_code error)
+    {
+        if (isClosed_)
+            return;
+        if (error) {
+            end(CallOutcome::ConnectFailed);
+            return;
+        }
+        isConnected_ = true;
+        setOptions(socket_);
+        setTimer(deadline_, CallOutcome::TimedOut);
+        read();
+        write();
+    }
+
+    void setTimer(Clock::time_point at, CallOutcome outcome)
+    {
+        timer_.expires_at(at);
+        timer_.async_wait([self = shared_from_this(), outcome, call = call_](error_code error) {
+            if (!error && self->call_ == call && !self->isClosed_)
+                self->end(outcome);
+        });
+    }
+
+    void write()
+    {
+        asio::async_write(socket_, asio::buffer(outgoing_),
+                          [self = shared_from_this(), call = call_](error_code error, std::size_t) {
+                              if (self->isClosed_ || self->call_ != call)
+                                  return;
+                              // An error shows in the read as well, behind an answer that
+                              // may have come before it.
+                              self->isWritten_ = !error;
+                          });
+    }
+
+    void read()
+    {
+        socket_.async_read_some(buffer_.prepare(readBytes),
+                                [self = shared_from_this()](error_code error, std::size_t size) {
+                                    self->onRead(error, size);
+                                });
+    }
+
+    void onRead(error_code error, std::size_t size)
+    {
+        if (isClosed_)
+            return;
+        if (call_ == 0) { // idle
+            client_.removeIdle(this);
+            close();
+            return;
+        }
+        if (error) {
+            onReadFailed(error);
+            return;
+        }
+        result_.isAnswerBegun = true;
+        buffer_.commit(size);
+        parse();
+        if (!isClosed_)
+            read();
+    }
+
+    void onReadFailed(error_code error)
+    {
+        error_code parsed;
+        if (error == asio::error::eof && parser_->got_some()) {
+            parser_->put_eof(parsed);
+            if (!parsed && parser_->is_done()) {
+                keepsOpen_ = false;
+                takeAnswer();
+                return;
+            }
+        }
+        end(CallOutcome::Cut);
+    }
+
+    void beginParser()
+    {
+        parser_.emplace();
+        parser_->eager(true);
+        parser_->header_limit(headerBytesMost);
+        parser_->body_limit(answerBytesMost);
+        parser_->skip(options_.isHead);
+    }
+
+    void parse()
+    {
+        while (call_ != 0 && !isClosed_ && buffer_.size() > 0) {
+            error_code error;
+            const std::size_t used = parser_->put(buffer_.data(), error);
+            buffer_.consume(used);
+            if (error && error != http::error::need_more) {
+                end(CallOutcome::Malformed);
+                return;
+            }
+            if (parser_->is_done()) {
+                takeAnswer();
+                continue;
+            }
+            if (error == http::error::need_more || used == 0)
+                break;
+        }
+        if (buffer_.size() == 0)
+            buffer_.shrink_to_fit();
+    }
+
+    // Takes the parsed answer if it is the one that is due.
+    void takeAnswer()
+    {
+        const bool keepsAlive = parser_->keep_alive();
+        auto message = parser_->release();
+        auto answer = std::make_shared<core::Answer>();
+        answer->status = message.result_int();
+        for (const auto &field : message)
+            answer->headers.push_back(
+                { std::string(field.name_string()), std::string(field.value()) });
+        answer->body = std::move(message.body());
+        if (answer->status < 200) { // an interim answer
+            beginParser();
+            return;
+        }
+        if (!belongs(*answer)) {
+            keepsOpen_ = false;
+            if (++passedOver_ > passedOverMost) {
+                end(CallOutcome::Malformed);
+                return;
+            }
+            beginParser();
+            return;
+        }
+        keepsOpen_ = keepsOpen_ && keepsAlive && buffer_.size() == 0;
+        keptFor_ = keptMost;
+        if (const auto stated = statedKeepAlive(*answer))
+            keptFor_ = std::min<Clock::duration>(keptMost, *stated - keptMargin);
+        answer_ = std::move(answer);
+        // An answer may come before the request has been written; the rest of the
+        // request is then never sent, as its connection is closed.
+        end(CallOutcome::Answered);
+    }
+
+    // Whether it is the answer to this call. One that names no request belongs to it
+    // only if it says that nothing was run.
+    bool belongs(const core::Answer &answer) const
+    {
+        if (options_.requestId.empty())
+            return true;
+        const std::string *id = findHeader(answer.headers, options_.idHeader);
+        if (id != nullptr)
+            return *id == options_.requestId;
+        return answer.status >= 400;
+    }
+
+    void end(CallOutcome outcome)
+    {
+        const CallId call = call_;
+        Callback callback = std::move(callback_);
+        callback_ = nullptr;
+        call_ = 0;
+        result_.outcome = outcome;
+        result_.answer = outcome == CallOutcome::Answered ? answer_ : nullptr;
+        CallResult result = std::move(result_);
+        const auto self = shared_from_this();
+        client_.calls_.erase(call);
+        error_code ignored; // the wait that it cancels checks the call's number
+        timer_.cancel(ignored);
+        if (outcome == CallOutcome::Answered && keepsOpen_ && isWritten_
+            && keptFor_ > Clock::duration::zero()) {
+            std::string().swap(outgoing_);
+            answer_.reset();
+            idleSince_ = Clock::now();
+            client_.putIdle(self);
+        } else {
+            close();
+        }
+        if (callback)
+            callback(std::move(result));
+    }
+
+    HttpClient &client_;
+    const std::string pool_;
+    asio::ip::tcp::socket socket_;
+    asio::steady_timer timer_;
+    boost::beast::flat_buffer buffer_;
+    std::optional<Parser> parser_;
+    CallId call_ = 0; // 0: idle
+    CallOptions options_;
+    Callback callback_;
+    CallResult result_;
+    std::string outgoing_;
+    core::AnswerPointer answer_;
+    Clock::time_point deadline_;
+    Clock::time_point idleSince_;
+    Clock::duration keptFor_ = keptMost;
+    int passedOver_ = 0;
+    bool isConnected_ = false;
+    bool isWritten_ = false;
+    bool isClosed_ = false;
+    bool keepsOpen_ = true;
+};
+
+HttpClient::HttpClient(asio::io_context &loop)
+    : loop_(loop)
+    , sweepTimer_(loop)
+{
+}
+
+HttpClient::~HttpClient()
+{
+    for (const auto &[call, connection] : std::exchange(calls_, {}))
+        connection->close();
+    for (const auto &[pool, connections] : std::exchange(idle_, {})) {
+        for (const ConnectionPointer &connection : connections)
+            connection->close();
+    }
+}
+
+CallId HttpClient::start(const core::Endpoint &endpoint, const std::string &pool, std::string bytes,
+                         const CallOptions &options, Callback callback)
+{
+    const CallId call = ++lastCall_;
+    ConnectionPointer connection = takeIdle(pool, options.reuseIdleMost);
+    if (!connection)
+        connection = std::make_shared<Connection>(*this, pool);
+    calls_[call] = connection;
+    connection->begin(call, endpoint, std::move(bytes), options, std::move(callback));
+    return call;
+}
+
+void HttpClient::cancel(CallId call)
+{
+    const auto found = calls_.find(call);
+    if (found == calls_.end())
+        return;
+    const ConnectionPointer connection = found->second;
+    calls_.erase(found);
+    connection->close();
+}
+
+void HttpClient::closeIdle(const std::string &pool)
+{
+    const auto found = idle_.find(pool);
+    if (found == idle_.end())
+        return;
+    const auto connections = std::move(found->second);
+    idle_.erase(found);
+    for (const ConnectionPointer &connection : connections)
+        connection->close();
+}
+
+std::size_t HttpClient::idleCount() const
+{
+    std::size_t count = 0;
+    for (const auto &[pool, connections] : idle_)
+        count += connections.size();
+    return count;
+}
+
+HttpClient::ConnectionPointer HttpClient::takeIdle(const std::string &pool,
+                                                   core::Duration mostIdle)
+{
+    const auto found = idle_.find(pool);
+    if (found == idle_.end() || mostIdle <= core::Duration())
+        return nullptr;
+    const auto now = Clock::now();
+    const ConnectionPointer newest = found->second.back();
+    if (newest->isExpired(now) || now - newest->idleSince() > toChrono(mostIdle))
+        return nullptr;
+    removeIdle(newest.get());
+    return newest;
+}
+
+void HttpClient::putIdle(const ConnectionPointer &connection)
+{
+    std::vector<ConnectionPointer> &pool = idle_[connection->pool()];
+    pool.push_back(connection);
+    if (pool.size() > idleMost) {
+        const ConnectionPointer oldest = pool.front();
+        pool.erase(pool.begin());
+        oldest->close();
+    }
+    if (!isSweeping_) {
+        isSweeping_ = true;
+        sweep();
+    }
+}
+
+void HttpClient::removeIdle(Connection *connection)
+{
+    const auto found = idle_.find(connection->pool());
+    if (found == idle_.end())
+        return;
+    auto &pool = found->second;
+    pool.erase(std::remove_if(pool.begin(), pool.end(),
+                              [&](const auto &held) { return held.get() == connection; }),
+               pool.end());
+    if (pool.empty())
+        idle_.erase(found);
+}
+
+// Closes what has been idle for too long; runs while anything is idle.
+void HttpClient::sweep()
+{
+    sweepTimer_.expires_after(sweepInterval);
+    sweepTimer_.async_wait([this](error_code error) {
+        if (error)
+            return;
+        const auto now = Clock::now();
+        std::vector<ConnectionPointer> expired;
+        for (const auto &[pool, connections] : idle_) {
+            for (const ConnectionPointer &connection : connections) {
+                if (connection->isExpired(now))
+                    expired.push_back(connection);
+            }
+        }
+        for (const ConnectionPointer &connection : expired) {
+            removeIdle(connection.get());
+            connection->close();
+        }
+        if (idle_.empty())
+            isSweeping_ = false;
+        else
+            sweep();
+    });
+}
+
+} // namespace bluebellshift::net
--- /dev/null
+++ b/bluebellshift/net/httpserver.cpp
@@ -0,0 +1,469 @@
+// Each connection keeps one read outstanding for as long as it lives, so that a
+// caller's close is seen while its requests wait. Parsed requests stand in a
+// queue; what precedes the first unanswered one has been written. Reading stops
+// while more than pipelinedMost requests are unanswered, which bounds memory to
+// that many bodies for each connection.
+//
+// One timer for all connections looks for those that are late or idle: a timer of
+// its own for each would cost a wake-up a request.
+#include "bluebellshift/net/httpserver.h"
+
+#include <deque>
+#include <optional>
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+namespace bluebellshift::net {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using Clock = std::chrono::steady_clock;
+using boost::system::error_code;
+
+constexpr std::size_t readBytes = 4096;                     // asked of the socket at a time
+constexpr std::size_t pipelinedMost = 32;                   // unanswered, on one connection
+constexpr std::chrono::milliseconds sweepInterval { 250 };  // precision of the time-outs
+constexpr std::chrono::milliseconds lingerTime { 1000 };    // for a caller to read a last answer
+constexpr std::chrono::seconds bodyStallMost { 10 };        // between two pieces of a body
+constexpr int listenBacklog = 1024;
+
+std::chrono::microseconds toChrono(core::Duration duration)
+{
+    return std::chrono::microseconds(duration.toMicros());
+}
+
+// Whether a request of this method may be handed over behind an unanswered one.
+bool isIdempotentMethod(const std::string &method)
+{
+    return method == "GET" || method == "HEAD" || method == "OPTIONS" || method == "TRACE";
+}
+
+int statusOf(const error_code &error)
+{
+    if (error == http::error::header_limit)
+        return 431;
+    if (error == http::error::body_limit)
+        return 413;
+    return 400;
+}
+
+} // namespace
+
+class HttpServer::Connection : public std::enable_shared_from_this<HttpServer::Connection>
+{
+public:
+    Connection(HttpServer &server, asio::ip::tcp::socket socket)
+        : server_(server)
+        , socket_(std::move(socket))
+        , activeAt_(Clock::now())
+    {
+        error_code ignored; // a connection that is gone already fails at its first read
+        socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    }
+
+    void start() { read(); }
+
+    void answer(ExchangeId id, const core::Answer &answer, bool closes)
+    {
+        for (Exchange &exchange : exchanges_) {
+            if (exchange.id != id)
+                continue;
+            exchange.closes = closes || !exchange.keepsConnection || server_.isDraining_;
+            exchange.bytes = serializeAnswer(answer, exchange.closes, exchange.isHead);
+            break;
+        }
+        flush();
+    }
+
+    // Closes the connection if it is late or idle.
+    void check(Clock::time_point now, const ServerLimits &limits)
+    {
+        if (isLingering_) {
+            if (now - activeAt_ > lingerTime)
+                close();
+            return;
+        }
+        if (parser_ && hasRequestBegun()) {
+            if (!parser_->is_header_done() && now - requestBegunAt_ > toChrono(limits.headerTimeout))
+                refuse(408);
+            else if (parser_->is_header_done() && now - readAt_ > bodyStallMost)
+                refuse(408);
+            return;
+        }
+        const bool isIdle = exchanges_.empty() && !isWriting_;
+        if (isIdle && (server_.isDraining_ || now - activeAt_ > toChrono(limits.idleTimeout)))
+            close();
+    }
+
+    void close()
+    {
+        if (isClosed_)
+            return;
+        isClosed_ = true;
+        error_code ignored; // the socket is given up either way
+        socket_.close(ignored);
+        for (const Exchange &exchange : exchanges_) {
+            if (server_.exchanges_.erase(exchange.id) > 0 && exchange.isHandedOver
+                && server_.hooks_.onGone)
+                server_.hooks_.onGone(exchange.id);
+        }
+        exchanges_.clear();
+        server_.connections_.erase(shared_from_this());
+    }
+
+private:
+    struct Exchange
+    {
+        ExchangeId id = 0;
+        bool isHead = false;
+        bool keepsConnection = true;
+        bool isHandedOver = false;
+        bool closes = false;
+        std::optional<Request> request; // until it is handed over
+        std::optional<std::string> bytes; // of the answer
+    };
+    using Parser = http::request_parser<http::string_body>;
+
+    bool hasRequestBegun() const { return buffer_.size() > 0 || parser_->is_header_done(); }
+
+    void read()
+    {
+        if (isClosed_ || isReading_ || exchanges_.size() > pipelinedMost)
+            return;
+        isReading_ = true;
+        socket_.async_read_some(buffer_.prepare(readBytes),
+                                [self = shared_from_this()](error_code error, std::size_t size) {
+                                    self->onRead(error, size);
+                                });
+    }
+
+    void onRead(error_code error, std::size_t size)
+    {
+        isReading_ = false;
+        if (isClosed_)
+            return;
+        if (error) {
+            close();
+            return;
+        }
+        readAt_ = Clock::now();
+        if (isRefusing_ || isClosing_) {
+            read(); // and forget: the caller's rest is read so that our close is no reset
+            return;
+        }
+        buffer_.commit(size);
+        parse();
+        if (!isClosed_)
+            read();
+    }
+
+    void parse()
+    {
+        while (!isRefusing_ && !isClosing_ && !isClosed_ && buffer_.size() > 0) {
+            if (!parser_)
+                beginParser();
+            error_code error;
+            const std::size_t used = parser_->put(buffer_.data(), error);
+            buffer_.consume(used);
+            if (error && error != http::error::need_more) {
+                refuse(statusOf(error));
+                return;
+            }
+            if (parser_->is_done()) {
+                take();
+                continue;
+            }
+            sendContinueIfAsked();
+            if (error == http::error::need_more || used == 0)
+                break;
+        }
+        if (buffer_.size() == 0)
+            buffer_.shrink_to_fit();
+    }
+
+    void beginParser()
+    {
+        const ServerLimits limits = server_.limits_();
+        parser_.emplace();
+        parser_->eager(true);
+        parser_->header_limit(limits.headerBytesMost);
+        parser_->body_limit(limits.bodyBytesMost);
+        requestBegunAt_ = Clock::now();
+        hasContinued_ = false;
+    }
+
+    void sendContinueIfAsked()
+    {
+        if (hasContinued_ || !parser_->is_header_done() || !exchanges_.empty())
+            return;
+        hasContinued_ = true;
+        const auto expect = parser_->get().find(http::field::expect);
+        if (expect == parser_->get().end() || expect->value() != "100-continue")
+            return;
+        outgoing_ += "HTTP/1.1 100 Continue\r\n\r\n";
+        write();
+    }
+
+    // Takes the parsed request off the parser and hands it over, or refuses what is
+    // well formed by itself but means something else to a less careful reader.
+    void take()
+    {
+        auto message = parser_->release();
+        parser_.reset();
+        activeAt_ = Clock::now();
+        Exchange exchange;
+        exchange.id = ++server_.lastExchange_;
+        Request request;
+        request.method = std::string(message.method_string());
+        request.target = std::string(message.target());
+        request.body = std::move(message.body());
+        request.keepsConnection = message.keep_alive();
+        int hosts = 0;
+        for (const auto &field : message) {
+            const auto name = field.name_string();
+            const auto value = field.value();
+            if (field.name() == http::field::host)
+                ++hosts;
+            if (field.name() == http::field::transfer_encoding
+                && !isSameName({ value.data(), value.size() }, "chunked")) {
+                refuse(501);
+                return;
+            }
+            request.headers.push_back({ std::string(name), std::string(value) });
+        }
+        if (hosts != 1 || request.target.empty() || request.target.front() != '/') {
+            refuse(400);
+            return;
+        }
+        exchange.isHead = request.method == "HEAD";
+        exchange.keepsConnection = request.keepsConnection;
+        exchange.request = std::move(request);
+        server_.exchanges_[exchange.id] = this;
+        exchanges_.push_back(std::move(exchange));
+        handOver();
+    }
+
+    // Hands over what may be: idempotent requests at once, others when they are first.
+    void handOver()
+    {
+        std::vector<std::pair<ExchangeId, Request>> ready;
+        bool isFirst = true;
+        for (Exchange &exchange : exchanges_) {
+            if (exchange.request && (isFirst || isIdempotentMethod(exchange.request->method))) {
+                exchange.isHandedOver = true;
+                ready.emplace_back(exchange.id, std::move(*exchange.request));
+                exchange.request.reset();
+            } else if (exchange.request) {
+                break;
+            }
+            isFirst = false;
+        }
+        const auto self = shared_from_this();
+        for (auto &[id, request] : ready)
+            server_.hooks_.onRequest(id, std::move(request));
+    }
+
+    // Answers what can't be handed over and closes. Answers still owed come first.
+    void refuse(int status)
+    {
+        parser_.reset();
+        buffer_.clear();
+        Exchange exchange;
+        exchange.id = ++server_.lastExchange_;
+        exchange.closes = true;
+        exchange.bytes = serializeAnswer({ status, {}, {} }, true, false);
+        exchanges_.push_back(std::move(exchange));
+        isRefusing_ = true;
+        flush();
+    }
+
+    // Moves the answers that are next in order to the socket.
+    void flush()
+    {
+        bool isMoved = false;
+        while (!exchanges_.empty() && exchanges_.front().bytes && !isClosing_) {
+            Exchange &exchange = exchanges_.front();
+            outgoing_ += *exchange.bytes;
+            isClosing_ = exchange.closes;
+            server_.exchanges_.erase(exchange.id);
+            exchanges_.pop_front();
+            isMoved = true;
+        }
+        if (isClosing_)
+            forgetRest();
+        if (!isMoved)
+            return;
+        activeAt_ = Clock::now();
+        write();
+        if (!isClosing_ && !exchanges_.empty())
+            handOver();
+        read();
+    }
+
+    // What stands behind an answer that closes was not read, as far as its caller can
+    // tell; what of it was handed over ends as if the caller had gone.
+    void forgetRest()
+    {
+        std::deque<Exchange> rest;
+        rest.swap(exchanges_);
+        for (const Exchange &exchange : rest) {
+            if (server_.exchanges_.erase(exchange.id) > 0 && exchange.isHandedOver)
+                server_.hooks_.onGone(exchange.id);
+        }
+    }
+
+    void write()
+    {
+        if (isWriting_ || isClosed_ || outgoing_.empty())
+            return;
+        isWriting_ = true;
+        writing_.swap(outgoing_);
+        outgoing_.clear();
+        asio::async_write(socket_, asio::buffer(writing_),
+                          [self = shared_from_this()](error_code error, std::size_t) {
+                              self->onWritten(error);
+                          });
+    }
+
+    void onWritten(error_code error)
+    {
+        isWriting_ = false;
+        if (isClosed_)
+            return;
+        if (error) {
+            close();
+            return;
+        }
+        std::string().swap(writing_);
+        if (!outgoing_.empty()) {
+            write();
+        } else if (isClosing_) {
+            isLingering_ = true;
+            activeAt_ = Clock::now();
+            error_code ignored; // a connection that is gone fails at its next read
+            socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+            read();
+        }
+    }
+
+    HttpServer &server_;
+    asio::ip::tcp::socket socket_;
+    boost::beast::flat_buffer buffer_;
+    std::optional<Parser> parser_;
+    std::deque<Exchange> exchanges_; // unanswered, in the order of their requests
+    std::string outgoing_;
+    std::string writing_;
+    Clock::time_point activeAt_; // the last request or answer
+    Clock::time_point readAt_;
+    Clock::time_point requestBegunAt_;
+    bool isReading_ = false;
+    bool isWriting_ = false;
+    bool isClosing_ = false;   // the last answer has been handed to the socket
+    bool isLingering_ = false; // it has been written; the caller's close is awaited
+    bool isClosed_ = false;
+    bool isRefusing_ = false;  // a request that can't be handed over ends the connection
+    bool hasContinued_ = false;
+};
+
+HttpServer::HttpServer(asio::io_context &loop, std::function<ServerLimits()> limits,
+                       ServerHooks hooks)
+    : loop_(loop)
+    , limits_(std::move(limits))
+    , hooks_(std::move(hooks))
+    , acceptor_(loop)
+    , sweepTimer_(loop)
+{
+}
+
+HttpServer::~HttpServer()
+{
+    const auto connections = std::move(connections_);
+    connections_.clear();
+    exchanges_.clear();
+    for (const auto &connection : connections)
+        connection->close();
+}
+
+absl::Status HttpServer::listen(const core::Endpoint &endpoint)
+{
+    error_code error;
+    const auto address = asio::ip::make_address(endpoint.address, error);
+    if (!error) {
+        const asio::ip::tcp::endpoint where(address, endpoint.port);
+        acceptor_.open(where.protocol(), error);
+        if (!error)
+            acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+        if (!error)
+            acceptor_.bind(where, error);
+        if (!error)
+            acceptor_.listen(listenBacklog, error);
+    }
+    if (error) {
+        return absl::UnavailableError("can't listen on " + endpoint.address + ':'
+                                      + std::to_string(endpoint.port) + ": " + error.message());
+    }
+    accept();
+    sweep();
+    return absl::OkStatus();
+}
+
+void HttpServer::answer(ExchangeId exchange, const core::Answer &answer, bool closes)
+{
+    const auto found = exchanges_.find(exchange);
+    if (found == exchanges_.end())
+        return;
+    const std::shared_ptr<Connection> connection = found->second->shared_from_this();
+    connection->answer(exchange, answer, closes);
+}
+
+void HttpServer::beginDrain()
+{
+    isDraining_ = true;
+}
+
+void HttpServer::stopListening()
+{
+    error_code ignored; // nothing more is taken either way
+    acceptor_.close(ignored);
+}
+
+void HttpServer::accept()
+{
+    acceptor_.async_accept([this](error_code error, asio::ip::tcp::socket socket) {
+        if (!acceptor_.is_open())
+            return;
+        if (error) { // no descriptor is left; the next sweep tries again
+            isAcceptDue_ = true;
+            return;
+        }
+        if (connections_.size() < limits_().connectionsMost) {
+            auto connection = std::make_shared<Connection>(*this, std::move(socket));
+            connections_.insert(connection);
+            connection->start();
+        }
+        accept();
+    });
+}
+
+void HttpServer::sweep()
+{
+    sweepTimer_.expires_after(sweepInterval);
+    sweepTimer_.async_wait([this](error_code error) {
+        if (error)
+            return;
+        const auto now = Clock::now();
+        const ServerLimits limits = limits_();
+        const auto connections = connections_;
+        for (const auto &connection : connections)
+            connection->check(now, limits);
+        if (std::exchange(isAcceptDue_, false) && acceptor_.is_open())
+            accept();
+        sweep();
+    });
+}
+
+} // namespace bluebellshift::net
--- a/bluebellshift/shell/messagefields.h
+++ b/bluebellshift/shell/messagefields.h
@@ -106,6 +106,24 @@
     static constexpr auto list = std::make_tuple(&core::RelayCancel::correlation);
 };
 
+template<> struct Fields<core::TeamDemand>
+{
+    static constexpr auto list =
+        std::make_tuple(&core::TeamDemand::team, &core::TeamDemand::milliRequestsPerSecond);
+};
+template<> struct Fields<core::TargetUse>
+{
+    static constexpr auto list =
+        std::make_tuple(&core::TargetUse::target, &core::TargetUse::inFlight);
+};
+template<> struct Fields<core::VmReport>
+{
+    using T = core::VmReport;
+    static constexpr auto list =
+        std::make_tuple(&T::sequence, &T::isReady, &T::isLeaving, &T::configVersion, &T::demands,
+                        &T::uses);
+};
+
 template<> struct EnumRange<core::Run>
 {
     static constexpr core::Run last = core::Run::Unknown;
--- a/bluebellshift/shell/peermesh.cpp
+++ b/bluebellshift/shell/peermesh.cpp
@@ -35,7 +35,6 @@
 using SteadyTime = SteadyClock::time_point;
 using websocketpp::connection_hdl;
 
-constexpr std::chrono::milliseconds tickInterval { 50 };
 constexpr std::chrono::milliseconds pumpInterval { 5 };
 constexpr std::chrono::seconds supersededLife { 1 };
 constexpr std::size_t socketBytesMost = 256 * 1024; // handed to a socket and not yet sent
@@ -152,13 +151,15 @@
 
     void pump(const core::VmId &vm);
     std::optional<QueuedMessage> nextQueued(const core::VmId &vm);
+    void closeAll();
     void scheduleTick();
     void tick();
     void schedulePump();
 
     const PeerMeshOptions options_;
     const PeerMeshHooks hooks_;
-    asio::io_service io_;
+    asio::io_service ownLoop_; // unused if the options name another
+    asio::io_service &io_;
     Server server_;
     Client client_;
     asio::steady_timer tickTimer_;
@@ -182,6 +183,7 @@
 PeerMesh::Impl::Impl(PeerMeshOptions options, PeerMeshHooks hooks)
     : options_(std::move(options))
     , hooks_(std::move(hooks))
+    , io_(options_.loop != nullptr ? *options_.loop : ownLoop_)
     , tickTimer_(io_)
     , pumpTimer_(io_)
     , random_(base::randomNumber())
@@ -225,28 +227,38 @@
                                                   options_.listen.address, options_.listen.port,
                                                   error.message()));
     scheduleTick();
-    thread_ = std::thread([this] { io_.run(); });
+    if (options_.loop == nullptr)
+        thread_ = std::thread([this] { io_.run(); });
     return absl::OkStatus();
 }
 
 void PeerMesh::Impl::stop()
 {
+    if (options_.loop != nullptr) {
+        closeAll();
+        return;
+    }
     if (!thread_.joinable())
         return;
     io_.post([this] {
-        isStopping_ = true;
-        websocketpp::lib::error_code error;
-        server_.stop_listening(error);
-        tickTimer_.cancel();
-        pumpTimer_.cancel();
-        const auto sessions = sessions_;
-        for (const auto &[connection, session] : sessions)
-            cut(session);
+        closeAll();
         io_.post([this] { io_.stop(); });
     });
     thread_.join();
 }
 
+void PeerMesh::Impl::closeAll()
+{
+    isStopping_ = true;
+    websocketpp::lib::error_code error;
+    server_.stop_listening(error);
+    tickTimer_.cancel();
+    pumpTimer_.cancel();
+    const auto sessions = sessions_;
+    for (const auto &[connection, session] : sessions)
+        cut(session);
+}
+
 void PeerMesh::Impl::setPeers(std::vector<core::Vm> peers)
 {
     io_.post([this, peers = std::move(peers)] { installPeers(peers); });
@@ -639,7 +651,7 @@
 
 void PeerMesh::Impl::scheduleTick()
 {
-    tickTimer_.expires_from_now(tickInterval);
+    tickTimer_.expires_from_now(std::chrono::microseconds(options_.tickInterval.toMicros()));
     tickTimer_.async_wait([this](const auto &error) {
         if (error || isStopping_)
             return;
--- a/bluebellshift/shell/peermesh.h
+++ b/bluebellshift/shell/peermesh.h
@@ -20,6 +20,8 @@
 #include <memory>
 #include <vector>
 
+#include <boost/asio/io_context.hpp>
+
 #include "absl/status/status.h"
 #include "bluebellshift/core/logevent.h"
 #include "bluebellshift/core/message.h"
@@ -43,9 +45,12 @@
     core::Duration idleTimeout = core::Duration::seconds(5);
     core::Duration redialFirst = core::Duration::millis(100); // doubles at each failure
     core::Duration redialMost = core::Duration::seconds(2);
+    core::Duration tickInterval = core::Duration::millis(50); // precision of the times above
+    // The loop to run on, by whoever runs it; null: a thread of the mesh's own.
+    boost::asio::io_context *loop = nullptr;
 };
 
-// Called on the mesh's thread, but for `log`; must not block or call stop().
+// Called on the mesh's thread or loop, but for `log`; must not block or call stop().
 struct PeerMeshHooks
 {
     std::function<void(core::VmId, core::Incarnation, core::Message)> onMessage;
