--- a/bluebellshift/gateway/storelink.cpp
+++ b/bluebellshift/gateway/storelink.cpp
@@ -131,7 +131,7 @@
     noteAnswer(now);
     State &state = stateOf(changed.registry);
     state.isBusy = false;
-    state.dueAt = now;
+    state.dueAt = changed.entries.empty() ? now : now + gatherTime;
     for (const RegistryEntry &entry : changed.entries)
         apply(changed.registry, entry);
     state.revision = std::max(state.revision, changed.at);
--- a/bluebellshift/gateway/storelink.h
+++ b/bluebellshift/gateway/storelink.h
@@ -44,6 +44,8 @@
     static constexpr Duration pollInterval = Duration::seconds(4); // of what is not watched
     static constexpr Duration retryFirst = Duration::millis(30);
     static constexpr Duration retryMost = Duration::millis(800);
+    // After a change, the next watch begins this much later: changes come in groups.
+    static constexpr Duration gatherTime = Duration::millis(120);
     static constexpr int failuresToLose = 2; // one after another
 
     explicit StoreLink(StoreLinkHooks hooks);
--- a/bluebellshift/net/httpserver.cpp
+++ b/bluebellshift/net/httpserver.cpp
@@ -104,15 +104,11 @@
         if (isClosed_)
             return;
         isClosed_ = true;
+        const auto self = shared_from_this();
         error_code ignored; // the socket is given up either way
         socket_.close(ignored);
-        for (const Exchange &exchange : exchanges_) {
-            if (server_.exchanges_.erase(exchange.id) > 0 && exchange.isHandedOver
-                && server_.hooks_.onGone)
-                server_.hooks_.onGone(exchange.id);
-        }
-        exchanges_.clear();
-        server_.connections_.erase(shared_from_this());
+        server_.connections_.erase(self);
+        forgetRest();
     }
 
 private:
@@ -143,7 +139,6 @@
 
     void onRead(error_code error, std::size_t size)
     {
-        isReading_ = false;
         if (isClosed_)
             return;
         if (error) {
@@ -151,14 +146,13 @@
             return;
         }
         readAt_ = Clock::now();
-        if (isRefusing_ || isClosing_) {
-            read(); // and forget: the caller's rest is read so that our close is no reset
-            return;
+        // What follows a last answer is read and forgotten, so that our close is no reset.
+        if (!isRefusing_ && !isClosing_) {
+            buffer_.commit(size);
+            parse(); // an answer that it brings must not begin another read meanwhile
         }
-        buffer_.commit(size);
-        parse();
-        if (!isClosed_)
-            read();
+        isReading_ = false;
+        read();
     }
 
     void parse()
@@ -310,8 +304,12 @@
     {
         std::deque<Exchange> rest;
         rest.swap(exchanges_);
+        // None may be answered any more before the first is told of: that may bring
+        // answers to others.
+        for (const Exchange &exchange : rest)
+            server_.exchanges_.erase(exchange.id);
         for (const Exchange &exchange : rest) {
-            if (server_.exchanges_.erase(exchange.id) > 0 && exchange.isHandedOver)
+            if (exchange.isHandedOver)
                 server_.hooks_.onGone(exchange.id);
         }
     }
