Send a request to a target that has its object warm

Change: the object is the route and the key; the first targets by a hash of both, apart for the VM's own region and the others, are its homes, and the first of them is used first; the usual work is learned from cold answers.

--- a/bluebellshift/gateway/dispatcher.cpp
+++ b/bluebellshift/gateway/dispatcher.cpp
@@ -104,7 +104,8 @@
     pending.service = split_.next(*pending.route);
     repeats_.try_emplace(pending.service, options_.bounds).first->second.noteRequest(now);
     if (!pending.arrived.affinityKey.empty() && pending.route->isSticky)
-        pending.object = hashText(pending.arrived.affinityKey) | 1;
+        pending.object =
+            mixHashes(hashText(pending.route->name), hashText(pending.arrived.affinityKey)) | 1;
     return true;
 }
 
@@ -186,7 +187,8 @@
           { "finishMs", millisText(choice.finish) },
           { "inFlight", fmt::format("{}+{}/{}", choice.ownInFlight, choice.othersInFlight,
                                     target.slots) },
-          { "warm", choice.isWarm ? "yes" : "no" },
+          { "object", fmt::format("{:08x}", static_cast<std::uint32_t>(pending.object)) },
+          { "warmth", fmt::format("{:.2f}", choice.warmth) },
           { "considered", choice.ruledOut },
           { "config", std::to_string(pending.config->version.number()) } });
     SendAttempt attempt;
--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -388,6 +388,7 @@
 {
     if (!config_)
         return;
+    quotas_.setVmCount(fleet_.vmCount());
     for (const Team &team : config_->teams) {
         if (team.ratePerSecond <= 0)
             continue;
--- a/bluebellshift/gateway/targetpool.cpp
+++ b/bluebellshift/gateway/targetpool.cpp
@@ -1,9 +1,12 @@
 // Each choice looks at every target of the service: with 450 targets that is some
 // 20 microseconds, less than the rest of a request costs.
 //
-// Objects are spread without a message: a target is home to an object if a hash of
-// both falls under a fraction that fills what a target keeps warm. Every VM computes
-// the same homes, whatever it has seen itself.
+// Objects are spread without a message: a hash of target and object orders the
+// targets, those of the VM's own region apart from the others, and the first of each
+// are the object's homes. There are as many as fill what a target keeps warm. The VMs
+// of a region compute the same homes, whatever each has seen itself, and use the first
+// ones first, so that few targets have to warm up for an object that is asked for
+// seldom.
 #include "bluebellshift/gateway/targetpool.h"
 
 #include <algorithm>
@@ -20,7 +23,10 @@
 constexpr double learnRate = 0.1;          // weight of one more measurement
 constexpr double slownessLeast = 0.3;
 constexpr double slownessMost = 12;
-constexpr std::size_t objectsMost = 4096;  // remembered for one service
+constexpr std::size_t objectsMost = 4096;  // counted for one service
+constexpr Duration objectGeneration = Duration::seconds(10);
+constexpr double warmAnswer = 0.6; // of the usual work; a shorter one had a warm object
+constexpr double workMost = 3;     // times the usual, that one measurement counts for
 
 double millis(Duration duration)
 {
@@ -147,20 +153,19 @@
 Choice TargetPool::choose(const Wish &wish, std::uint64_t random, Instant now) const
 {
     Choice best;
-    const auto targets = byService_.find(wish.service);
-    if (targets == byService_.end())
-        return best;
-    std::array<int, 8> counts {};
+    std::array<int, 7> counts {};
+    std::vector<Candidate> candidates = candidatesFor(wish, &counts, now);
+    if (wish.object != 0)
+        warmHomes(wish, candidates, now);
     double bestScore = 0;
-    for (const State *candidate : targets->second) {
-        const State &state = *candidate;
-        const RuledOut ruledOut = ruleOut(state, wish, now);
+    for (const Candidate &candidate : candidates) {
+        const State &state = *candidate.state;
+        const RuledOut ruledOut = ruleOutNow(state, wish, now);
         ++counts[static_cast<std::size_t>(ruledOut)];
         if (ruledOut != RuledOut::No)
             continue;
         const int others = othersAt(state, now);
-        const bool warm = isWarm(state, wish);
-        const Duration finish = finishAt(state, wish, others, warm, now);
+        const Duration finish = finishAt(state, wish, others, candidate.warmth, now);
         double score = millis(finish) + failureOf(state, now) * millis(failureCost);
         if (state.target.failureDomain != options_.vm.failureDomain)
             score += crossDomainMillisPerKilobyte * (1 + static_cast<double>(wish.bodyBytes) / 1000);
@@ -173,15 +178,68 @@
         best.finish = finish;
         best.ownInFlight = state.inFlight;
         best.othersInFlight = others;
-        best.isWarm = warm;
+        best.warmth = candidate.warmth;
     }
-    best.ruledOut = fmt::format(
-        "draining:{},evacuated:{},region:{},tried:{},avoided:{},cold:{},full:{}", counts[1],
-        counts[2], counts[3], counts[4], counts[5], counts[6], counts[7]);
+    best.ruledOut = fmt::format("draining:{},evacuated:{},region:{},tried:{},avoided:{},cold:{}",
+                                counts[1], counts[2], counts[3], counts[4], counts[5], counts[6]);
     return best;
 }
 
-TargetPool::RuledOut TargetPool::ruleOut(const State &state, const Wish &wish, Instant now) const
+// The targets that may be used but for passing reasons.
+std::vector<TargetPool::Candidate>
+TargetPool::candidatesFor(const Wish &wish, std::array<int, 7> *counts, Instant now) const
+{
+    std::vector<Candidate> candidates;
+    const auto targets = byService_.find(wish.service);
+    if (targets == byService_.end())
+        return candidates;
+    candidates.reserve(targets->second.size());
+    for (const State *state : targets->second) {
+        const RuledOut ruledOut = ruleOut(*state, wish);
+        if (ruledOut != RuledOut::No)
+            ++(*counts)[static_cast<std::size_t>(ruledOut)];
+        else
+            candidates.push_back({ state, mixHashes(state->hash, wish.object), 0 });
+    }
+    return candidates;
+}
+
+// Sets how likely the wish's object is warm at each candidate.
+void TargetPool::warmHomes(const Wish &wish, std::vector<Candidate> &candidates, Instant now) const
+{
+    std::vector<Candidate *> inRegion;
+    std::vector<Candidate *> elsewhere;
+    for (Candidate &candidate : candidates) {
+        const bool isNear = candidate.state->region == options_.vm.region;
+        (isNear ? inRegion : elsewhere).push_back(&candidate);
+    }
+    const double objects = objectCount(wish.service);
+    warmFirst(inRegion, objectsKeptInRegion / objects);
+    warmFirst(elsewhere, objectsKeptOfOthers / objects);
+    for (Candidate &candidate : candidates) {
+        if (wasSentLately(*candidate.state, wish.object, now))
+            candidate.warmth = warmthWhereSent;
+    }
+}
+
+// The first targets of a group, in the order of their ranks, are the object's homes.
+void TargetPool::warmFirst(std::vector<Candidate *> &group, double part)
+{
+    if (group.empty())
+        return;
+    const auto wanted = static_cast<std::size_t>(
+        std::lround(std::min(1.0, part) * static_cast<double>(group.size())));
+    const std::size_t homes = std::clamp<std::size_t>(wanted, 1, group.size());
+    std::partial_sort(group.begin(), group.begin() + static_cast<std::ptrdiff_t>(homes),
+                      group.end(),
+                      [](const Candidate *a, const Candidate *b) { return a->rank < b->rank; });
+    for (std::size_t i = 0; i < homes; ++i) {
+        const double lost = warmthLostPerHome * static_cast<double>(i);
+        group[i]->warmth = std::max(0.0, warmthAtFirstHome - lost);
+    }
+}
+
+TargetPool::RuledOut TargetPool::ruleOut(const State &state, const Wish &wish) const
 {
     const Target &target = state.target;
     if (target.isDraining)
@@ -190,8 +248,15 @@
         return RuledOut::Evacuated;
     if (!isAllowed(wish.routeRegions, state.region) || !isAllowed(wish.teamRegions, state.region))
         return RuledOut::Region;
-    if (wish.tried != nullptr
-        && std::find(wish.tried->begin(), wish.tried->end(), target.id) != wish.tried->end())
+    return RuledOut::No;
+}
+
+TargetPool::RuledOut TargetPool::ruleOutNow(const State &state, const Wish &wish,
+                                            Instant now) const
+{
+    const auto *tried = wish.tried;
+    if (tried != nullptr
+        && std::find(tried->begin(), tried->end(), state.target.id) != tried->end())
         return RuledOut::Tried;
     if (now < state.avoidedUntil || (state.unreachable > 0 && state.inFlight > 0))
         return RuledOut::Avoided;
@@ -224,6 +289,13 @@
         * std::exp2(-(now - state.failureAt).toSeconds() / failureHalfLife.toSeconds());
 }
 
+double TargetPool::slownessOf(const State &state)
+{
+    const bool isUsual =
+        state.slowness > usualSlownessLeast && state.slowness < usualSlownessMost;
+    return isUsual ? 1 : state.slowness;
+}
+
 int TargetPool::othersAt(const State &state, Instant now) const
 {
     const int told = hooks_.othersInFlight(static_cast<std::uint32_t>(state.hash), now);
@@ -232,19 +304,34 @@
     return std::max(told, state.reportedOthers);
 }
 
-// The part of a service's targets that are home to one object.
-double TargetPool::homeFraction(const ServiceId &service) const
+// How many objects of a service are asked for at this VM.
+double TargetPool::objectCount(const ServiceId &service) const
 {
     const auto found = objects_.find(service);
-    if (found == objects_.end() || found->second.empty())
+    if (found == objects_.end())
         return 1;
-    return std::min(1.0, objectsKept / static_cast<double>(found->second.size()));
+    const std::size_t count = std::max(found->second.current.size(), found->second.previous);
+    return std::max(1.0, static_cast<double>(count));
+}
+
+bool TargetPool::wasSentLately(const State &state, std::uint64_t object, Instant now) const
+{
+    return std::any_of(state.objects.begin(), state.objects.end(), [&](const auto &sent) {
+        return sent.first == object && now - sent.second < objectMemory;
+    });
 }
 
-bool TargetPool::isWarm(const State &state, const Wish &wish) const
+void TargetPool::noteObject(State &state, const Wish &wish, Instant now)
 {
-    return wish.object != 0
-        && toFraction(mixHashes(state.hash, wish.object)) < homeFraction(wish.service);
+    if (wish.object == 0)
+        return;
+    auto &sent = state.objects;
+    sent.erase(std::remove_if(sent.begin(), sent.end(),
+                              [&](const auto &entry) { return entry.first == wish.object; }),
+               sent.end());
+    sent.emplace_back(wish.object, now);
+    if (sent.size() > ownObjectsKept)
+        sent.erase(sent.begin());
 }
 
 Duration TargetPool::wayTo(const State &state) const
@@ -254,19 +341,20 @@
     return state.region == options_.vm.region ? wayInRegion : wayBetweenRegions;
 }
 
-Duration TargetPool::finishAt(const State &state, const Wish &wish, int others, bool isWarm,
+Duration TargetPool::finishAt(const State &state, const Wish &wish, int others, double warmth,
                               Instant now) const
 {
-    double work = millis(expectedWork(wish.route)) * state.slowness;
+    double usual = millis(expectedWork(wish.route)) * slownessOf(state);
     if (isCold(state, now))
-        work *= coldWorkFactor;
+        usual *= coldWorkFactor;
+    const double work = usual * (warmth * warmWorkFactor + 1 - warmth);
     const int occupied = state.inFlight + others;
     const int slots = std::max(1, state.target.slots);
-    const double wait = occupied < slots ? 0 : work * (occupied - slots + 1) / slots;
+    // What is ahead in the queue is as likely to be warm as what is here.
+    const double ahead = wish.object != 0 ? usual * (warmWorkFactor + 1) / 2 : usual;
+    const double wait = occupied < slots ? 0 : ahead * (occupied - slots + 1) / slots;
     // A nearly full target is more likely to be full once the request is there.
-    const double crowding = 0.1 * work * occupied / slots;
-    if (isWarm)
-        work *= warmWorkFactor;
+    const double crowding = 0.1 * ahead * occupied / slots;
     return wayTo(state) + fromMillis(wait + crowding + work);
 }
 
@@ -280,10 +368,14 @@
         state->coldSentAt = now;
     if (wish.object == 0)
         return;
-    auto &objects = objects_[wish.service];
-    if (objects.size() >= objectsMost)
-        objects.clear();
-    objects.insert(wish.object);
+    ObjectCount &objects = objects_[wish.service];
+    if (now - objects.begunAt > objectGeneration) {
+        objects.previous = objects.current.size();
+        objects.current.clear();
+        objects.begunAt = now;
+    }
+    if (objects.current.size() < objectsMost)
+        objects.current.insert(wish.object);
 }
 
 void TargetPool::onEnded(const TargetId &target, const Wish &wish, const AttemptEnded &ended,
@@ -318,7 +410,9 @@
         return;
     }
     const bool isAnswered = ended.outcome == AttemptOutcome::Answered;
-    noteFailure(*state, !isAnswered || ended.saysNotRun || ended.status >= 500, now);
+    // A target's own errors are common; one that takes nothing or cuts is not.
+    const bool isError = isAnswered && !ended.saysNotRun;
+    noteFailure(*state, !isError || ended.status >= 500, isError ? 0.1 : 0.3, now);
     if (isAnswered && !ended.saysNotRun && ended.status < 400)
         learnWork(*state, wish, took, now);
 }
@@ -329,26 +423,31 @@
         state->inFlight = std::max(0, state->inFlight - 1);
 }
 
-void TargetPool::noteFailure(State &state, bool isFailed, Instant now)
+void TargetPool::noteFailure(State &state, bool isFailed, double weight, Instant now)
 {
-    constexpr double weight = 0.3; // of the newest outcome
     const double before = failureOf(state, now);
     state.failure = before * (1 - weight) + (isFailed ? weight : 0);
     state.failureAt = now;
 }
 
+// Learns how long a route's work takes where its object is not warm, and how slow a
+// target is. An answer that came much sooner than usual had a warm object.
 void TargetPool::learnWork(State &state, const Wish &wish, Duration took, Instant now)
 {
+    noteObject(state, wish, now);
     if (took <= Duration() || isCold(state, now))
         return;
-    double measured = std::max(1.0, millis(took - wayTo(state)));
-    if (isWarm(state, wish))
-        measured /= warmWorkFactor;
-    auto [known, isNew] = work_.emplace(wish.route, measured);
-    if (!isNew)
-        known->second += learnRate * (measured / std::max(1.0, state.slowness) - known->second);
-    const double ratio = measured / std::max(1.0, known->second);
-    state.slowness = std::clamp(state.slowness + 2 * learnRate * (ratio - state.slowness),
+    const double measured = std::max(1.0, millis(took - wayTo(state)));
+    const auto [known, isNew] = work_.emplace(wish.route, std::max(measured, 1.0));
+    double &usual = known->second;
+    if (isNew)
+        return;
+    const bool isWarm = wish.object != 0 && measured < warmAnswer * usual * state.slowness;
+    const double cold = isWarm ? measured / warmWorkFactor : measured;
+    // A VM that starts late sees warm answers first, so that its usual rises fast.
+    const double rate = isWarm ? learnRate / 10 : cold > usual ? learnRate * 2 : learnRate / 2;
+    usual += rate * (std::min(cold / std::max(1.0, state.slowness), workMost * usual) - usual);
+    state.slowness = std::clamp(state.slowness + 2 * learnRate * (cold / usual - state.slowness),
                                 slownessLeast, slownessMost);
 }
 
--- a/bluebellshift/gateway/targetpool.h
+++ b/bluebellshift/gateway/targetpool.h
@@ -10,11 +10,12 @@
 //   }
 //
 // A choice is the target at which the request is expected to finish first: the way
-// there and back, the wait for a slot, the work, which is shorter where the request's
-// object is warm, and what recent failures there have cost. docs/design/platform.md
-// gives the ways weighed and their figures.
+// there and back, the wait for a slot, the work, which is far shorter where the
+// request's object is warm, and what recent failures there have cost.
+// docs/design/platform.md gives the ways weighed and their figures.
 #pragma once
 
+#include <array>
 #include <functional>
 #include <optional>
 #include <string>
@@ -35,7 +36,7 @@
     ServiceId service;
     const std::vector<RegionId> *routeRegions = nullptr; // null or empty: all
     const std::vector<RegionId> *teamRegions = nullptr;
-    std::uint64_t object = 0; // hash of its affinity key; 0: none
+    std::uint64_t object = 0; // hash of its route and affinity key; 0: none
     const std::vector<TargetId> *tried = nullptr;
     std::string route;  // the name under which work times are learned
     std::size_t bodyBytes = 0;
@@ -47,7 +48,7 @@
     Duration finish;                // expected, from now
     int ownInFlight = 0;
     int othersInFlight = 0;
-    bool isWarm = false;
+    double warmth = 0; // how likely its object is warm there, 0 to 1
     std::string ruledOut; // counts of the targets ruled out, by reason
 };
 
@@ -68,9 +69,22 @@
     static constexpr std::size_t coldSendersMost = 3;
     static constexpr double coldBoundUsed = 0.75;  // the rest is for VMs that disagree
     static constexpr double coldWorkFactor = 2;    // a cold target's work against a warm one's
-    static constexpr double objectsKept = 16;      // that a target is taken to keep warm
-    static constexpr double warmWorkFactor = 0.7;  // of the work, with a warm object
-    static constexpr Duration firstWork = Duration::millis(300); // before any was measured
+    // Objects that a target is taken to keep warm: those of its own region's callers,
+    // and of others'. The sum stays under the 20 that the smallest targets keep.
+    static constexpr double objectsKeptInRegion = 10;
+    static constexpr double objectsKeptOfOthers = 5;
+    static constexpr double warmWorkFactor = 0.3; // of the work, with a warm object
+    // How likely an object is warm at the first of its homes, and how much less so at
+    // each one after it; and where this VM sent it lately.
+    static constexpr double warmthAtFirstHome = 0.85;
+    static constexpr double warmthLostPerHome = 0.15;
+    static constexpr double warmthWhereSent = 0.95;
+    static constexpr std::size_t ownObjectsKept = 10; // that this VM remembers of a target
+    static constexpr Duration objectMemory = Duration::seconds(15);
+    static constexpr Duration firstWork = Duration::millis(600); // before any was measured
+    // Work this near to the usual says nothing of the target: it varies by itself.
+    static constexpr double usualSlownessLeast = 0.6;
+    static constexpr double usualSlownessMost = 1.5;
     static constexpr Duration failureHalfLife = Duration::seconds(3);
     static constexpr Duration failureCost = Duration::millis(900); // of a request sent in vain
     static constexpr Duration unreachablePause = Duration::millis(500);
@@ -123,21 +137,44 @@
         double slowness = 1; // its work against the route's usual
         int reportedOthers = 0;
         Instant reportedAt = Instant::never();
+        std::vector<std::pair<std::uint64_t, Instant>> objects; // sent by this VM, latest last
+    };
+    // A target that may be chosen, while a choice is made.
+    struct Candidate
+    {
+        const State *state = nullptr;
+        std::uint64_t rank = 0; // among the homes of the wish's object: lower is earlier
+        double warmth = 0;
+    };
+    // The objects that were asked for lately, in two generations.
+    struct ObjectCount
+    {
+        std::unordered_set<std::uint64_t> current;
+        std::size_t previous = 0;
+        Instant begunAt;
     };
 
-    enum class RuledOut { No, Draining, Evacuated, Region, Tried, Avoided, Cold, Full };
+    enum class RuledOut { No, Draining, Evacuated, Region, Tried, Avoided, Cold };
 
-    RuledOut ruleOut(const State &state, const Wish &wish, Instant now) const;
+    // Why a target may not be used at all, and not at this moment.
+    RuledOut ruleOut(const State &state, const Wish &wish) const;
+    RuledOut ruleOutNow(const State &state, const Wish &wish, Instant now) const;
     bool isCold(const State &state, Instant now) const { return now < state.coldUntil; }
     Duration coldSpacing(const State &state) const;
     double failureOf(const State &state, Instant now) const;
+    static double slownessOf(const State &state);
     int othersAt(const State &state, Instant now) const;
-    bool isWarm(const State &state, const Wish &wish) const;
-    double homeFraction(const ServiceId &service) const;
+    std::vector<Candidate> candidatesFor(const Wish &wish, std::array<int, 7> *counts,
+                                         Instant now) const;
+    void warmHomes(const Wish &wish, std::vector<Candidate> &candidates, Instant now) const;
+    static void warmFirst(std::vector<Candidate *> &group, double part);
+    double objectCount(const ServiceId &service) const;
+    bool wasSentLately(const State &state, std::uint64_t object, Instant now) const;
+    void noteObject(State &state, const Wish &wish, Instant now);
     Duration wayTo(const State &state) const;
-    Duration finishAt(const State &state, const Wish &wish, int others, bool isWarm,
+    Duration finishAt(const State &state, const Wish &wish, int others, double warmth,
                       Instant now) const;
-    void noteFailure(State &state, bool isFailed, Instant now);
+    void noteFailure(State &state, bool isFailed, double weight, Instant now);
     void learnWork(State &state, const Wish &wish, Duration took, Instant now);
     State *findState(const TargetId &target);
 
@@ -148,7 +185,7 @@
     std::unordered_map<ServiceId, std::vector<State *>> byService_; // into states_
     std::unordered_set<FailureDomainId> evacuated_;
     std::unordered_map<std::string, double> work_; // milliseconds of a cold object, by route
-    std::unordered_map<ServiceId, std::unordered_set<std::uint64_t>> objects_; // seen
+    std::unordered_map<ServiceId, ObjectCount> objects_;
 };
 
 } // namespace bluebellshift::gateway
--- a/bluebellshift/gateway/teamquotas.cpp
+++ b/bluebellshift/gateway/teamquotas.cpp
@@ -70,12 +70,12 @@
     return Duration::micros(static_cast<std::int64_t>((1 - bucket->tokens) / perSecond * 1e6));
 }
 
-// The share of the burst and of some of the slack; at least one request must fit.
+// The share of the burst and an even part of some slack; at least one request must fit.
 double TeamQuotas::sizeOf(const Bucket &bucket) const
 {
     const double window = bucket.rate * bounds_.quotaWindow.toSeconds() + bucket.burst;
     const double slack = (window * bounds_.quotaOverage + bounds_.quotaSlack) * slackUsed;
-    return std::max(1.0, bucket.share * (bucket.burst + slack));
+    return std::max(1.0, bucket.share * bucket.burst + slack / static_cast<double>(vms_));
 }
 
 void TeamQuotas::fill(Bucket &bucket, Instant now) const
--- a/bluebellshift/gateway/teamquotas.h
+++ b/bluebellshift/gateway/teamquotas.h
@@ -8,7 +8,8 @@
 //
 // Each VM runs a token bucket with its share of the rate and the burst. While the
 // shares add up to one, all VMs together admit at most burst + rate x time in any
-// window; the bounds leave room beyond that for shares that are being moved.
+// window. Part of the slack beyond that is divided evenly, whatever the shares: it lets
+// a VM bear the chance arrivals of a small team. The rest is for shares on the move.
 #pragma once
 
 #include <unordered_map>
@@ -21,8 +22,7 @@
 class TeamQuotas
 {
 public:
-    // Part of the bounds' slack that the buckets use; the rest is for shares on the move.
-    static constexpr double slackUsed = 0.4;
+    static constexpr double slackUsed = 0.6; // part of the bounds' slack
 
     explicit TeamQuotas(const FleetBounds &bounds)
         : bounds_(bounds)
@@ -33,6 +33,7 @@
     // to its new size. The bucket of a team that is new starts empty.
     void setConfig(const TrafficConfig &config, Instant now);
     void setShare(const TeamId &team, double share, Instant now);
+    void setVmCount(std::size_t vms) { vms_ = vms; }
     double shareOf(const TeamId &team) const;
 
     // Takes one request's token. True for a team without a limit.
@@ -57,6 +58,7 @@
     Bucket *limited(const TeamId &team);
 
     const FleetBounds &bounds_;
+    std::size_t vms_ = 1;
     std::unordered_map<TeamId, Bucket> buckets_;
 };
 
