Learn a target's work only where a slot was free, and how many objects it keeps

Change: an answer is learned from only if its target was found with a free slot; the number of objects kept is raised by warm answers and lowered by cold ones; while more than half of the slots are in use, work counts once more in the choice.

--- a/bluebellshift/gateway/dispatcher.cpp
+++ b/bluebellshift/gateway/dispatcher.cpp
@@ -140,6 +140,7 @@
     wish.tried = &pending.tried;
     wish.route = pending.route->name;
     wish.bodyBytes = pending.arrived.bodyBytes;
+    wish.foundFreeSlot = pending.foundFreeSlot;
     return wish;
 }
 
@@ -179,6 +180,7 @@
     pending.sentAt = now;
     ++pending.attempts;
     pending.tried.push_back(target.id);
+    pending.foundFreeSlot = choice.ownInFlight + choice.othersInFlight < target.slots;
     pool_.onSent(target.id, wishOf(pending), now);
     log(core::log::requestRouted, pending,
         { { "target", target.id.text() },
--- a/bluebellshift/gateway/dispatcher.h
+++ b/bluebellshift/gateway/dispatcher.h
@@ -95,6 +95,7 @@
         TargetId target;
         int attempts = 0;        // targets that it was sent to
         int connectFailures = 0;
+        bool foundFreeSlot = false; // at its last target
         std::vector<TargetId> tried;
         bool mayHaveRun = false; // an attempt ended without certainty
         bool hasAnswer = false;  // the last attempt brought one that may be passed on
--- a/bluebellshift/gateway/targetpool.cpp
+++ b/bluebellshift/gateway/targetpool.cpp
@@ -158,6 +158,7 @@
     if (wish.object != 0)
         warmHomes(wish, candidates, now);
     double bestScore = 0;
+    const double price = workPrice(wish.service, now);
     for (const Candidate &candidate : candidates) {
         const State &state = *candidate.state;
         const RuledOut ruledOut = ruleOutNow(state, wish, now);
@@ -165,8 +166,10 @@
         if (ruledOut != RuledOut::No)
             continue;
         const int others = othersAt(state, now);
-        const Duration finish = finishAt(state, wish, others, candidate.warmth, now);
-        double score = millis(finish) + failureOf(state, now) * millis(failureCost);
+        const double work = workAt(state, wish, candidate.warmth, now);
+        const Duration finish = finishAt(state, wish, others, work, now);
+        double score =
+            millis(finish) + price * work + failureOf(state, now) * millis(failureCost);
         if (state.target.failureDomain != options_.vm.failureDomain)
             score += crossDomainMillisPerKilobyte * (1 + static_cast<double>(wish.bodyBytes) / 1000);
         // Equal targets are told apart by chance, or VMs would all take the same one.
@@ -213,9 +216,9 @@
         const bool isNear = candidate.state->region == options_.vm.region;
         (isNear ? inRegion : elsewhere).push_back(&candidate);
     }
-    const double objects = objectCount(wish.service);
-    warmFirst(inRegion, objectsKeptInRegion / objects);
-    warmFirst(elsewhere, objectsKeptOfOthers / objects);
+    const double part = objectsKept(wish.service) / objectCount(wish.service);
+    warmFirst(inRegion, part * nearRegionPart);
+    warmFirst(elsewhere, part * (1 - nearRegionPart));
     for (Candidate &candidate : candidates) {
         if (wasSentLately(*candidate.state, wish.object, now))
             candidate.warmth = warmthWhereSent;
@@ -314,6 +317,34 @@
     return std::max(1.0, static_cast<double>(count));
 }
 
+double TargetPool::objectsKept(const ServiceId &service) const
+{
+    const auto found = objects_.find(service);
+    return found == objects_.end() ? keptFirst : found->second.kept;
+}
+
+// What work costs those that wait: nothing while many slots are free.
+double TargetPool::workPrice(const ServiceId &service, Instant now) const
+{
+    Business &business = business_[service];
+    if (now - business.at < busyCheck)
+        return business.price;
+    double used = 0;
+    double slots = 0;
+    const auto targets = byService_.find(service);
+    if (targets != byService_.end()) {
+        for (const State *state : targets->second) {
+            if (state->target.isDraining || evacuated_.count(state->target.failureDomain) > 0)
+                continue;
+            slots += state->target.slots;
+            used += std::min(state->target.slots, state->inFlight + othersAt(*state, now));
+        }
+    }
+    const double part = slots > 0 ? used / slots : 0;
+    business = { now, std::clamp((part - busyFrom) / (busyFull - busyFrom), 0.0, 1.0) };
+    return business.price;
+}
+
 bool TargetPool::wasSentLately(const State &state, std::uint64_t object, Instant now) const
 {
     return std::any_of(state.objects.begin(), state.objects.end(), [&](const auto &sent) {
@@ -330,7 +361,8 @@
                               [&](const auto &entry) { return entry.first == wish.object; }),
                sent.end());
     sent.emplace_back(wish.object, now);
-    if (sent.size() > ownObjectsKept)
+    const auto remembered = static_cast<std::size_t>(ownPart * objectsKept(wish.service));
+    while (sent.size() > std::max<std::size_t>(1, remembered))
         sent.erase(sent.begin());
 }
 
@@ -341,13 +373,22 @@
     return state.region == options_.vm.region ? wayInRegion : wayBetweenRegions;
 }
 
-Duration TargetPool::finishAt(const State &state, const Wish &wish, int others, double warmth,
+// The work of a request whose object is not warm, in milliseconds.
+double TargetPool::usualWork(const State &state, const Wish &wish, Instant now) const
+{
+    const double usual = millis(expectedWork(wish.route)) * slownessOf(state);
+    return isCold(state, now) ? usual * coldWorkFactor : usual;
+}
+
+double TargetPool::workAt(const State &state, const Wish &wish, double warmth, Instant now) const
+{
+    return usualWork(state, wish, now) * (warmth * warmWorkFactor + 1 - warmth);
+}
+
+Duration TargetPool::finishAt(const State &state, const Wish &wish, int others, double work,
                               Instant now) const
 {
-    double usual = millis(expectedWork(wish.route)) * slownessOf(state);
-    if (isCold(state, now))
-        usual *= coldWorkFactor;
-    const double work = usual * (warmth * warmWorkFactor + 1 - warmth);
+    const double usual = usualWork(state, wish, now);
     const int occupied = state.inFlight + others;
     const int slots = std::max(1, state.target.slots);
     // What is ahead in the queue is as likely to be warm as what is here.
@@ -430,19 +471,25 @@
     state.failureAt = now;
 }
 
-// Learns how long a route's work takes where its object is not warm, and how slow a
-// target is. An answer that came much sooner than usual had a warm object.
+// Learns how long a route's work takes where its object is not warm, how slow a target
+// is, and how many objects it keeps. An answer that came much sooner than usual had a
+// warm object.
 void TargetPool::learnWork(State &state, const Wish &wish, Duration took, Instant now)
 {
+    const bool wasExpectedWarm = wish.object != 0 && wasSentLately(state, wish.object, now);
     noteObject(state, wish, now);
-    if (took <= Duration() || isCold(state, now))
+    if (took <= Duration() || isCold(state, now) || !wish.foundFreeSlot)
         return;
     const double measured = std::max(1.0, millis(took - wayTo(state)));
-    const auto [known, isNew] = work_.emplace(wish.route, std::max(measured, 1.0));
+    const auto [known, isNew] = work_.emplace(wish.route, measured);
     double &usual = known->second;
     if (isNew)
         return;
-    const bool isWarm = wish.object != 0 && measured < warmAnswer * usual * state.slowness;
+    const bool isWarm = wish.object != 0 && measured < warmAnswer * usual * slownessOf(state);
+    if (wasExpectedWarm) {
+        double &kept = objects_[wish.service].kept;
+        kept = std::clamp(kept * (isWarm ? keptGrowth : keptDecay), keptLeast, keptMost);
+    }
     const double cold = isWarm ? measured / warmWorkFactor : measured;
     // A VM that starts late sees warm answers first, so that its usual rises fast.
     const double rate = isWarm ? learnRate / 10 : cold > usual ? learnRate * 2 : learnRate / 2;
--- a/bluebellshift/gateway/targetpool.h
+++ b/bluebellshift/gateway/targetpool.h
@@ -40,6 +40,7 @@
     const std::vector<TargetId> *tried = nullptr;
     std::string route;  // the name under which work times are learned
     std::size_t bodyBytes = 0;
+    bool foundFreeSlot = false; // when it was sent: its time tells of the work alone
 };
 
 struct Choice
@@ -69,17 +70,22 @@
     static constexpr std::size_t coldSendersMost = 3;
     static constexpr double coldBoundUsed = 0.75;  // the rest is for VMs that disagree
     static constexpr double coldWorkFactor = 2;    // a cold target's work against a warm one's
-    // Objects that a target is taken to keep warm: those of its own region's callers,
-    // and of others'. The sum stays under the 20 that the smallest targets keep.
-    static constexpr double objectsKeptInRegion = 10;
-    static constexpr double objectsKeptOfOthers = 5;
+    // Objects that a target is taken to keep warm, of which nearRegionPart are for
+    // callers of its own region. How many it keeps is learned: each warm answer where
+    // one was expected raises the number a little, each cold one lowers it more.
+    static constexpr double keptFirst = 15;
+    static constexpr double keptLeast = 8;
+    static constexpr double keptMost = 120;
+    static constexpr double keptGrowth = 1.004;
+    static constexpr double keptDecay = 0.93;
+    static constexpr double nearRegionPart = 0.67;
+    static constexpr double ownPart = 0.6; // of them, that this VM remembers sending
     static constexpr double warmWorkFactor = 0.3; // of the work, with a warm object
     // How likely an object is warm at the first of its homes, and how much less so at
     // each one after it; and where this VM sent it lately.
     static constexpr double warmthAtFirstHome = 0.85;
     static constexpr double warmthLostPerHome = 0.15;
     static constexpr double warmthWhereSent = 0.95;
-    static constexpr std::size_t ownObjectsKept = 10; // that this VM remembers of a target
     static constexpr Duration objectMemory = Duration::seconds(15);
     static constexpr Duration firstWork = Duration::millis(600); // before any was measured
     // Work this near to the usual says nothing of the target: it varies by itself.
@@ -90,6 +96,11 @@
     static constexpr Duration unreachablePause = Duration::millis(500);
     static constexpr Duration unreachablePauseMost = Duration::seconds(4);
     static constexpr Duration loadReportUse = Duration::millis(600);
+    // While most slots are in use, work that a warm target would spare is work that
+    // others wait for: it then counts once more.
+    static constexpr double busyFrom = 0.5; // of all slots
+    static constexpr double busyFull = 0.9;
+    static constexpr Duration busyCheck = Duration::millis(100);
     static constexpr Duration wayInRegion = Duration::millis(8);      // there and back
     static constexpr Duration wayBetweenRegions = Duration::millis(90);
     static constexpr double crossDomainMillisPerKilobyte = 2; // weight of traffic that costs
@@ -152,6 +163,12 @@
         std::unordered_set<std::uint64_t> current;
         std::size_t previous = 0;
         Instant begunAt;
+        double kept = keptFirst; // by one target
+    };
+    struct Business
+    {
+        Instant at = Instant::never();
+        double price = 0; // of work, 0 to 1
     };
 
     enum class RuledOut { No, Draining, Evacuated, Region, Tried, Avoided, Cold };
@@ -169,11 +186,15 @@
     void warmHomes(const Wish &wish, std::vector<Candidate> &candidates, Instant now) const;
     static void warmFirst(std::vector<Candidate *> &group, double part);
     double objectCount(const ServiceId &service) const;
+    double objectsKept(const ServiceId &service) const;
+    double workPrice(const ServiceId &service, Instant now) const;
     bool wasSentLately(const State &state, std::uint64_t object, Instant now) const;
     void noteObject(State &state, const Wish &wish, Instant now);
     Duration wayTo(const State &state) const;
-    Duration finishAt(const State &state, const Wish &wish, int others, double warmth,
+    double workAt(const State &state, const Wish &wish, double warmth, Instant now) const;
+    Duration finishAt(const State &state, const Wish &wish, int others, double work,
                       Instant now) const;
+    double usualWork(const State &state, const Wish &wish, Instant now) const;
     void noteFailure(State &state, bool isFailed, double weight, Instant now);
     void learnWork(State &state, const Wish &wish, Duration took, Instant now);
     State *findState(const TargetId &target);
@@ -186,6 +207,7 @@
     std::unordered_set<FailureDomainId> evacuated_;
     std::unordered_map<std::string, double> work_; // milliseconds of a cold object, by route
     std::unordered_map<ServiceId, ObjectCount> objects_;
+    mutable std::unordered_map<ServiceId, Business> business_; // computed seldom
 };
 
 } // namespace bluebellshift::gateway
