Notice the store's return sooner; keep the part of a region's requests from jumping

Change: while the store is lost a call waits 0.5 s and the next follows within 0.3 s; lapsed targets go at their very time. A region whose part of a VM's requests has grown by more than 5 in 100 within 2 s costs more in the choice, one that has shrunk less.

--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -155,6 +155,8 @@
         if (at != Instant::never())
             next = std::min(next, at);
     }
+    for (const auto &[target, until] : lapsed_)
+        next = std::min(next, until);
     return next;
 }
 
@@ -175,9 +177,9 @@
         report();
         fleet_.onTimer(now_);
         updateShares();
-        removeLapsed();
         removeStaleVms();
     }
+    removeLapsed();
     dispatcher_.onTimer(random_, now_);
     if (isStopping_)
         stop();
--- a/bluebellshift/gateway/storelink.cpp
+++ b/bluebellshift/gateway/storelink.cpp
@@ -70,11 +70,12 @@
     if (state.mustList || !isWatched(registry)) {
         // The first list must be the newest; what is only polled may lag after it.
         const bool mayBeStale = state.isListed && !isWatched(registry);
-        hooks_.perform(ListRegistry { registry, state.listedUpTo, mayBeStale, callTimeout });
+        const Duration timeout = isLost_ ? askTimeout : callTimeout;
+        hooks_.perform(ListRegistry { registry, state.listedUpTo, mayBeStale, timeout });
         return;
     }
     const Duration wait = isLost_ ? Duration() : watchWait;
-    const Duration timeout = isLost_ ? callTimeout : watchWait + watchMargin;
+    const Duration timeout = isLost_ ? askTimeout : watchWait + watchMargin;
     hooks_.perform(WatchRegistry { registry, state.revision, wait, timeout });
 }
 
--- a/bluebellshift/gateway/storelink.h
+++ b/bluebellshift/gateway/storelink.h
@@ -43,7 +43,10 @@
     static constexpr Duration watchMargin = Duration::millis(700); // for the answer to come
     static constexpr Duration pollInterval = Duration::seconds(4); // of what is not watched
     static constexpr Duration retryFirst = Duration::millis(30);
-    static constexpr Duration retryMost = Duration::millis(800);
+    // With askTimeout, the store's return is noticed within 0.8 s: what lapsed meanwhile
+    // must be given its two seconds within the users' contact time.
+    static constexpr Duration retryMost = Duration::millis(300);
+    static constexpr Duration askTimeout = Duration::millis(500); // while it is lost
     // After a change, the next watch begins this much later: changes come in groups.
     static constexpr Duration gatherTime = Duration::millis(120);
     static constexpr int failuresToLose = 2; // one after another
--- a/bluebellshift/gateway/targetpool.cpp
+++ b/bluebellshift/gateway/targetpool.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <map>
 
 #include <fmt/format.h>
 
@@ -159,6 +160,11 @@
         warmHomes(wish, candidates, now);
     double bestScore = 0;
     const double price = workPrice(wish.service, now);
+    std::map<RegionId, double> penalties;
+    for (const auto &[domain, region] : options_.regionOf)
+        penalties.emplace(region, 0);
+    for (auto &[region, penalty] : penalties)
+        penalty = flow_.penalty(region, now);
     for (const Candidate &candidate : candidates) {
         const State &state = *candidate.state;
         const RuledOut ruledOut = ruleOutNow(state, wish, now);
@@ -170,6 +176,7 @@
         const Duration finish = finishAt(state, wish, others, work, now);
         double score =
             millis(finish) + price * work + failureOf(state, now) * millis(failureCost);
+        score += penalties[state.region];
         if (state.target.failureDomain != options_.vm.failureDomain)
             score += crossDomainMillisPerKilobyte * (1 + static_cast<double>(wish.bodyBytes) / 1000);
         // Equal targets are told apart by chance, or VMs would all take the same one.
@@ -405,6 +412,7 @@
     if (state == nullptr)
         return;
     ++state->inFlight;
+    flow_.note(state->region, now);
     if (isCold(*state, now))
         state->coldSentAt = now;
     if (wish.object == 0)
--- a/bluebellshift/gateway/targetpool.h
+++ b/bluebellshift/gateway/targetpool.h
@@ -26,6 +26,7 @@
 #include "bluebellshift/core/logevent.h"
 #include "bluebellshift/gateway/event.h"
 #include "bluebellshift/gateway/options.h"
+#include "bluebellshift/gateway/regionflow.h"
 #include "bluebellshift/gateway/registry.h"
 
 namespace bluebellshift::gateway {
@@ -202,6 +203,7 @@
     const GatewayOptions &options_;
     const PoolHooks hooks_;
     TrafficConfigPointer config_;
+    RegionFlow flow_;
     std::unordered_map<TargetId, State> states_;
     std::unordered_map<ServiceId, std::vector<State *>> byService_; // into states_
     std::unordered_set<FailureDomainId> evacuated_;
