--- /dev/null
+++ b/bluebellshift/net/testing/httpclienttest.cpp
@@ -0,0 +1,225 @@
+#include "bluebellshift/net/httpclient.h"
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "bluebellshift/net/testing/looptools.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace bluebellshift;
+using namespace bluebellshift::net;
+using namespace bluebellshift::net::testing;
+
+namespace {
+
+const std::string request = "POST /a HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n"
+                            "Content-Length: 4\r\n\r\nbody";
+const std::string good = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 3\r\n\r\nyes";
+const std::string stale = "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nContent-Length: 3\r\n\r\nold";
+
+enum class Then { Stay, Finish, Reset };
+
+// What a target sends after it has read the request, and what comes of it.
+struct AnswerCase
+{
+    const char *name;
+    std::string bytes;
+    Then then;
+    CallOutcome outcome;
+    const char *body; // when it is Answered
+};
+
+const AnswerCase answerCases[] = {
+    { "whole", good, Then::Stay, CallOutcome::Answered, "yes" },
+    { "whole, then closed", good, Then::Finish, CallOutcome::Answered, "yes" },
+    { "two answers at once", good + good, Then::Stay, CallOutcome::Answered, "yes" },
+    { "bytes behind it", good + "garbage", Then::Stay, CallOutcome::Answered, "yes" },
+    { "late second answer of another request before it", stale + good, Then::Stay,
+      CallOutcome::Answered, "yes" },
+    { "only another request's", stale, Then::Finish, CallOutcome::Cut, "" },
+    { "interim answer first", "HTTP/1.1 100 Continue\r\n\r\n" + good, Then::Stay,
+      CallOutcome::Answered, "yes" },
+    { "success that names no request",
+      "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nyes", Then::Finish, CallOutcome::Cut, "" },
+    { "failure that names no request",
+      "HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", Then::Stay,
+      CallOutcome::Answered, "" },
+    { "cut in its head", "HTTP/1.1 200 OK\r\nRequest-", Then::Finish, CallOutcome::Cut, "" },
+    { "cut in its body", good.substr(0, good.size() - 1), Then::Finish, CallOutcome::Cut, "" },
+    { "cut by a reset", good.substr(0, good.size() - 1), Then::Reset, CallOutcome::Cut, "" },
+    { "chunks without their end",
+      "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n",
+      Then::Finish, CallOutcome::Cut, "" },
+    { "no length, ended by its close", "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\nyes",
+      Then::Finish, CallOutcome::Answered, "yes" },
+    { "no length, ended by a reset", "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\nyes", Then::Reset,
+      CallOutcome::Cut, "" },
+    { "not in the protocol", "SSH-2.0-x\r\n\r\n", Then::Stay, CallOutcome::Malformed, "" },
+    { "nothing", "", Then::Finish, CallOutcome::Cut, "" },
+};
+
+} // namespace
+
+TEST_GROUP(NetHttpClient)
+{
+    using tcp = boost::asio::ip::tcp;
+
+    boost::asio::io_context loop;
+    std::unique_ptr<HttpClient> client;
+    std::unique_ptr<tcp::acceptor> acceptor;
+    std::vector<RawPeer> peers;
+    std::optional<CallResult> result;
+    CallOptions options;
+
+    void setup() override
+    {
+        client = std::make_unique<HttpClient>(loop);
+        acceptor = std::make_unique<tcp::acceptor>(
+            loop, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+        accept();
+        options.idHeader = "Request-Id";
+        options.requestId = "r1";
+    }
+    void teardown() override { client.reset(); }
+
+    void accept()
+    {
+        acceptor->async_accept([this](const boost::system::error_code &error, tcp::socket socket) {
+            if (error)
+                return;
+            peers.emplace_back(std::move(socket));
+            accept();
+        });
+    }
+    core::Endpoint endpoint() const
+    {
+        return { "127.0.0.1", acceptor->local_endpoint().port() };
+    }
+    CallId call()
+    {
+        result.reset();
+        return client->start(endpoint(), "pool", request, options,
+                             [this](CallResult &&got) { result = std::move(got); });
+    }
+    bool waitFor(const std::function<bool()> &isDone) { return runUntil(loop, isDone); }
+    bool hasRead(std::size_t peer, std::size_t requests)
+    {
+        return peers.size() > peer && peers[peer].received().size() >= requests * request.size();
+    }
+};
+
+TEST(NetHttpClient, TakesOnlyAWholeAnswerThatBelongsToTheRequest)
+{
+    for (const AnswerCase &one : answerCases) {
+        const std::size_t peer = peers.size();
+        options.reuseIdleMost = core::Duration();
+        call();
+        CHECK_TEXT(waitFor([&] { return hasRead(peer, 1); }), one.name);
+        STRCMP_EQUAL(request.c_str(), peers[peer].received().c_str());
+        if (!one.bytes.empty())
+            peers[peer].send(one.bytes);
+        if (one.then == Then::Finish)
+            peers[peer].finishSending();
+        else if (one.then == Then::Reset)
+            peers[peer].reset();
+        CHECK_TEXT(waitFor([&] { return result.has_value(); }), one.name);
+        STRCMP_EQUAL_TEXT(toText(one.outcome), toText(result->outcome), one.name);
+        if (one.outcome == CallOutcome::Answered)
+            STRCMP_EQUAL_TEXT(one.body, result->answer->body.c_str(), one.name);
+    }
+}
+
+TEST(NetHttpClient, UsesAConnectionAgainThatBroughtNothingElse)
+{
+    call();
+    CHECK(waitFor([&] { return hasRead(0, 1); }));
+    peers[0].send(good);
+    CHECK(waitFor([&] { return result.has_value(); }));
+    call();
+    CHECK(waitFor([&] { return hasRead(0, 2); }));
+    CHECK_EQUAL(1U, peers.size());
+    peers[0].send(good);
+    CHECK(waitFor([&] { return result.has_value(); }));
+    CHECK(result->isReused);
+}
+
+TEST(NetHttpClient, ClosesAnIdleConnectionThatBringsALateSecondAnswer)
+{
+    call();
+    CHECK(waitFor([&] { return hasRead(0, 1); }));
+    peers[0].send(good);
+    CHECK(waitFor([&] { return result.has_value(); }));
+    peers[0].send(good);
+    CHECK(waitFor([&] { return client->idleCount() == 0; }));
+    call();
+    CHECK(waitFor([&] { return hasRead(1, 1); }));
+}
+
+// The request that finds its kept connection closed is not sent again by the client:
+// whether that is right is not for it to say.
+TEST(NetHttpClient, SendsNothingTwiceWhenAKeptConnectionBreaks)
+{
+    call();
+    CHECK(waitFor([&] { return hasRead(0, 1); }));
+    peers[0].send(good);
+    CHECK(waitFor([&] { return result.has_value(); }));
+    call();
+    CHECK(waitFor([&] { return hasRead(0, 2); }));
+    peers[0].reset();
+    CHECK(waitFor([&] { return result.has_value(); }));
+    CHECK(result->outcome == CallOutcome::Cut);
+    CHECK(result->isReused);
+    loop.poll();
+    CHECK_EQUAL(1U, peers.size());
+}
+
+TEST(NetHttpClient, DoesNotKeepAConnectionThatWasToClose)
+{
+    call();
+    CHECK(waitFor([&] { return hasRead(0, 1); }));
+    peers[0].send("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nConnection: close\r\nContent-Length: "
+                  "0\r\n\r\n");
+    CHECK(waitFor([&] { return result.has_value(); }));
+    CHECK(result->outcome == CallOutcome::Answered);
+    CHECK_EQUAL(0U, client->idleCount());
+}
+
+TEST(NetHttpClient, TellsAConnectionThatWasRefused)
+{
+    const core::Endpoint nobody { "127.0.0.1", freePort(loop) };
+    client->start(nobody, "nobody", request, options,
+                  [this](CallResult &&got) { result = std::move(got); });
+    CHECK(waitFor([&] { return result.has_value(); }));
+    CHECK(result->outcome == CallOutcome::ConnectFailed);
+}
+
+TEST(NetHttpClient, EndsTheConnectionOfACancelledCall)
+{
+    const CallId id = call();
+    CHECK(waitFor([&] { return hasRead(0, 1); }));
+    client->cancel(id);
+    CHECK(waitFor([&] { return peers[0].isEnded(); }));
+    CHECK(!result.has_value());
+}
+
+// An answer that comes before a long request has been written ends the call at once,
+// and nothing else follows on its connection.
+TEST(NetHttpClient, TakesAnEarlyAnswerAndNeverUsesItsConnectionAgain)
+{
+    const std::string body(16 * 1024 * 1024, 'x');
+    const std::string longRequest = "POST /a HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n"
+                                    "Content-Length: "
+        + std::to_string(body.size()) + "\r\n\r\n" + body;
+    tcp::socket silent(loop); // accepts and reads nothing
+    tcp::acceptor other(loop, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    other.async_accept(silent, [&](const boost::system::error_code &) {
+        boost::asio::write(silent, boost::asio::buffer(good));
+    });
+    client->start({ "127.0.0.1", other.local_endpoint().port() }, "long", longRequest, options,
+                  [this](CallResult &&got) { result = std::move(got); });
+    CHECK(waitFor([&] { return result.has_value(); }));
+    CHECK(result->outcome == CallOutcome::Answered);
+    CHECK_EQUAL(0U, client->idleCount());
+}
--- /dev/null
+++ b/bluebellshift/net/testing/httpservertest.cpp
@@ -0,0 +1,218 @@
+#include "bluebellshift/net/httpserver.h"
+
+#include <algorithm>
+#include <memory>
+#include <vector>
+
+#include "bluebellshift/net/testing/looptools.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace bluebellshift;
+using namespace bluebellshift::net;
+using namespace bluebellshift::net::testing;
+
+namespace {
+
+struct HandedOver
+{
+    ExchangeId id;
+    Request request;
+};
+
+core::Answer answerOf(const std::string &body, int status = 200)
+{
+    return { status, {}, body };
+}
+
+// Requests that mean different things to different readers, or break a limit: none is
+// handed over, and what they are answered.
+struct BadRequest
+{
+    const char *name;
+    std::string bytes;
+    const char *status;
+};
+
+const std::string head = "POST /a/b HTTP/1.1\r\nHost: h\r\n";
+
+const BadRequest badRequests[] = {
+    { "two lengths", head + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", "400" },
+    { "length beside chunks",
+      head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400" },
+    { "chunks beside length",
+      head + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n", "400" },
+    { "coding that is not chunked", head + "Transfer-Encoding: gzip\r\n\r\nabc", "501" },
+    { "chunked behind another coding",
+      head + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", "501" },
+    { "bad chunk size", head + "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n", "400" },
+    { "chunk without its end", head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabcXX0\r\n\r\n",
+      "400" },
+    { "negative length", head + "Content-Length: -1\r\n\r\n", "400" },
+    { "length that is no number", head + "Content-Length: 3x\r\n\r\nabc", "400" },
+    { "bare line feeds", "GET /a HTTP/1.1\nHost: h\n\n", "400" },
+    { "space before the colon", "GET /a HTTP/1.1\r\nHost : h\r\n\r\n", "400" },
+    { "no host", "GET /a HTTP/1.1\r\n\r\n", "400" },
+    { "two hosts", "GET /a HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n", "400" },
+    { "another protocol", "GET /a HTTP/3.7\r\nHost: h\r\n\r\n", "400" },
+    { "no path", "GET a HTTP/1.1\r\nHost: h\r\n\r\n", "400" },
+    { "absolute form", "GET http://h/a HTTP/1.1\r\nHost: h\r\n\r\n", "400" },
+    { "large headers", "GET /a HTTP/1.1\r\nHost: h\r\nX: " + std::string(2000, 'x') + "\r\n\r\n",
+      "431" },
+    { "large body", head + "Content-Length: 5000\r\n\r\n", "413" },
+    { "large chunks",
+      head + "Transfer-Encoding: chunked\r\n\r\n1388\r\n" + std::string(5000, 'x') + "\r\n0\r\n\r\n",
+      "413" },
+};
+
+} // namespace
+
+TEST_GROUP(NetHttpServer)
+{
+    boost::asio::io_context loop;
+    std::vector<HandedOver> handedOver;
+    std::vector<ExchangeId> gone;
+    std::unique_ptr<HttpServer> server;
+    std::uint16_t port = 0;
+
+    void setup() override
+    {
+        ServerLimits limits;
+        limits.headerBytesMost = 1024;
+        limits.bodyBytesMost = 4096;
+        server = std::make_unique<HttpServer>(
+            loop, [limits] { return limits; },
+            ServerHooks { [this](ExchangeId id, Request &&request) {
+                             handedOver.push_back({ id, std::move(request) });
+                         },
+                          [this](ExchangeId id) { gone.push_back(id); } });
+        port = freePort(loop);
+        CHECK(server->listen({ "127.0.0.1", port }).ok());
+    }
+    void teardown() override { server.reset(); }
+
+    bool waitFor(const std::function<bool()> &isDone) { return runUntil(loop, isDone); }
+};
+
+TEST(NetHttpServer, HandsOverARequestAsItWasSent)
+{
+    RawPeer caller = RawPeer::connect(loop, port);
+    caller.send("POST /a%2Fb/../c?x=%20 HTTP/1.1\r\nHost: h\r\nX-A: 1\r\nTransfer-Encoding: "
+                "chunked\r\n\r\n3\r\nabc\r\n2;ext=1\r\nde\r\n0\r\n\r\n");
+    CHECK(waitFor([&] { return handedOver.size() == 1; }));
+    const Request &request = handedOver[0].request;
+    STRCMP_EQUAL("POST", request.method.c_str());
+    STRCMP_EQUAL("/a%2Fb/../c?x=%20", request.target.c_str());
+    STRCMP_EQUAL("abcde", request.body.c_str());
+    STRCMP_EQUAL("1", findHeader(request.headers, "x-a")->c_str());
+    server->answer(handedOver[0].id, answerOf("yes"), false);
+    CHECK(waitFor([&] { return caller.received().find("yes") != std::string::npos; }));
+}
+
+TEST(NetHttpServer, RefusesWhatCanBeReadInTwoWays)
+{
+    for (const BadRequest &bad : badRequests) {
+        RawPeer caller = RawPeer::connect(loop, port);
+        caller.send(bad.bytes);
+        CHECK_TEXT(waitFor([&] { return caller.isEnded(); }), bad.name);
+        STRCMP_EQUAL_TEXT(bad.status, caller.received().substr(9, 3).c_str(), bad.name);
+        CHECK_EQUAL_TEXT(0U, handedOver.size(), bad.name);
+    }
+}
+
+TEST(NetHttpServer, AnswersInTheOrderOfTheRequests)
+{
+    RawPeer caller = RawPeer::connect(loop, port);
+    const std::string get = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+    caller.send(get + get + get);
+    CHECK(waitFor([&] { return handedOver.size() == 3; }));
+    server->answer(handedOver[2].id, answerOf("third"), false);
+    server->answer(handedOver[0].id, answerOf("first"), false);
+    server->answer(handedOver[1].id, answerOf("second"), false);
+    CHECK(waitFor([&] { return caller.received().find("third") != std::string::npos; }));
+    const std::string &all = caller.received();
+    CHECK(all.find("first") < all.find("second"));
+    CHECK(all.find("second") < all.find("third"));
+}
+
+// A request that may not be repeated, behind another one, is not begun before the
+// other's answer has left without closing the connection.
+TEST(NetHttpServer, HandsOverARequestThatMayNotBeRepeatedOnlyWhenItIsFirst)
+{
+    RawPeer caller = RawPeer::connect(loop, port);
+    caller.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\nPOST /b HTTP/1.1\r\nHost: h\r\n"
+                "Content-Length: 1\r\n\r\nxGET /c HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(waitFor([&] { return handedOver.size() >= 1; }));
+    loop.poll();
+    CHECK_EQUAL(1U, handedOver.size());
+    server->answer(handedOver[0].id, answerOf("one"), false);
+    CHECK(waitFor([&] { return handedOver.size() == 3; }));
+    STRCMP_EQUAL("/b", handedOver[1].request.target.c_str());
+}
+
+TEST(NetHttpServer, ForgetsWhatStandsBehindAnAnswerThatCloses)
+{
+    RawPeer caller = RawPeer::connect(loop, port);
+    const std::string get = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+    caller.send(get + get);
+    CHECK(waitFor([&] { return handedOver.size() == 2; }));
+    server->answer(handedOver[0].id, answerOf("one"), true);
+    CHECK(waitFor([&] { return caller.isEnded(); }));
+    CHECK(caller.received().find("Connection: close") != std::string::npos);
+    CHECK_EQUAL(1U, gone.size());
+    CHECK_EQUAL(handedOver[1].id, gone[0]);
+}
+
+// Answers that are given at once, while more of the same read is still being parsed: a
+// second read must not begin meanwhile.
+TEST(NetHttpServer, KeepsManyPipelinedRequestsApartThatAreAnsweredAtOnce)
+{
+    server.reset();
+    std::unique_ptr<HttpServer> echo;
+    echo = std::make_unique<HttpServer>(
+        loop, [] { return ServerLimits(); },
+        ServerHooks { [&echo](ExchangeId id, Request &&request) {
+                         echo->answer(id, answerOf('<' + request.body + '>'), false);
+                     },
+                      [](ExchangeId) {} });
+    const std::uint16_t echoPort = freePort(loop);
+    CHECK(echo->listen({ "127.0.0.1", echoPort }).ok());
+    RawPeer caller = RawPeer::connect(loop, echoPort);
+    std::string bytes;
+    for (int i = 0; i < 300; ++i) {
+        const std::string body(static_cast<std::size_t>(1 + i * 7 % 400), static_cast<char>('a' + i % 26));
+        bytes += "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body.size())
+            + "\r\n\r\n" + body;
+    }
+    caller.send(bytes);
+    const auto count = [&] {
+        return std::count(caller.received().begin(), caller.received().end(), '>');
+    };
+    CHECK(waitFor([&] { return count() == 300; }));
+}
+
+TEST(NetHttpServer, TellsOfACallerThatLeftBeforeItsAnswer)
+{
+    RawPeer caller = RawPeer::connect(loop, port);
+    const std::string get = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+    caller.send(get + get);
+    CHECK(waitFor([&] { return handedOver.size() == 2; }));
+    caller.close();
+    CHECK(waitFor([&] { return gone.size() == 2; }));
+    server->answer(handedOver[0].id, answerOf("too late"), false);
+    CHECK_EQUAL(0U, server->unansweredCount());
+}
+
+TEST(NetHttpServer, ClosesIdleConnectionsOnceItDrains)
+{
+    RawPeer idle = RawPeer::connect(loop, port);
+    RawPeer busy = RawPeer::connect(loop, port);
+    busy.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(waitFor([&] { return handedOver.size() == 1; }));
+    server->beginDrain();
+    CHECK(waitFor([&] { return idle.isEnded(); }));
+    CHECK(!busy.isEnded());
+    server->answer(handedOver[0].id, answerOf("last"), false);
+    CHECK(waitFor([&] { return busy.isEnded(); }));
+    CHECK(busy.received().find("last") != std::string::npos);
+}
--- /dev/null
+++ b/bluebellshift/net/testing/looptools.h
@@ -0,0 +1,109 @@
+// Raw sockets and a loop for tests of the network layer. A test waits for what is to
+// happen; the limit only ends one that hangs.
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+namespace bluebellshift::net::testing {
+
+inline constexpr std::chrono::seconds hangLimit { 20 };
+
+// Runs the loop until `isDone`; false if it did not come to that.
+inline bool runUntil(boost::asio::io_context &loop, const std::function<bool()> &isDone)
+{
+    const auto limit = std::chrono::steady_clock::now() + hangLimit;
+    while (!isDone()) {
+        if (std::chrono::steady_clock::now() > limit)
+            return false;
+        if (loop.stopped())
+            loop.restart();
+        loop.run_one_for(std::chrono::milliseconds(50));
+    }
+    return true;
+}
+
+// A port that was free a moment ago.
+inline std::uint16_t freePort(boost::asio::io_context &loop)
+{
+    using boost::asio::ip::tcp;
+    tcp::acceptor acceptor(loop, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+    return acceptor.local_endpoint().port();
+}
+
+// One connection, as either end, that keeps all that it is sent.
+class RawPeer
+{
+public:
+    explicit RawPeer(boost::asio::ip::tcp::socket socket)
+        : socket_(std::move(socket))
+    {
+        read();
+    }
+
+    static RawPeer connect(boost::asio::io_context &loop, std::uint16_t port)
+    {
+        boost::asio::ip::tcp::socket socket(loop);
+        socket.connect({ boost::asio::ip::make_address("127.0.0.1"), port });
+        return RawPeer(std::move(socket));
+    }
+
+    void send(const std::string &bytes)
+    {
+        boost::asio::write(state_->socket, boost::asio::buffer(bytes));
+    }
+    void close() { state_->socket.close(); }
+    // Makes the other end see a reset.
+    void reset()
+    {
+        state_->socket.set_option(boost::asio::socket_base::linger(true, 0));
+        state_->socket.close();
+    }
+    void finishSending()
+    {
+        state_->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+    }
+    const std::string &received() const { return state_->received; }
+    bool isEnded() const { return state_->isEnded; }
+
+private:
+    struct State
+    {
+        explicit State(boost::asio::ip::tcp::socket taken)
+            : socket(std::move(taken))
+        {
+        }
+        boost::asio::ip::tcp::socket socket;
+        std::string received;
+        char buffer[8192];
+        bool isEnded = false;
+    };
+
+    void read()
+    {
+        state_ = std::make_shared<State>(std::move(socket_));
+        readMore(state_);
+    }
+    static void readMore(const std::shared_ptr<State> &state)
+    {
+        state->socket.async_read_some(
+            boost::asio::buffer(state->buffer),
+            [state](const boost::system::error_code &error, std::size_t size) {
+                state->received.append(state->buffer, size);
+                if (error)
+                    state->isEnded = true;
+                else
+                    readMore(state);
+            });
+    }
+
+    boost::asio::ip::tcp::socket socket_;
+    std::shared_ptr<State> state_;
+};
+
+} // namespace bluebellshift::net::testing
