--- a/bluebellshift/gateway/dispatcher.cpp
+++ b/bluebellshift/gateway/dispatcher.cpp
@@ -68,9 +68,33 @@
     const Duration asked = arrived.deadline > Duration() ? arrived.deadline : defaultDeadline;
     pending.callerDeadline = now + asked;
     pending.deadline = pending.callerDeadline;
+    if (!hooks_.config() || !hooks_.isReady()) {
+        pending.isEarly = true;
+        pending.deadline = std::min(pending.callerDeadline, now + startWait);
+        deadlines_.emplace(pending.deadline, arrived.request);
+        early_.push_back(arrived.request);
+        return;
+    }
+    begin(pending, random, now);
+}
+
+void Dispatcher::onReady(std::uint64_t random, Instant now)
+{
+    for (const RequestId request : std::exchange(early_, {})) {
+        Pending *pending = find(request);
+        if (pending == nullptr)
+            continue; // its caller left, or its time was over
+        pending->isEarly = false;
+        deadlines_.erase({ pending->deadline, request });
+        begin(*pending, random, now);
+    }
+}
+
+void Dispatcher::begin(Pending &pending, std::uint64_t random, Instant now)
+{
     if (!admit(pending, now))
         return;
-    deadlines_.emplace(pending.deadline, arrived.request);
+    deadlines_.emplace(pending.deadline, pending.arrived.request);
     if (place(pending, random, now) != Placement::Waits)
         return;
     if (waitingCount_ >= waitingMost) {
@@ -84,10 +108,6 @@
 bool Dispatcher::admit(Pending &pending, Instant now)
 {
     pending.config = hooks_.config();
-    if (!pending.config || !hooks_.isReady()) {
-        refuse(pending, 503, "not-ready", retryLeast * 3, now);
-        return false;
-    }
     if (refusesNew_) {
         refuse(pending, 503, "leaving", retryLeast, now);
         return false;
@@ -98,7 +118,8 @@
         return false;
     }
     pending.priority = pending.route->priority;
-    pending.deadline = std::min(pending.callerDeadline, now + pending.route->timeout);
+    pending.deadline =
+        std::min(pending.callerDeadline, pending.arrivedAt + pending.route->timeout);
     if (!admitTeam(pending, now))
         return false;
     pending.service = split_.next(*pending.route);
@@ -249,7 +270,7 @@
     Pending *pending = find(gone.request);
     if (pending == nullptr)
         return;
-    const bool isSent = !pending->isWaiting;
+    const bool isSent = !pending->isWaiting && !pending->isEarly;
     log(core::log::callerGone, *pending,
         { { "sent", isSent ? "yes" : "no" }, { "afterMs", millisText(now - pending->arrivedAt) } });
     if (isSent) {
@@ -361,6 +382,10 @@
 // The request's time is over.
 void Dispatcher::expire(Pending &pending, Instant now)
 {
+    if (pending.isEarly) {
+        refuse(pending, 503, "not-ready", retryLeast * 3, now);
+        return;
+    }
     if (pending.isWaiting) {
         refuse(pending, pending.mayHaveRun ? 504 : 503, "deadline-passed", retryLeast, now);
         return;
@@ -378,7 +403,7 @@
         all.push_back(request);
     for (const RequestId request : all) {
         Pending &pending = pending_.at(request);
-        const bool isSent = !pending.isWaiting;
+        const bool isSent = !pending.isWaiting && !pending.isEarly;
         if (isSent) {
             pool_.onCancelled(pending.target, now);
             hooks_.perform(CancelAttempt { request });
--- a/bluebellshift/gateway/dispatcher.h
+++ b/bluebellshift/gateway/dispatcher.h
@@ -42,6 +42,8 @@
     static constexpr Duration defaultDeadline = Duration::seconds(10); // the caller named none
     static constexpr Duration connectTimeout = Duration::millis(500);
     static constexpr Duration pumpInterval = Duration::millis(15); // while requests wait
+    // A request that arrives before enough is known waits for that long.
+    static constexpr Duration startWait = Duration::millis(500);
     static constexpr int connectFailuresMost = 4; // of one request
     // A request that may not be repeated goes only on a connection that was used this
     // recently: a target may have forgotten an older one.
@@ -63,6 +65,8 @@
     void onGone(const CallerGone &gone, Instant now);
     void onEnded(const AttemptEnded &ended, std::uint64_t random, Instant now);
     void onTimer(std::uint64_t random, Instant now);
+    // Enough is known to serve: what arrived before is looked at.
+    void onReady(std::uint64_t random, Instant now);
     // Targets or the configuration changed: what waits is tried again.
     void onRoomChanged(std::uint64_t random, Instant now);
     Instant nextWake() const;
@@ -91,6 +95,7 @@
         Instant callerDeadline;
         std::uint64_t sequence = 0;
         bool isWaiting = false;
+        bool isEarly = false; // nothing has been decided of it
         Instant sentAt;
         TargetId target;
         int attempts = 0;        // targets that it was sent to
@@ -105,6 +110,7 @@
 
     enum class Placement { Sent, Waits, Refused };
 
+    void begin(Pending &pending, std::uint64_t random, Instant now);
     bool admit(Pending &pending, Instant now);
     bool admitTeam(Pending &pending, Instant now);
     Wish wishOf(const Pending &pending) const;
@@ -136,6 +142,7 @@
     std::map<ServiceId, Waiting> waiting_;
     std::size_t waitingCount_ = 0;
     std::set<std::pair<Instant, RequestId>> deadlines_;
+    std::vector<RequestId> early_; // arrived before enough was known
     std::map<TeamId, int> arrivals_;
     std::uint64_t lastSequence_ = 0;
     Instant pumpedAt_ = Instant::never();
--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -26,7 +26,6 @@
 constexpr Duration entryKept = Duration::seconds(90); // of a VM that nobody hears
 constexpr Duration stopServing = Duration::seconds(3); // after a stop was asked for
 constexpr Duration stopMargin = Duration::millis(300); // before the process is killed
-constexpr Duration bootWait = Duration::millis(1500);  // to hear the others' demand
 constexpr Duration lookupTtlAim = Duration::seconds(2);
 constexpr double shareMoveLogged = 0.1; // changes of a share by more are logged
 
@@ -101,7 +100,6 @@
     std::map<TeamId, double> loggedShare_;
     std::uint64_t reportSequence_ = 0;
     Instant reportAt_ = Instant::never();
-    Instant startedAt_ = Instant::never();
     bool wasReady_ = false;
     bool isStopping_ = false;
     Instant stopServingAt_ = Instant::never();
@@ -133,7 +131,6 @@
 {
     now_ = now;
     random_ = random;
-    startedAt_ = now;
     reportAt_ = now;
     entryDueAt_ = now;
     store_.start(random, now);
@@ -162,10 +159,9 @@
 
 bool Reducer::State::isReady() const
 {
-    const bool knowsFleet = store_.isListed(Registry::Vms)
-        && (now_ - startedAt_ >= bootWait || fleet_.heardPeers(now_).size() + 1 == fleet_.vmCount());
     return config_ != nullptr && store_.isListed(Registry::Targets)
-        && store_.isListed(Registry::Evacuations) && knowsFleet && !isStopping_;
+        && store_.isListed(Registry::Evacuations) && store_.isListed(Registry::Vms)
+        && !isStopping_;
 }
 
 void Reducer::State::on(const TimerFired &)
@@ -432,6 +428,8 @@
             { "vms", std::to_string(fleet_.vmCount()) },
             { "config", config_ ? std::to_string(config_->version.number()) : "none" } } });
     reportAt_ = now_; // the others learn of it at once
+    if (ready)
+        dispatcher_.onReady(random_, now_);
 }
 
 void Reducer::State::on(const StopAsked &event)
--- a/bluebellshift/gateway/teamquotas.cpp
+++ b/bluebellshift/gateway/teamquotas.cpp
@@ -15,6 +15,8 @@
             fill(bucket, now);
         bucket.rate = team.ratePerSecond;
         bucket.burst = team.burst;
+        if (isNew)
+            bucket.tokens = slackOf(bucket) * slackAtStart;
         bucket.tokens = std::min(bucket.tokens, sizeOf(bucket));
     }
     for (auto entry = buckets_.begin(); entry != buckets_.end();)
@@ -72,10 +74,15 @@
 
 // The share of the burst and an even part of some slack; at least one request must fit.
 double TeamQuotas::sizeOf(const Bucket &bucket) const
+{
+    return std::max(1.0, bucket.share * bucket.burst + slackOf(bucket));
+}
+
+double TeamQuotas::slackOf(const Bucket &bucket) const
 {
     const double window = bucket.rate * bounds_.quotaWindow.toSeconds() + bucket.burst;
     const double slack = (window * bounds_.quotaOverage + bounds_.quotaSlack) * slackUsed;
-    return std::max(1.0, bucket.share * bucket.burst + slack / static_cast<double>(vms_));
+    return slack / static_cast<double>(vms_);
 }
 
 void TeamQuotas::fill(Bucket &bucket, Instant now) const
--- a/bluebellshift/gateway/teamquotas.h
+++ b/bluebellshift/gateway/teamquotas.h
@@ -23,6 +23,9 @@
 {
 public:
     static constexpr double slackUsed = 0.6; // part of the bounds' slack
+    // Of its part of the slack, that a VM begins with: one that was killed may have
+    // spent the same just before.
+    static constexpr double slackAtStart = 0.5;
 
     explicit TeamQuotas(const FleetBounds &bounds)
         : bounds_(bounds)
@@ -30,7 +33,7 @@
     }
 
     // Limits of teams that stay are changed at once; a bucket keeps what it holds, up
-    // to its new size. The bucket of a team that is new starts empty.
+    // to its new size. The bucket of a team that is new starts with little.
     void setConfig(const TrafficConfig &config, Instant now);
     void setShare(const TeamId &team, double share, Instant now);
     void setVmCount(std::size_t vms) { vms_ = vms; }
@@ -54,6 +57,7 @@
     };
 
     double sizeOf(const Bucket &bucket) const;
+    double slackOf(const Bucket &bucket) const;
     void fill(Bucket &bucket, Instant now) const;
     Bucket *limited(const TeamId &team);
 
--- a/bluebellshift/gateway/testing/reducertest.cpp
+++ b/bluebellshift/gateway/testing/reducertest.cpp
@@ -76,6 +76,7 @@
 {
     bench.begin(nullptr, sampleTargets(3));
     bench.request(1);
+    bench.advance(Duration::millis(510));
     const auto ended = bench.takeEnded();
     CHECK_EQUAL(1U, ended.size());
     CHECK_EQUAL(503, ended[0].status);
@@ -83,6 +84,21 @@
     CHECK(!bench.reducer().isReady());
 }
 
+TEST(Reducer, ServesWhatArrivedJustBeforeItKnewEnough)
+{
+    bench.begin(nullptr, sampleTargets(3));
+    bench.request(1);
+    bench.request(2);
+    bench.reduce(CallerGone { RequestId(2) });
+    bench.advance(Duration::millis(300));
+    bench.putConfig(sampleConfig());
+    const auto sent = bench.takeSent();
+    CHECK_EQUAL(1U, sent.size());
+    CHECK(sent[0].request == RequestId(1));
+    bench.answer(1, 200);
+    CHECK(bench.takeEnded().back().isPassed);
+}
+
 TEST(Reducer, EndsEveryAttemptAsTheTableSays)
 {
     for (const EndCase &one : endCases) {
