Call the store less and report to other regions half as often

Change: watches wait 2.8 s (2.4), a changed registry is watched again after 300 ms (120); other regions get every second report.

--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -101,6 +101,7 @@
     std::uint64_t reportSequence_ = 0;
     Instant reportAt_ = Instant::never();
     bool wasReady_ = false;
+    bool wasReported_ = false; // as ready, to all
     bool isStopping_ = false;
     Instant stopServingAt_ = Instant::never();
     Instant killedAt_ = Instant::never();
@@ -375,9 +376,15 @@
             report.demands.push_back({ team, millis });
     }
     report.uses = pool_.uses();
+    // Other regions hear every second report: bytes between regions cost most, and what
+    // they share are the teams' limits, which move slowly.
+    const bool isForAll = reportSequence_ % 2 == 0 || isStopping_ || isReady() != wasReported_;
+    wasReported_ = isReady();
     std::vector<VmId> to;
-    for (const VmEntry &peer : fleet_.peers())
-        to.push_back(peer.id);
+    for (const VmEntry &peer : fleet_.peers()) {
+        if (isForAll || peer.region == options_.vm.region)
+            to.push_back(peer.id);
+    }
     if (!to.empty())
         perform(SendReport { std::move(to), std::move(report) });
 }
--- a/bluebellshift/gateway/storelink.h
+++ b/bluebellshift/gateway/storelink.h
@@ -39,8 +39,8 @@
     static constexpr Duration callTimeout = Duration::millis(1000);
     // A watch that the store has forgotten is found out after this and watchMargin,
     // which must stay under the users' contact time.
-    static constexpr Duration watchWait = Duration::millis(2400);
-    static constexpr Duration watchMargin = Duration::millis(700); // for the answer to come
+    static constexpr Duration watchWait = Duration::millis(2800);
+    static constexpr Duration watchMargin = Duration::millis(600); // for the answer to come
     static constexpr Duration pollInterval = Duration::seconds(4); // of what is not watched
     static constexpr Duration retryFirst = Duration::millis(30);
     // With askTimeout, the store's return is noticed within 0.8 s: what lapsed meanwhile
@@ -48,7 +48,7 @@
     static constexpr Duration retryMost = Duration::millis(300);
     static constexpr Duration askTimeout = Duration::millis(500); // while it is lost
     // After a change, the next watch begins this much later: changes come in groups.
-    static constexpr Duration gatherTime = Duration::millis(120);
+    static constexpr Duration gatherTime = Duration::millis(300);
     static constexpr int failuresToLose = 2; // one after another
 
     explicit StoreLink(StoreLinkHooks hooks);
