Trust a target's fresh word of its load; learn how far each failure domain is

Change: a load that a target told within 200 ms counts alone; the way there and back is learned from connections.

--- a/bluebellshift/gateway/event.h
+++ b/bluebellshift/gateway/event.h
@@ -101,6 +101,7 @@
     bool saysNotRun = false;  // the target states that it did not run the request
     bool isAuthentic = false; // it carries the target's mark and no encoding of another
     bool wasReused = false;   // the connection had carried a request before
+    Duration connectTime;     // there and back, if a connection was made; else zero
     std::optional<LoadReport> load;
 };
 
--- a/bluebellshift/gateway/targetpool.cpp
+++ b/bluebellshift/gateway/targetpool.cpp
@@ -308,6 +308,8 @@
 
 int TargetPool::othersAt(const State &state, Instant now) const
 {
+    if (now - state.reportedAt < loadReportFresh)
+        return state.reportedOthers;
     const int told = hooks_.othersInFlight(static_cast<std::uint32_t>(state.hash), now);
     if (now - state.reportedAt > loadReportUse)
         return told;
@@ -375,6 +377,9 @@
 
 Duration TargetPool::wayTo(const State &state) const
 {
+    const auto measured = ways_.find(state.target.failureDomain);
+    if (measured != ways_.end())
+        return measured->second;
     if (state.target.failureDomain == options_.vm.failureDomain)
         return Duration();
     return state.region == options_.vm.region ? wayInRegion : wayBetweenRegions;
@@ -449,6 +454,7 @@
         }
         return;
     }
+    learnWay(*state, ended.connectTime);
     if (state->unreachable > 0) {
         state->unreachable = 0;
         hooks_.log({ core::log::targetReturned,
@@ -479,6 +485,17 @@
     state.failureAt = now;
 }
 
+// A connection takes as long as the way there and back; a lost packet makes it longer,
+// so that the smoothing follows shorter times at once.
+void TargetPool::learnWay(const State &state, Duration connectTime)
+{
+    if (connectTime <= Duration())
+        return;
+    const auto [way, isNew] = ways_.emplace(state.target.failureDomain, connectTime);
+    if (!isNew)
+        way->second = std::min(connectTime, way->second + (connectTime - way->second) / 16);
+}
+
 // Learns how long a route's work takes where its object is not warm, how slow a target
 // is, and how many objects it keeps. An answer that came much sooner than usual had a
 // warm object.
--- a/bluebellshift/gateway/targetpool.h
+++ b/bluebellshift/gateway/targetpool.h
@@ -96,13 +96,17 @@
     static constexpr Duration failureCost = Duration::millis(900); // of a request sent in vain
     static constexpr Duration unreachablePause = Duration::millis(500);
     static constexpr Duration unreachablePauseMost = Duration::seconds(4);
+    // A target's own word of its load is used alone while it is this fresh, and beside
+    // what the other VMs told while it is that fresh.
+    static constexpr Duration loadReportFresh = Duration::millis(200);
     static constexpr Duration loadReportUse = Duration::millis(600);
     // While most slots are in use, work that a warm target would spare is work that
     // others wait for: it then counts once more.
     static constexpr double busyFrom = 0.5; // of all slots
     static constexpr double busyFull = 0.9;
     static constexpr Duration busyCheck = Duration::millis(100);
-    static constexpr Duration wayInRegion = Duration::millis(8);      // there and back
+    // There and back, until connections have shown it.
+    static constexpr Duration wayInRegion = Duration::millis(8);
     static constexpr Duration wayBetweenRegions = Duration::millis(90);
     static constexpr double crossDomainMillisPerKilobyte = 2; // weight of traffic that costs
 
@@ -197,6 +201,7 @@
                       Instant now) const;
     double usualWork(const State &state, const Wish &wish, Instant now) const;
     void noteFailure(State &state, bool isFailed, double weight, Instant now);
+    void learnWay(const State &state, Duration connectTime);
     void learnWork(State &state, const Wish &wish, Duration took, Instant now);
     State *findState(const TargetId &target);
 
@@ -207,6 +212,7 @@
     std::unordered_map<TargetId, State> states_;
     std::unordered_map<ServiceId, std::vector<State *>> byService_; // into states_
     std::unordered_set<FailureDomainId> evacuated_;
+    std::unordered_map<FailureDomainId, Duration> ways_; // there and back, as measured
     std::unordered_map<std::string, double> work_; // milliseconds of a cold object, by route
     std::unordered_map<ServiceId, ObjectCount> objects_;
     mutable std::unordered_map<ServiceId, Business> business_; // computed seldom
--- a/bluebellshift/net/httpclient.cpp
+++ b/bluebellshift/net/httpclient.cpp
@@ -160,6 +160,7 @@
             return;
         }
         ++client_.connectionsMade_;
+        connectBegunAt_ = Clock::now();
         setTimer(std::min(deadline_, Clock::now() + toChrono(options_.connectTimeout)),
                  CallOutcome::ConnectFailed);
         socket_.async_connect({ address, endpoint.port },
@@ -177,6 +178,9 @@
             return;
         }
         isConnected_ = true;
+        result_.connectTime = core::Duration::micros(
+            std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - connectBegunAt_)
+                .count());
         setOptions(socket_);
         setTimer(deadline_, CallOutcome::TimedOut);
         read();
@@ -361,6 +365,7 @@
     std::string outgoing_;
     core::AnswerPointer answer_;
     Clock::time_point deadline_;
+    Clock::time_point connectBegunAt_;
     Clock::time_point idleSince_;
     Clock::duration keptFor_ = keptMost;
     int passedOver_ = 0;
--- a/bluebellshift/net/httpclient.h
+++ b/bluebellshift/net/httpclient.h
@@ -51,6 +51,7 @@
     core::AnswerPointer answer; // Answered only
     bool isAnswerBegun = false; // at least one byte came back
     bool isReused = false;      // the connection had carried a call before
+    core::Duration connectTime; // of a connection made for the call; zero if none was
 };
 
 struct CallOptions
