In a large fleet a few VMs read the store for all

Change: from 20 VMs on, the five first by a hash watch with waits of 0.9 s and tell all others at once which revision changed; those call the store only then, and watch for themselves as soon as fewer than two readers have heard it within 1.7 s. Reports name teams by a hash, and demands come with every third report of a large fleet.

--- a/bluebellshift/core/vmreport.h
+++ b/bluebellshift/core/vmreport.h
@@ -13,8 +13,8 @@
 // How many requests of a team arrived at the VM, smoothed.
 struct TeamDemand
 {
-    TeamId team;
-    std::int64_t milliRequestsPerSecond = 0;
+    std::uint32_t team = 0; // a hash of its id, to keep reports small
+    std::uint32_t milliRequestsPerSecond = 0;
 };
 
 // How many requests of the VM are at a target now.
@@ -32,6 +32,10 @@
     std::uint64_t configVersion = 0; // 0: none yet
     std::vector<TeamDemand> demands;
     std::vector<TargetUse> uses;
+    bool hasDemands = true; // false: `demands` is left out, the last ones still hold
+    bool readsStore = false; // it watches the platform's store for others as well
+    std::uint32_t storeAgeMillis = 0; // since the store last confirmed all it watches
+    std::vector<std::uint64_t> newsRevisions; // of the last change of each watched registry
 };
 
 } // namespace bluebellshift::core
--- a/bluebellshift/gateway/fleet.cpp
+++ b/bluebellshift/gateway/fleet.cpp
@@ -7,7 +7,7 @@
 namespace bluebellshift::gateway {
 namespace {
 
-double demandOf(const std::vector<TeamDemand> &demands, const TeamId &team)
+double demandOf(const std::vector<TeamDemand> &demands, std::uint32_t team)
 {
     for (const TeamDemand &demand : demands) {
         if (demand.team == team)
@@ -66,7 +66,10 @@
     replaceUses(peer, report.uses);
     if (!peer.report.isLeaving && report.isLeaving)
         log_({ core::log::peerLeaving, { { "vm", from.text() } } });
+    std::vector<TeamDemand> demands = std::move(peer.report.demands);
     peer.report = report;
+    if (!report.hasDemands && isSameRun)
+        peer.report.demands = std::move(demands);
     peer.incarnation = incarnation;
     peer.heardAt = now;
     peer.isLost = false;
@@ -157,6 +160,26 @@
     return chosen;
 }
 
+std::size_t Fleet::freshReaders(Duration ageMost, Instant now) const
+{
+    std::size_t fresh = 0;
+    for (const auto &[id, peer] : entries_) {
+        const Duration age = Duration::millis(peer.report.storeAgeMillis) + (now - peer.heardAt);
+        fresh += isHeard(peer, now) && peer.report.readsStore && age <= ageMost ? 1 : 0;
+    }
+    return fresh;
+}
+
+std::uint64_t Fleet::newsRevision(std::size_t registry, Instant now) const
+{
+    std::uint64_t newest = 0;
+    for (const auto &[id, peer] : entries_) {
+        if (isHeard(peer, now) && registry < peer.report.newsRevisions.size())
+            newest = std::max(newest, peer.report.newsRevisions[registry]);
+    }
+    return newest;
+}
+
 int Fleet::othersInFlight(std::uint32_t target) const
 {
     const auto found = inFlight_.find(target);
@@ -176,6 +199,7 @@
 
 double Fleet::shareOf(const TeamId &team, double ownDemand, double rate, Instant now) const
 {
+    const auto hash = static_cast<std::uint32_t>(hashText(team.text()));
     const double even = 1.0 / static_cast<double>(vmCount());
     const double idle = idleShare * rate * even;
     const double own = std::min(ownDemand, rate) + idle;
@@ -184,10 +208,10 @@
     for (const auto &[id, peer] : entries_) {
         isAnyHeard = isAnyHeard || isHeard(peer, now);
         const bool stillCounts = now - peer.heardAt < shareHold;
-        sum += idle + (stillCounts ? std::min(rate, demandOf(peer.report.demands, team)) : 0);
+        sum += idle + (stillCounts ? std::min(rate, demandOf(peer.report.demands, hash)) : 0);
     }
     for (const Departed &gone : departed_)
-        sum += std::min(rate, demandOf(gone.demands, team));
+        sum += std::min(rate, demandOf(gone.demands, hash));
     if (!isAnyHeard)
         return cutOffShare * even;
     return sum <= 0 ? even : own / sum;
--- a/bluebellshift/gateway/fleet.h
+++ b/bluebellshift/gateway/fleet.h
@@ -26,7 +26,7 @@
 class Fleet
 {
 public:
-    static constexpr Duration silenceMost = Duration::millis(2500);  // five reports
+    static constexpr Duration silenceMost = Duration::millis(3200);  // two slow reports
     static constexpr Duration newcomerTime = Duration::seconds(3);   // to be heard first
     static constexpr Duration shareHold = Duration::seconds(15);
     static constexpr double heardLeast = 0.34; // of the others; below, this VM is cut off
@@ -59,6 +59,11 @@
     std::vector<Endpoint> addressesFor(const RegionId &region, const FailureDomainId &domain,
                                        bool isSelfReady, Instant now) const;
 
+    // How many VMs watch the store for others and have heard it lately, and the newest
+    // change of a registry that any VM told of.
+    std::size_t freshReaders(Duration ageMost, Instant now) const;
+    std::uint64_t newsRevision(std::size_t registry, Instant now) const;
+
     int othersInFlight(std::uint32_t target) const;
     // This VM's place, from 0, in an order of the VMs that are heard; each target has
     // an order of its own.
--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -7,10 +7,12 @@
 #include "bluebellshift/gateway/reducer.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 #include "bluebellshift/gateway/dispatcher.h"
 #include "bluebellshift/gateway/fleet.h"
+#include "bluebellshift/gateway/hashing.h"
 #include "bluebellshift/gateway/storelink.h"
 #include "bluebellshift/gateway/targetpool.h"
 #include "bluebellshift/gateway/teamquotas.h"
@@ -20,6 +22,19 @@
 
 constexpr Duration reportInterval = Duration::millis(500);
 constexpr std::size_t fullRateVms = 24; // a larger fleet reports less often
+constexpr std::int64_t slowdownMost = 3;
+constexpr std::uint64_t demandEvery = 3; // reports, in a fleet that reports less often
+// In a fleet this large a few VMs read the store for all. Two of them that have heard
+// it within followedAge are enough to follow: that age and a report's way stay under
+// the time in which a configuration must be in force.
+constexpr std::size_t followFromVms = 20;
+constexpr std::size_t readersWanted = 5;
+constexpr std::size_t readersNeeded = 2;
+constexpr Duration followedAge = Duration::millis(1700);
+constexpr Duration followCheck = Duration::millis(250);
+constexpr std::uint64_t readerOrder = 0x72656164; // any number, the same on every VM
+constexpr std::array<Registry, 3> followedRegistries = { Registry::Traffic, Registry::Targets,
+                                                         Registry::Evacuations };
 constexpr Duration demandMemory = Duration::millis(1500); // time constant of the smoothing
 constexpr Duration writeTimeout = Duration::millis(1000);
 constexpr Duration writeRetry = Duration::millis(400);
@@ -57,8 +72,16 @@
 private:
     void on(const TimerFired &event);
     void on(const RegistryListed &event) { store_.onListed(event, now_); }
-    void on(const RegistryChanged &event) { store_.onChanged(event, now_); }
-    void on(const RegistryFailed &event) { store_.onFailed(event, random_, now_); }
+    void on(const RegistryChanged &event)
+    {
+        store_.onChanged(event, now_);
+        tellNews(!event.entries.empty());
+    }
+    void on(const RegistryFailed &event)
+    {
+        store_.onFailed(event, random_, now_);
+        tellNews(true);
+    }
     void on(const StoreWritten &event);
     void on(const StoreWriteFailed &event);
     void on(const RequestArrived &event) { dispatcher_.onArrived(event, random_, now_); }
@@ -67,6 +90,7 @@
     void on(const PeerSaid &event)
     {
         fleet_.onReport(event.from, event.incarnation, event.report, now_);
+        hearNews();
     }
     void on(const PeerLost &event) { fleet_.onLost(event.vm, now_); }
     void on(const StopAsked &event);
@@ -81,6 +105,11 @@
     void writeOwnEntry();
     void setPeers();
     void report();
+    void chooseStoreMode();
+    // Others that follow this VM learn at once of what it read.
+    void tellNews(bool isNews);
+    void hearNews();
+    void smoothDemand(Duration interval);
     void removeLapsed();
     void removeStaleVms();
     void updateShares();
@@ -100,6 +129,7 @@
     std::map<TeamId, double> loggedShare_;
     std::uint64_t reportSequence_ = 0;
     Instant reportAt_ = Instant::never();
+    Instant reportedAt_ = Instant::never();
     bool wasReady_ = false;
     bool wasReported_ = false; // as ready, to all
     bool isStopping_ = false;
@@ -133,6 +163,7 @@
     now_ = now;
     random_ = random;
     reportAt_ = now;
+    reportedAt_ = now;
     entryDueAt_ = now;
     store_.start(random, now);
     writeOwnEntry();
@@ -155,6 +186,8 @@
     }
     for (const auto &[target, until] : lapsed_)
         next = std::min(next, until);
+    if (store_.mode() == StoreMode::Follows)
+        next = std::min(next, now_ + followCheck);
     return next;
 }
 
@@ -167,6 +200,7 @@
 
 void Reducer::State::on(const TimerFired &)
 {
+    chooseStoreMode();
     store_.onTimer(now_);
     if (entryDueAt_ != Instant::never() && now_ >= entryDueAt_)
         writeOwnEntry();
@@ -352,33 +386,81 @@
         perform(SetPeers { fleet_.peers(), peerKey_ });
 }
 
-// Tells the others what this VM does, and smooths its demand to what it tells.
-void Reducer::State::report()
+// Whether this VM reads the store for others, follows those that do, or watches it for
+// itself alone.
+void Reducer::State::chooseStoreMode()
+{
+    StoreMode mode = StoreMode::Watches;
+    if (fleet_.vmCount() >= followFromVms && !isStopping_) {
+        if (fleet_.rankFor(readerOrder, now_) < readersWanted)
+            mode = StoreMode::Reads;
+        else if (fleet_.freshReaders(followedAge, now_) >= readersNeeded)
+            mode = StoreMode::Follows;
+    }
+    store_.setMode(mode, now_);
+}
+
+void Reducer::State::tellNews(bool isNews)
+{
+    if (isNews && store_.mode() == StoreMode::Reads)
+        reportAt_ = now_;
+}
+
+void Reducer::State::hearNews()
+{
+    if (store_.mode() != StoreMode::Follows)
+        return;
+    for (std::size_t i = 0; i < followedRegistries.size(); ++i)
+        store_.onNews(followedRegistries[i], Revision(fleet_.newsRevision(i, now_)), now_);
+}
+
+// Smooths what arrived since the last report into the demand that is told.
+void Reducer::State::smoothDemand(Duration interval)
 {
-    const auto vms = static_cast<std::int64_t>(fleet_.vmCount());
-    const auto slowdown = std::max<std::int64_t>(1, vms / static_cast<std::int64_t>(fullRateVms));
-    const Duration interval = reportInterval * slowdown;
-    reportAt_ = now_ + interval;
     const double keep = std::exp(-interval.toSeconds() / demandMemory.toSeconds());
     const std::map<TeamId, int> arrivals = dispatcher_.takeArrivals();
     for (auto &[team, demand] : demand_)
         demand *= keep;
     for (const auto &[team, count] : arrivals)
         demand_[team] += (1 - keep) * count / interval.toSeconds();
+}
+
+// Tells the others what this VM does.
+void Reducer::State::report()
+{
+    const auto vms = static_cast<std::int64_t>(fleet_.vmCount());
+    const bool isLarge = fleet_.vmCount() > fullRateVms;
+    const bool isReader = store_.mode() == StoreMode::Reads;
+    const std::int64_t slowdown = isReader
+        ? 1
+        : std::clamp<std::int64_t>(vms / static_cast<std::int64_t>(fullRateVms), 1, slowdownMost);
+    const Duration interval = reportInterval * slowdown;
+    reportAt_ = now_ + interval;
+    smoothDemand(std::max(now_ - reportedAt_, Duration::millis(1)));
+    reportedAt_ = now_;
     VmReport report;
     report.sequence = ++reportSequence_;
     report.isReady = isReady();
     report.isLeaving = isStopping_;
     report.configVersion = config_ ? config_->version.number() : 0;
+    report.hasDemands = !isLarge || reportSequence_ % demandEvery == 0;
     for (const auto &[team, demand] : demand_) {
-        const auto millis = static_cast<std::int64_t>(demand * 1000);
-        if (millis > 0)
-            report.demands.push_back({ team, millis });
+        const auto millis = static_cast<std::uint32_t>(demand * 1000);
+        if (millis > 0 && report.hasDemands)
+            report.demands.push_back({ static_cast<std::uint32_t>(hashText(team.text())), millis });
     }
     report.uses = pool_.uses();
-    // Other regions hear every second report: bytes between regions cost most, and what
-    // they share are the teams' limits, which move slowly.
-    const bool isForAll = reportSequence_ % 2 == 0 || isStopping_ || isReady() != wasReported_;
+    report.readsStore = isReader;
+    if (isReader) {
+        const Duration age = std::min(now_ - store_.confirmedAt(), Duration::seconds(3600));
+        report.storeAgeMillis = static_cast<std::uint32_t>(age.toMillis());
+        for (const Registry registry : followedRegistries)
+            report.newsRevisions.push_back(store_.newsRevision(registry).number());
+    }
+    // Other regions hear every second report of a small fleet: bytes between regions cost
+    // most, and what they share are the teams' limits, which move slowly.
+    const bool isForAll = isLarge || isReader || reportSequence_ % 2 == 0 || isStopping_
+        || isReady() != wasReported_;
     wasReported_ = isReady();
     std::vector<VmId> to;
     for (const VmEntry &peer : fleet_.peers()) {
--- a/bluebellshift/gateway/storelink.cpp
+++ b/bluebellshift/gateway/storelink.cpp
@@ -74,8 +74,15 @@
         hooks_.perform(ListRegistry { registry, state.listedUpTo, mayBeStale, timeout });
         return;
     }
-    const Duration wait = isLost_ ? Duration() : watchWait;
-    const Duration timeout = isLost_ ? askTimeout : watchWait + watchMargin;
+    Duration wait = watchWait;
+    Duration timeout = watchWait + watchMargin;
+    if (isLost_ || mode_ == StoreMode::Follows) {
+        wait = Duration();
+        timeout = askTimeout;
+    } else if (mode_ == StoreMode::Reads) {
+        wait = readWait;
+        timeout = readWait + readMargin;
+    }
     hooks_.perform(WatchRegistry { registry, state.revision, wait, timeout });
 }
 
@@ -120,6 +127,10 @@
     state.mustList = false;
     state.isListed = true;
     state.revision = state.listedAt;
+    state.news = state.listedAt;
+    state.confirmedAt = now;
+    if (isWatched(registry) && mode_ == StoreMode::Follows)
+        state.dueAt = Instant::never();
     if (!isWatched(registry)) {
         const bool isSettled = registry == Registry::PeerKeys && !state.known.empty();
         state.dueAt = isSettled ? Instant::never() : now + pollInterval;
@@ -132,13 +143,54 @@
     noteAnswer(now);
     State &state = stateOf(changed.registry);
     state.isBusy = false;
+    state.confirmedAt = now;
     state.dueAt = changed.entries.empty() ? now : now + gatherTime;
+    if (mode_ == StoreMode::Follows)
+        state.dueAt = Instant::never(); // until there is news
     for (const RegistryEntry &entry : changed.entries)
         apply(changed.registry, entry);
     state.revision = std::max(state.revision, changed.at);
+    if (!changed.entries.empty())
+        state.news = state.revision;
     onTimer(now);
 }
 
+void StoreLink::setMode(StoreMode mode, Instant now)
+{
+    if (mode == mode_)
+        return;
+    mode_ = mode;
+    for (const Registry registry : allRegistries) {
+        State &state = stateOf(registry);
+        if (!isWatched(registry) || state.isBusy)
+            continue;
+        if (mode != StoreMode::Follows)
+            state.dueAt = now;
+        else if (state.isListed)
+            state.dueAt = Instant::never();
+    }
+}
+
+void StoreLink::onNews(Registry registry, Revision revision, Instant now)
+{
+    State &state = stateOf(registry);
+    if (mode_ != StoreMode::Follows || state.isBusy || revision <= state.revision)
+        return;
+    // Changes come in groups: the store is asked once for those that follow at once.
+    if (state.dueAt == Instant::never())
+        state.dueAt = std::max(now, state.confirmedAt + gatherTime);
+}
+
+Instant StoreLink::confirmedAt() const
+{
+    Instant oldest = heardAt_;
+    for (const Registry registry : allRegistries) {
+        if (isWatched(registry))
+            oldest = std::min(oldest, stateOf(registry).confirmedAt);
+    }
+    return oldest;
+}
+
 // Hands on what is newer than what is known: events of a watch that began at a list's
 // first page may be older than its last.
 void StoreLink::apply(Registry registry, const RegistryEntry &entry)
--- a/bluebellshift/gateway/storelink.h
+++ b/bluebellshift/gateway/storelink.h
@@ -10,6 +10,9 @@
 // followed by a new list. After two failures one after another the store counts as
 // lost: one call at a time asks whether it is back, so that an outage costs little.
 // While it is lost nothing that is known is forgotten.
+//
+// In a large fleet a few VMs read for all: they watch with short waits and tell the
+// others which revision changed. A VM that follows them calls the store only then.
 #pragma once
 
 #include <array>
@@ -23,6 +26,13 @@
 
 namespace bluebellshift::gateway {
 
+// How a VM learns of changes.
+enum class StoreMode {
+    Watches, // by its own watches
+    Reads,   // likewise, with short waits, so that others can rely on it
+    Follows, // from VMs that read; it asks the store when they tell of a change
+};
+
 struct StoreLinkHooks
 {
     std::function<void(Effect)> perform;
@@ -41,6 +51,8 @@
     // which must stay under the users' contact time.
     static constexpr Duration watchWait = Duration::millis(2800);
     static constexpr Duration watchMargin = Duration::millis(600); // for the answer to come
+    static constexpr Duration readWait = Duration::millis(900); // of a VM that reads for others
+    static constexpr Duration readMargin = Duration::millis(500);
     static constexpr Duration pollInterval = Duration::seconds(4); // of what is not watched
     static constexpr Duration retryFirst = Duration::millis(30);
     // With askTimeout, the store's return is noticed within 0.8 s: what lapsed meanwhile
@@ -60,6 +72,15 @@
     void onTimer(Instant now);
     Instant nextWake() const;
 
+    void setMode(StoreMode mode, Instant now);
+    StoreMode mode() const { return mode_; }
+    // A VM that reads has seen a change of that revision.
+    void onNews(Registry registry, Revision revision, Instant now);
+    // The revision of the last change that was seen.
+    Revision newsRevision(Registry registry) const { return stateOf(registry).news; }
+    // Since when the store's last confirmation of each watched registry is the oldest.
+    Instant confirmedAt() const;
+
     // Lists a registry again as soon as may be; for one that isn't watched.
     void refresh(Registry registry, Instant now);
 
@@ -81,6 +102,8 @@
         bool isFirstPage = true;
         Revision listedAt;         // of the first page
         Revision revision;         // to watch from
+        Revision news;             // of the last change
+        Instant confirmedAt = Instant::never();
         std::unordered_set<std::string> named; // by the list under way
         std::unordered_map<std::string, Revision> known;
     };
@@ -99,6 +122,7 @@
 
     const StoreLinkHooks hooks_;
     std::array<State, registryCount> states_;
+    StoreMode mode_ = StoreMode::Watches;
     int failures_ = 0; // one after another, over all registries
     bool isLost_ = false;
     Instant lostAt_ = Instant::never();
--- a/bluebellshift/shell/messagefields.h
+++ b/bluebellshift/shell/messagefields.h
@@ -121,7 +121,8 @@
     using T = core::VmReport;
     static constexpr auto list =
         std::make_tuple(&T::sequence, &T::isReady, &T::isLeaving, &T::configVersion, &T::demands,
-                        &T::uses);
+                        &T::uses, &T::hasDemands, &T::readsStore, &T::storeAgeMillis,
+                        &T::newsRevisions);
 };
 
 template<> struct EnumRange<core::Run>
