Let a share of a team's limit grow only once others have shrunk theirs

Change: a share shrinks at once and grows to the least of the last four computations, 2 s; half of the bounds' slack is used (0.6); a VM that has heard nobody takes 0.8 of an even share (0.5). Test: quotawalktest, twelve gateways under jumps: 804 of 680 allowed before, 648 after.

--- a/bluebellshift/gateway/fleet.h
+++ b/bluebellshift/gateway/fleet.h
@@ -34,7 +34,7 @@
     static constexpr std::size_t addressesWanted = 2; // in a failure domain, or its region counts
     // A VM without demand of a team keeps this part of an even share.
     static constexpr double idleShare = 0.25;
-    static constexpr double cutOffShare = 0.5; // of an even share, before others were heard
+    static constexpr double cutOffShare = 0.8; // of an even share, before others were heard
 
     Fleet(const GatewayOptions &options, std::function<void(core::LogRecord)> log);
 
--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -112,7 +112,8 @@
     void smoothDemand(Duration interval);
     void removeLapsed();
     void removeStaleVms();
-    void updateShares();
+    enum class Of { AllTeams, NewTeams };
+    void updateShares(Of which);
     void noteReady();
     void stop();
     void log(core::LogRecord record) { effects_.push_back(WriteLog { std::move(record) }); }
@@ -207,7 +208,7 @@
     if (now_ >= reportAt_) {
         report();
         fleet_.onTimer(now_);
-        updateShares();
+        updateShares(Of::AllTeams);
         removeStaleVms();
     }
     removeLapsed();
@@ -269,7 +270,7 @@
     config_ = config;
     pool_.setConfig(config_);
     quotas_.setConfig(*config_, now_);
-    updateShares();
+    updateShares(Of::NewTeams);
 }
 
 void Reducer::State::onTarget(const RegistryEntry &entry)
@@ -327,7 +328,6 @@
     else
         fleet_.remove(id, now_);
     setPeers();
-    updateShares();
 }
 
 void Reducer::State::noteUnreadable(Registry registry, const RegistryEntry &entry)
@@ -471,13 +471,13 @@
         perform(SendReport { std::move(to), std::move(report) });
 }
 
-void Reducer::State::updateShares()
+void Reducer::State::updateShares(Of which)
 {
     if (!config_)
         return;
     quotas_.setVmCount(fleet_.vmCount());
     for (const Team &team : config_->teams) {
-        if (team.ratePerSecond <= 0)
+        if (team.ratePerSecond <= 0 || (which == Of::NewTeams && quotas_.hasShare(team.id)))
             continue;
         const auto demand = demand_.find(team.id);
         const double own = demand == demand_.end() ? 0 : demand->second;
--- a/bluebellshift/gateway/teamquotas.cpp
+++ b/bluebellshift/gateway/teamquotas.cpp
@@ -30,14 +30,17 @@
         return;
     Bucket &bucket = found->second;
     fill(bucket, now);
-    bucket.share = share;
+    bucket.computed[bucket.computedCount++ % sharesToGrow] = share;
+    const std::size_t known = std::min(bucket.computedCount, sharesToGrow);
+    bucket.share = *std::min_element(bucket.computed.begin(),
+                                     bucket.computed.begin() + static_cast<std::ptrdiff_t>(known));
     bucket.tokens = std::min(bucket.tokens, sizeOf(bucket));
 }
 
-double TeamQuotas::shareOf(const TeamId &team) const
+bool TeamQuotas::hasShare(const TeamId &team) const
 {
     const auto found = buckets_.find(team);
-    return found == buckets_.end() ? 0 : found->second.share;
+    return found != buckets_.end() && found->second.computedCount > 0;
 }
 
 bool TeamQuotas::take(const TeamId &team, Instant now)
--- a/bluebellshift/gateway/teamquotas.h
+++ b/bluebellshift/gateway/teamquotas.h
@@ -12,6 +12,7 @@
 // a VM bear the chance arrivals of a small team. The rest is for shares on the move.
 #pragma once
 
+#include <array>
 #include <unordered_map>
 
 #include "bluebellshift/gateway/options.h"
@@ -22,7 +23,10 @@
 class TeamQuotas
 {
 public:
-    static constexpr double slackUsed = 0.6; // part of the bounds' slack
+    static constexpr double slackUsed = 0.5; // part of the bounds' slack
+    // A share shrinks at once and grows only when that many computations agree: by then
+    // the others have heard of the demand that it grows for, and have shrunk theirs.
+    static constexpr std::size_t sharesToGrow = 4;
     // Of its part of the slack, that a VM begins with: one that was killed may have
     // spent the same just before.
     static constexpr double slackAtStart = 0.5;
@@ -35,9 +39,10 @@
     // Limits of teams that stay are changed at once; a bucket keeps what it holds, up
     // to its new size. The bucket of a team that is new starts with little.
     void setConfig(const TrafficConfig &config, Instant now);
+    // The share as computed anew from the newest reports.
     void setShare(const TeamId &team, double share, Instant now);
     void setVmCount(std::size_t vms) { vms_ = vms; }
-    double shareOf(const TeamId &team) const;
+    bool hasShare(const TeamId &team) const; // one was ever set
 
     // Takes one request's token. True for a team without a limit.
     bool take(const TeamId &team, Instant now);
@@ -52,6 +57,8 @@
         double rate = 0;  // of the whole fleet, tokens a second; 0: no limit
         double burst = 0; // likewise, tokens
         double share = 0; // this VM's part, 0 to 1
+        std::array<double, sharesToGrow> computed {}; // the last ones
+        std::size_t computedCount = 0;
         double tokens = 0;
         Instant filledAt;
     };
