--- a/bluebellshift/net/httpserver.cpp
+++ b/bluebellshift/net/httpserver.cpp
@@ -99,6 +99,13 @@
             close();
     }
 
+    void reset()
+    {
+        error_code ignored; // without the option it is closed in the usual way
+        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+        close();
+    }
+
     void close()
     {
         if (isClosed_)
@@ -418,6 +425,13 @@
     connection->answer(exchange, answer, closes);
 }
 
+void HttpServer::abandon(ExchangeId exchange)
+{
+    const auto found = exchanges_.find(exchange);
+    if (found != exchanges_.end())
+        found->second->shared_from_this()->reset();
+}
+
 void HttpServer::beginDrain()
 {
     isDraining_ = true;
--- a/bluebellshift/net/httpserver.h
+++ b/bluebellshift/net/httpserver.h
@@ -68,6 +68,9 @@
 
     void answer(ExchangeId exchange, const core::Answer &answer, bool closes);
 
+    // Resets the exchange's connection without an answer.
+    void abandon(ExchangeId exchange);
+
     // From now on each answer closes its connection, and idle connections are closed.
     void beginDrain();
     // Takes no more connections.
