Never tell a request that was sent as one that was not

An answer without an id, which may be a late one, was taken as well if it was a failure. Change: a wait of the timer counts only while no later one was set; an answer must name its request. Test: TakesNoTimeoutOfTheConnectionOnceItWasMade fails before (the call ends without an answer) and passes after; the row of an answer without an id is stricter than it was.

--- a/bluebellshift/net/httpclient.cpp
+++ b/bluebellshift/net/httpclient.cpp
@@ -189,9 +189,12 @@
 
     void setTimer(Clock::time_point at, CallOutcome outcome)
     {
+        // A wait that has run out can't be cancelled any more: its end may still be in the
+        // loop's queue when the next one is set, and then means nothing.
+        const std::uint64_t wait = ++lastWait_;
         timer_.expires_at(at);
-        timer_.async_wait([self = shared_from_this(), outcome, call = call_](error_code error) {
-            if (!error && self->call_ == call && !self->isClosed_)
+        timer_.async_wait([self = shared_from_this(), outcome, wait](error_code error) {
+            if (!error && self->lastWait_ == wait && self->call_ != 0 && !self->isClosed_)
                 self->end(outcome);
         });
     }
@@ -314,16 +317,14 @@
         end(CallOutcome::Answered);
     }
 
-    // Whether it is the answer to this call. One that names no request belongs to it
-    // only if it says that nothing was run.
+    // Whether it is the answer to this call. One that names no request may be a late one
+    // to another.
     bool belongs(const core::Answer &answer) const
     {
         if (options_.requestId.empty())
             return true;
         const std::string *id = findHeader(answer.headers, options_.idHeader);
-        if (id != nullptr)
-            return *id == options_.requestId;
-        return answer.status >= 400;
+        return id != nullptr && *id == options_.requestId;
     }
 
     void end(CallOutcome outcome)
@@ -337,7 +338,8 @@
         CallResult result = std::move(result_);
         const auto self = shared_from_this();
         client_.calls_.erase(call);
-        error_code ignored; // the wait that it cancels checks the call's number
+        ++lastWait_;
+        error_code ignored; // the wait that it cancels means nothing any more
         timer_.cancel(ignored);
         if (outcome == CallOutcome::Answered && keepsOpen_ && isWritten_
             && keptFor_ > Clock::duration::zero()) {
@@ -368,6 +370,7 @@
     Clock::time_point connectBegunAt_;
     Clock::time_point idleSince_;
     Clock::duration keptFor_ = keptMost;
+    std::uint64_t lastWait_ = 0; // the wait of the timer that counts
     int passedOver_ = 0;
     bool isConnected_ = false;
     bool isWritten_ = false;
--- a/bluebellshift/net/testing/httpclienttest.cpp
+++ b/bluebellshift/net/testing/httpclienttest.cpp
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <optional>
+#include <thread>
 #include <vector>
 
 #include "bluebellshift/net/testing/looptools.h"
@@ -44,8 +45,8 @@
     { "success that names no request",
       "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nyes", Then::Finish, CallOutcome::Cut, "" },
     { "failure that names no request",
-      "HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", Then::Stay,
-      CallOutcome::Answered, "" },
+      "HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", Then::Finish,
+      CallOutcome::Cut, "" },
     { "cut in its head", "HTTP/1.1 200 OK\r\nRequest-", Then::Finish, CallOutcome::Cut, "" },
     { "cut in its body", good.substr(0, good.size() - 1), Then::Finish, CallOutcome::Cut, "" },
     { "cut by a reset", good.substr(0, good.size() - 1), Then::Reset, CallOutcome::Cut, "" },
@@ -195,6 +196,21 @@
     CHECK(result->outcome == CallOutcome::ConnectFailed);
 }
 
+// A loop that was held up finds the connection made and its time-out over at once. The
+// request has then been sent: it must not be told as one that was not.
+TEST(NetHttpClient, TakesNoTimeoutOfTheConnectionOnceItWasMade)
+{
+    options.connectTimeout = core::Duration::millis(5);
+    call();
+    std::this_thread::sleep_for(std::chrono::milliseconds(60));
+    CHECK(waitFor([&] { return hasRead(0, 1) || result.has_value(); }));
+    CHECK(waitFor([&] { return hasRead(0, 1); }));
+    CHECK(!result.has_value());
+    peers[0].send(good);
+    CHECK(waitFor([&] { return result.has_value(); }));
+    CHECK(result->outcome == CallOutcome::Answered);
+}
+
 TEST(NetHttpClient, EndsTheConnectionOfACancelledCall)
 {
     const CallId id = call();
