--- a/bluebellshift/gateway/regionflow.h
+++ b/bluebellshift/gateway/regionflow.h
@@ -26,7 +26,7 @@
     static constexpr double tolerance = 0.05;                // of the requests
     static constexpr double penaltyMost = 400;               // milliseconds
     static constexpr double penaltySlope = 4000;             // for each whole part beyond
-    static constexpr int countsLeast = 30;                   // in the last window
+    static constexpr int countsLeast = 10;                   // in the last window
 
     void note(const RegionId &region, Instant now);
     double penalty(const RegionId &region, Instant now) const;
