Follow a region's part of the requests by two decaying averages

Change: the last second's part against that of some seconds, with a tolerance for chance; a large fleet smooths its demand over three times as long.

--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -109,7 +109,7 @@
     // Others that follow this VM learn at once of what it read.
     void tellNews(bool isNews);
     void hearNews();
-    void smoothDemand(Duration interval);
+    void smoothDemand(Duration interval, std::int64_t slowdown);
     void removeLapsed();
     void removeStaleVms();
     enum class Of { AllTeams, NewTeams };
@@ -415,9 +415,11 @@
 }
 
 // Smooths what arrived since the last report into the demand that is told.
-void Reducer::State::smoothDemand(Duration interval)
+void Reducer::State::smoothDemand(Duration interval, std::int64_t slowdown)
 {
-    const double keep = std::exp(-interval.toSeconds() / demandMemory.toSeconds());
+    // Each VM of a large fleet gets few requests of a team: more of them make a measure.
+    const Duration memory = demandMemory * slowdown;
+    const double keep = std::exp(-interval.toSeconds() / memory.toSeconds());
     const std::map<TeamId, int> arrivals = dispatcher_.takeArrivals();
     for (auto &[team, demand] : demand_)
         demand *= keep;
@@ -431,12 +433,11 @@
     const auto vms = static_cast<std::int64_t>(fleet_.vmCount());
     const bool isLarge = fleet_.vmCount() > fullRateVms;
     const bool isReader = store_.mode() == StoreMode::Reads;
-    const std::int64_t slowdown = isReader
-        ? 1
-        : std::clamp<std::int64_t>(vms / static_cast<std::int64_t>(fullRateVms), 1, slowdownMost);
-    const Duration interval = reportInterval * slowdown;
+    const std::int64_t slowdown =
+        std::clamp<std::int64_t>(vms / static_cast<std::int64_t>(fullRateVms), 1, slowdownMost);
+    const Duration interval = reportInterval * (isReader ? 1 : slowdown);
     reportAt_ = now_ + interval;
-    smoothDemand(std::max(now_ - reportedAt_, Duration::millis(1)));
+    smoothDemand(std::max(now_ - reportedAt_, Duration::millis(1)), slowdown);
     reportedAt_ = now_;
     VmReport report;
     report.sequence = ++reportSequence_;
--- a/bluebellshift/gateway/regionflow.cpp
+++ b/bluebellshift/gateway/regionflow.cpp
@@ -5,41 +5,38 @@
 
 namespace bluebellshift::gateway {
 
-std::int64_t RegionFlow::sliceAt(Instant now)
+void RegionFlow::Counts::decay(Instant now)
 {
-    return now.toMicros() * static_cast<std::int64_t>(slicesInWindow) / window.toMicros();
+    if (at != Instant::never()) {
+        const double seconds = (now - at).toSeconds();
+        latest *= std::exp(-seconds / RegionFlow::latest.toSeconds());
+        usual *= std::exp(-seconds / RegionFlow::usual.toSeconds());
+    }
+    at = now;
 }
 
 void RegionFlow::note(const RegionId &region, Instant now)
 {
-    const std::int64_t number = sliceAt(now);
-    Slice &slice = slices_[static_cast<std::size_t>(number) % slicesKept];
-    if (slice.number != number)
-        slice = { number, {}, 0 };
-    ++slice.counts[region];
-    ++slice.total;
+    for (Counts *counts : { &total_, &regions_[region] }) {
+        counts->decay(now);
+        counts->latest += 1;
+        counts->usual += 1;
+    }
 }
 
 double RegionFlow::penalty(const RegionId &region, Instant now) const
 {
-    const std::int64_t current = sliceAt(now);
-    double of[2] = { 0, 0 };    // requests to the region: this window, the last one
-    double total[2] = { 0, 0 }; // all requests
-    for (const Slice &slice : slices_) {
-        const std::int64_t age = current - slice.number;
-        if (slice.number < 0 || age >= static_cast<std::int64_t>(slicesKept))
-            continue;
-        const std::size_t which = age < static_cast<std::int64_t>(slicesInWindow) ? 0 : 1;
-        const auto found = slice.counts.find(region);
-        of[which] += found == slice.counts.end() ? 0 : found->second;
-        total[which] += slice.total;
-    }
-    if (total[1] < countsLeast)
+    Counts total = total_;
+    total.decay(now);
+    if (total.latest < 1)
         return 0;
-    // With few requests in the current window, its part is mostly chance.
-    const double weight = std::min(1.0, total[0] / total[1]);
-    const double moved = total[0] > 0 ? of[0] / total[0] - of[1] / total[1] : 0;
-    const double beyond = std::max(0.0, std::abs(moved) - tolerance) * weight;
+    Counts counts;
+    if (const auto found = regions_.find(region); found != regions_.end())
+        counts = found->second;
+    counts.decay(now);
+    const double moved = counts.latest / total.latest - counts.usual / total.usual;
+    const double allowed = tolerance + chanceTolerance / std::sqrt(total.latest);
+    const double beyond = std::max(0.0, std::abs(moved) - allowed);
     const double size = std::min(penaltyMost, penaltySlope * beyond);
     return moved > 0 ? size : -size;
 }
--- a/bluebellshift/gateway/regionflow.h
+++ b/bluebellshift/gateway/regionflow.h
@@ -4,15 +4,13 @@
 //   flow.note(region, now);                     // a request was sent there
 //   score += flow.penalty(region, now);         // milliseconds, for the next choice
 //
-// Counts of this VM are compared over two adjoining windows. A region that has had more
-// of the current window than of the last one, beyond a tolerance, costs more, and one
-// that has had less costs less: what free slots, warm objects and ways decide then
-// moves over by a few parts in a hundred a window. It never rules a region out, so
+// The part that each region had of this VM's latest requests is compared with the part
+// it had over some seconds. A region that has more than it had, beyond a tolerance that
+// chance alone may bring, costs more, and one that has less costs less: what free slots,
+// warm objects and ways decide then moves over slowly. It never rules a region out, so
 // that nothing is refused for it.
 #pragma once
 
-#include <array>
-#include <cstdint>
 #include <map>
 
 #include "bluebellshift/gateway/trafficconfig.h"
@@ -22,28 +20,30 @@
 class RegionFlow
 {
 public:
-    static constexpr Duration window = Duration::seconds(2); // over which the users compare
-    static constexpr double tolerance = 0.05;                // of the requests
-    static constexpr double penaltyMost = 400;               // milliseconds
-    static constexpr double penaltySlope = 4000;             // for each whole part beyond
-    static constexpr int countsLeast = 10;                   // in the last window
+    // Time constants of the two averages. The users compare windows of 2 s.
+    static constexpr Duration latest = Duration::seconds(1);
+    static constexpr Duration usual = Duration::seconds(4);
+    static constexpr double tolerance = 0.04;       // of the requests
+    static constexpr double chanceTolerance = 0.35; // over the root of the latest requests
+    static constexpr double penaltyMost = 400;      // milliseconds
+    static constexpr double penaltySlope = 4000;    // for each whole part beyond
 
     void note(const RegionId &region, Instant now);
     double penalty(const RegionId &region, Instant now) const;
 
 private:
-    static constexpr std::size_t slicesInWindow = 8;
-    static constexpr std::size_t slicesKept = 2 * slicesInWindow;
-    struct Slice
+    // Counts that decay; `at` is when they were last brought up to date.
+    struct Counts
     {
-        std::int64_t number = -1;
-        std::map<RegionId, int> counts;
-        int total = 0;
-    };
+        double latest = 0;
+        double usual = 0;
+        Instant at = Instant::never();
 
-    static std::int64_t sliceAt(Instant now);
+        void decay(Instant now);
+    };
 
-    std::array<Slice, slicesKept> slices_ {};
+    Counts total_;
+    std::map<RegionId, Counts> regions_;
 };
 
 } // namespace bluebellshift::gateway
