Format, lint and read the gateway once more; smooth demand over 3 s

Change: demand is smoothed over 3 s (1.5); functions that nothing used are gone; the linter's findings are mended. Failed try: three computations (sharesToGrow 3): quotawalktest's bound is broken.

--- a/bluebellshift/core/reducer.cpp
+++ b/bluebellshift/core/reducer.cpp
@@ -68,7 +68,7 @@
     void hear(const RelayReply &message);
     void hear(const RelayCancel &message);
     // Said between gateways only.
-    void hear(const VmReport &) {}
+    void hear(const VmReport &) { }
 
     void start();
     void afterInstall(View::Installed installed, Instant asOf);
--- a/bluebellshift/core/vmreport.h
+++ b/bluebellshift/core/vmreport.h
@@ -32,8 +32,8 @@
     std::uint64_t configVersion = 0; // 0: none yet
     std::vector<TeamDemand> demands;
     std::vector<TargetUse> uses;
-    bool hasDemands = true; // false: `demands` is left out, the last ones still hold
-    bool readsStore = false; // it watches the platform's store for others as well
+    bool hasDemands = true;           // false: `demands` is left out, the last ones still hold
+    bool readsStore = false;          // it watches the platform's store for others as well
     std::uint32_t storeAgeMillis = 0; // since the store last confirmed all it watches
     std::vector<std::uint64_t> newsRevisions; // of the last change of each watched registry
 };
--- a/bluebellshift/gateway/dispatcher.cpp
+++ b/bluebellshift/gateway/dispatcher.cpp
@@ -118,8 +118,7 @@
         return false;
     }
     pending.priority = pending.route->priority;
-    pending.deadline =
-        std::min(pending.callerDeadline, pending.arrivedAt + pending.route->timeout);
+    pending.deadline = std::min(pending.callerDeadline, pending.arrivedAt + pending.route->timeout);
     if (!admitTeam(pending, now))
         return false;
     pending.service = split_.next(*pending.route);
@@ -208,8 +207,8 @@
           { "attempt", std::to_string(pending.attempts) },
           { "waitedMs", millisText(now - pending.arrivedAt) },
           { "finishMs", millisText(choice.finish) },
-          { "inFlight", fmt::format("{}+{}/{}", choice.ownInFlight, choice.othersInFlight,
-                                    target.slots) },
+          { "inFlight",
+            fmt::format("{}+{}/{}", choice.ownInFlight, choice.othersInFlight, target.slots) },
           { "object", fmt::format("{:08x}", static_cast<std::uint32_t>(pending.object)) },
           { "warmth", fmt::format("{:.2f}", choice.warmth) },
           { "considered", choice.ruledOut },
@@ -429,8 +428,8 @@
     const Duration work = pool_.expectedWork(pending.route->name);
     const auto waiting = waiting_.find(pending.service);
     const std::size_t ahead = waiting == waiting_.end() ? 0 : waiting->second.size();
-    const double rounds = 0.5
-        + static_cast<double>(ahead * hooks_.vmCount()) / static_cast<double>(slots);
+    const double rounds =
+        0.5 + static_cast<double>(ahead * hooks_.vmCount()) / static_cast<double>(slots);
     return std::clamp(scaled(work, rounds), retryLeast, retryMost);
 }
 
--- a/bluebellshift/gateway/dispatcher.h
+++ b/bluebellshift/gateway/dispatcher.h
@@ -55,7 +55,7 @@
     static constexpr double lateMost = 0.7;
     static constexpr Duration retryLeast = Duration::millis(100); // advice to come back
     static constexpr Duration retryMost = Duration::millis(1500);
-    static constexpr std::size_t scanMost = 24;   // waiting requests tried at a time
+    static constexpr std::size_t scanMost = 24; // waiting requests tried at a time
     static constexpr std::size_t waitingMost = 2000;
 
     Dispatcher(const GatewayOptions &options, DispatcherHooks hooks, TargetPool &pool,
@@ -91,14 +91,14 @@
         ServiceId service;
         std::uint64_t object = 0;
         Instant arrivedAt;
-        Instant deadline;  // the caller's or the route's, whichever is sooner
+        Instant deadline; // the caller's or the route's, whichever is sooner
         Instant callerDeadline;
         std::uint64_t sequence = 0;
         bool isWaiting = false;
         bool isEarly = false; // nothing has been decided of it
         Instant sentAt;
         TargetId target;
-        int attempts = 0;        // targets that it was sent to
+        int attempts = 0; // targets that it was sent to
         int connectFailures = 0;
         bool foundFreeSlot = false; // at its last target
         std::vector<TargetId> tried;
@@ -125,8 +125,7 @@
     Duration comeBackAfter(const Pending &pending, Instant now) const;
 
     void pass(Pending &pending, const AttemptEnded &ended, Instant now);
-    void refuse(Pending &pending, int status, const char *reason, Duration retryAfter,
-                Instant now);
+    void refuse(Pending &pending, int status, const char *reason, Duration retryAfter, Instant now);
     void erase(RequestId request);
     Pending *find(RequestId request);
     void log(const core::LogEvent &event, const Pending &pending,
--- a/bluebellshift/gateway/fleet.cpp
+++ b/bluebellshift/gateway/fleet.cpp
@@ -53,8 +53,7 @@
     entries_.erase(found);
 }
 
-void Fleet::onReport(const VmId &from, Incarnation incarnation, const VmReport &report,
-                     Instant now)
+void Fleet::onReport(const VmId &from, Incarnation incarnation, const VmReport &report, Instant now)
 {
     const auto found = entries_.find(from);
     if (found == entries_.end())
@@ -144,11 +143,10 @@
         add(options_.vm);
     const bool cutOff = isCutOff(now);
     for (const auto &[id, peer] : entries_) {
-        const bool isNewcomer = peer.heardAt == Instant::never() && !peer.isLost
-            && now - peer.listedAt < newcomerTime;
-        const bool isServing = isHeard(peer, now)
-            ? peer.report.isReady && !peer.report.isLeaving
-            : isNewcomer || cutOff;
+        const bool isNewcomer =
+            peer.heardAt == Instant::never() && !peer.isLost && now - peer.listedAt < newcomerTime;
+        const bool isServing = isHeard(peer, now) ? peer.report.isReady && !peer.report.isLeaving
+                                                  : isNewcomer || cutOff;
         if (isServing)
             add(peer.entry);
     }
--- a/bluebellshift/gateway/fleet.h
+++ b/bluebellshift/gateway/fleet.h
@@ -26,8 +26,8 @@
 class Fleet
 {
 public:
-    static constexpr Duration silenceMost = Duration::millis(3200);  // two slow reports
-    static constexpr Duration newcomerTime = Duration::seconds(3);   // to be heard first
+    static constexpr Duration silenceMost = Duration::millis(3200); // two slow reports
+    static constexpr Duration newcomerTime = Duration::seconds(3);  // to be heard first
     static constexpr Duration shareHold = Duration::seconds(15);
     static constexpr double heardLeast = 0.34; // of the others; below, this VM is cut off
     static constexpr std::size_t addressesMost = 64;
@@ -50,9 +50,6 @@
     // Those of them that are heard.
     std::vector<VmId> heardPeers(Instant now) const;
     std::size_t vmCount() const { return entries_.size() + 1; }
-    // The revision under which the registry holds this VM's own entry.
-    void putOwn(Revision revision) { ownRevision_ = revision; }
-
     // Entries that nobody has been heard under for that long.
     std::vector<std::pair<VmId, Revision>> staleEntries(Duration silence, Instant now) const;
 
@@ -81,7 +78,7 @@
         Instant heardAt = Instant::never();
         Incarnation incarnation; // of the last report
         VmReport report;
-        bool isLost = false; // its connection ended, and nothing came since
+        bool isLost = false;   // its connection ended, and nothing came since
         bool wasHeard = false; // as last logged
     };
     // What a VM that is gone may still be spending.
@@ -101,7 +98,6 @@
     std::map<VmId, Peer> entries_;
     std::vector<Departed> departed_;
     std::unordered_map<std::uint32_t, int> inFlight_; // of all others, by target
-    Revision ownRevision_;
 };
 
 } // namespace bluebellshift::gateway
--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -35,10 +35,10 @@
 constexpr std::uint64_t readerOrder = 0x72656164; // any number, the same on every VM
 constexpr std::array<Registry, 3> followedRegistries = { Registry::Traffic, Registry::Targets,
                                                          Registry::Evacuations };
-constexpr Duration demandMemory = Duration::millis(1500); // time constant of the smoothing
+constexpr Duration demandMemory = Duration::millis(3000); // time constant of the smoothing
 constexpr Duration writeTimeout = Duration::millis(1000);
 constexpr Duration writeRetry = Duration::millis(400);
-constexpr Duration entryKept = Duration::seconds(90); // of a VM that nobody hears
+constexpr Duration entryKept = Duration::seconds(90);  // of a VM that nobody hears
 constexpr Duration stopServing = Duration::seconds(3); // after a stop was asked for
 constexpr Duration stopMargin = Duration::millis(300); // before the process is killed
 constexpr Duration lookupTtlAim = Duration::seconds(2);
@@ -195,8 +195,7 @@
 bool Reducer::State::isReady() const
 {
     return config_ != nullptr && store_.isListed(Registry::Targets)
-        && store_.isListed(Registry::Evacuations) && store_.isListed(Registry::Vms)
-        && !isStopping_;
+        && store_.isListed(Registry::Evacuations) && store_.isListed(Registry::Vms) && !isStopping_;
 }
 
 void Reducer::State::on(const TimerFired &)
@@ -314,7 +313,7 @@
 {
     const VmId id(entry.name);
     if (id == options_.vm.id) {
-        fleet_.putOwn(entry.revision);
+        // Someone took this VM for gone.
         if (entry.isGone && isEntryWritten_ && !isStopping_) {
             isEntryWritten_ = false;
             mustCreateEntry_ = true;
@@ -460,8 +459,8 @@
     }
     // Other regions hear every second report of a small fleet: bytes between regions cost
     // most, and what they share are the teams' limits, which move slowly.
-    const bool isForAll = isLarge || isReader || reportSequence_ % 2 == 0 || isStopping_
-        || isReady() != wasReported_;
+    const bool isForAll =
+        isLarge || isReader || reportSequence_ % 2 == 0 || isStopping_ || isReady() != wasReported_;
     wasReported_ = isReady();
     std::vector<VmId> to;
     for (const VmEntry &peer : fleet_.peers()) {
@@ -514,7 +513,10 @@
     wasReady_ = ready;
     log({ core::log::readyChanged,
           { { "ready", ready ? "yes" : "no" },
-            { "reason", isStopping_ ? "stopping" : ready ? "all registries are known" : "start" },
+            { "reason",
+              isStopping_ ? "stopping"
+                  : ready ? "all registries are known"
+                          : "start" },
             { "vms", std::to_string(fleet_.vmCount()) },
             { "config", config_ ? std::to_string(config_->version.number()) : "none" } } });
     reportAt_ = now_; // the others learn of it at once
--- a/bluebellshift/gateway/storelink.cpp
+++ b/bluebellshift/gateway/storelink.cpp
@@ -250,8 +250,8 @@
         return;
     isLost_ = false;
     regainedAt_ = now;
-    hooks_.log({ core::log::storeRegained,
-                 { { "lostMs", std::to_string((now - lostAt_).toMillis()) } } });
+    hooks_.log(
+        { core::log::storeRegained, { { "lostMs", std::to_string((now - lostAt_).toMillis()) } } });
     for (const Registry registry : allRegistries) {
         State &state = stateOf(registry);
         if (!state.isBusy && state.dueAt != Instant::never())
--- a/bluebellshift/gateway/storelink.h
+++ b/bluebellshift/gateway/storelink.h
@@ -51,7 +51,7 @@
     // which must stay under the users' contact time.
     static constexpr Duration watchWait = Duration::millis(2800);
     static constexpr Duration watchMargin = Duration::millis(600); // for the answer to come
-    static constexpr Duration readWait = Duration::millis(900); // of a VM that reads for others
+    static constexpr Duration readWait = Duration::millis(900);    // of a VM that reads for others
     static constexpr Duration readMargin = Duration::millis(500);
     static constexpr Duration pollInterval = Duration::seconds(4); // of what is not watched
     static constexpr Duration retryFirst = Duration::millis(30);
@@ -95,14 +95,14 @@
     struct State
     {
         bool isListed = false;
-        bool isBusy = false;       // a call is under way
+        bool isBusy = false;              // a call is under way
         Instant dueAt = Instant::never(); // of the next call, if not busy; never: none
         bool mustList = true;
-        std::string listedUpTo;    // the last name of the pages so far
+        std::string listedUpTo; // the last name of the pages so far
         bool isFirstPage = true;
-        Revision listedAt;         // of the first page
-        Revision revision;         // to watch from
-        Revision news;             // of the last change
+        Revision listedAt; // of the first page
+        Revision revision; // to watch from
+        Revision news;     // of the last change
         Instant confirmedAt = Instant::never();
         std::unordered_set<std::string> named; // by the list under way
         std::unordered_map<std::string, Revision> known;
--- a/bluebellshift/gateway/targetpool.cpp
+++ b/bluebellshift/gateway/targetpool.cpp
@@ -21,10 +21,10 @@
 namespace bluebellshift::gateway {
 namespace {
 
-constexpr double learnRate = 0.1;          // weight of one more measurement
+constexpr double learnRate = 0.1; // weight of one more measurement
 constexpr double slownessLeast = 0.3;
 constexpr double slownessMost = 12;
-constexpr std::size_t objectsMost = 4096;  // counted for one service
+constexpr std::size_t objectsMost = 4096; // counted for one service
 constexpr Duration objectGeneration = Duration::seconds(10);
 constexpr double warmAnswer = 0.6; // of the usual work; a shorter one had a warm object
 constexpr double workMost = 3;     // times the usual, that one measurement counts for
@@ -100,8 +100,7 @@
     auto &siblings = byService_[found->second.target.service];
     siblings.erase(std::remove(siblings.begin(), siblings.end(), &found->second), siblings.end());
     states_.erase(found);
-    hooks_.log(
-        { core::log::targetGone, { { "target", target.text() }, { "reason", reason } } });
+    hooks_.log({ core::log::targetGone, { { "target", target.text() }, { "reason", reason } } });
 }
 
 void TargetPool::setEvacuated(const FailureDomainId &domain, bool isEvacuated, Instant now)
@@ -145,12 +144,6 @@
     return all;
 }
 
-bool TargetPool::hasTargets(const ServiceId &service) const
-{
-    const auto found = byService_.find(service);
-    return found != byService_.end() && !found->second.empty();
-}
-
 Choice TargetPool::choose(const Wish &wish, std::uint64_t random, Instant now) const
 {
     Choice best;
@@ -174,11 +167,11 @@
         const int others = othersAt(state, now);
         const double work = workAt(state, wish, candidate.warmth, now);
         const Duration finish = finishAt(state, wish, others, work, now);
-        double score =
-            millis(finish) + price * work + failureOf(state, now) * millis(failureCost);
+        double score = millis(finish) + price * work + failureOf(state, now) * millis(failureCost);
         score += penalties[state.region];
         if (state.target.failureDomain != options_.vm.failureDomain)
-            score += crossDomainMillisPerKilobyte * (1 + static_cast<double>(wish.bodyBytes) / 1000);
+            score +=
+                crossDomainMillisPerKilobyte * (1 + static_cast<double>(wish.bodyBytes) / 1000);
         // Equal targets are told apart by chance, or VMs would all take the same one.
         score += 4 * toFraction(mixHashes(state.hash, random));
         if (best.target != nullptr && score >= bestScore)
@@ -261,8 +254,7 @@
     return RuledOut::No;
 }
 
-TargetPool::RuledOut TargetPool::ruleOutNow(const State &state, const Wish &wish,
-                                            Instant now) const
+TargetPool::RuledOut TargetPool::ruleOutNow(const State &state, const Wish &wish, Instant now) const
 {
     const auto *tried = wish.tried;
     if (tried != nullptr
@@ -286,8 +278,8 @@
     const ServicePolicy *policy = config_ ? config_->findService(state.target.service) : nullptr;
     if (policy == nullptr || policy->coldRequestsPerSecond <= 0)
         return Duration();
-    const double perSecond = policy->coldRequestsPerSecond * options_.bounds.coldOverage
-        + options_.bounds.coldSlack;
+    const double perSecond =
+        policy->coldRequestsPerSecond * options_.bounds.coldOverage + options_.bounds.coldSlack;
     return fromMillis(1000.0 * coldSendersMost / (perSecond * coldBoundUsed));
 }
 
@@ -301,8 +293,7 @@
 
 double TargetPool::slownessOf(const State &state)
 {
-    const bool isUsual =
-        state.slowness > usualSlownessLeast && state.slowness < usualSlownessMost;
+    const bool isUsual = state.slowness > usualSlownessLeast && state.slowness < usualSlownessMost;
     return isUsual ? 1 : state.slowness;
 }
 
--- a/bluebellshift/gateway/targetpool.h
+++ b/bluebellshift/gateway/targetpool.h
@@ -39,7 +39,7 @@
     const std::vector<RegionId> *teamRegions = nullptr;
     std::uint64_t object = 0; // hash of its route and affinity key; 0: none
     const std::vector<TargetId> *tried = nullptr;
-    std::string route;  // the name under which work times are learned
+    std::string route; // the name under which work times are learned
     std::size_t bodyBytes = 0;
     bool foundFreeSlot = false; // when it was sent: its time tells of the work alone
 };
@@ -50,7 +50,7 @@
     Duration finish;                // expected, from now
     int ownInFlight = 0;
     int othersInFlight = 0;
-    double warmth = 0; // how likely its object is warm there, 0 to 1
+    double warmth = 0;    // how likely its object is warm there, 0 to 1
     std::string ruledOut; // counts of the targets ruled out, by reason
 };
 
@@ -69,8 +69,8 @@
 public:
     // VMs that may send to one cold target, so that few need to keep to its bound.
     static constexpr std::size_t coldSendersMost = 3;
-    static constexpr double coldBoundUsed = 0.75;  // the rest is for VMs that disagree
-    static constexpr double coldWorkFactor = 2;    // a cold target's work against a warm one's
+    static constexpr double coldBoundUsed = 0.75; // the rest is for VMs that disagree
+    static constexpr double coldWorkFactor = 2;   // a cold target's work against a warm one's
     // Objects that a target is taken to keep warm, of which nearRegionPart are for
     // callers of its own region. How many it keeps is learned: each warm answer where
     // one was expected raises the number a little, each cold one lowers it more.
@@ -80,7 +80,7 @@
     static constexpr double keptGrowth = 1.004;
     static constexpr double keptDecay = 0.93;
     static constexpr double nearRegionPart = 0.67;
-    static constexpr double ownPart = 0.6; // of them, that this VM remembers sending
+    static constexpr double ownPart = 0.6;        // of them, that this VM remembers sending
     static constexpr double warmWorkFactor = 0.3; // of the work, with a warm object
     // How likely an object is warm at the first of its homes, and how much less so at
     // each one after it; and where this VM sent it lately.
@@ -122,14 +122,13 @@
 
     const Target *find(const TargetId &target) const;
     std::vector<TargetId> ids() const;
-    bool hasTargets(const ServiceId &service) const;
 
     Choice choose(const Wish &wish, std::uint64_t random, Instant now) const;
 
     void onSent(const TargetId &target, const Wish &wish, Instant now);
     // `took` is since it was sent; zero: not to be learned from.
-    void onEnded(const TargetId &target, const Wish &wish, const AttemptEnded &ended,
-                 Duration took, Instant now);
+    void onEnded(const TargetId &target, const Wish &wish, const AttemptEnded &ended, Duration took,
+                 Instant now);
     void onCancelled(const TargetId &target, Instant now);
 
     std::vector<TargetUse> uses() const;
@@ -146,7 +145,7 @@
         int inFlight = 0;
         Instant coldUntil = Instant::never();
         Instant coldSentAt = Instant::never(); // the last request while it was cold
-        double failure = 0; // part of recent requests that failed, 0 to 1
+        double failure = 0;                    // part of recent requests that failed, 0 to 1
         Instant failureAt = Instant::never();
         int unreachable = 0; // connections that failed one after another
         Instant avoidedUntil = Instant::never();
@@ -213,7 +212,7 @@
     std::unordered_map<ServiceId, std::vector<State *>> byService_; // into states_
     std::unordered_set<FailureDomainId> evacuated_;
     std::unordered_map<FailureDomainId, Duration> ways_; // there and back, as measured
-    std::unordered_map<std::string, double> work_; // milliseconds of a cold object, by route
+    std::unordered_map<std::string, double> work_;       // milliseconds of a cold object, by route
     std::unordered_map<ServiceId, ObjectCount> objects_;
     mutable std::unordered_map<ServiceId, Business> business_; // computed seldom
 };
--- a/bluebellshift/gateway/teamquotas.cpp
+++ b/bluebellshift/gateway/teamquotas.cpp
@@ -92,8 +92,7 @@
 {
     const double seconds = (now - bucket.filledAt).toSeconds();
     bucket.filledAt = now;
-    bucket.tokens =
-        std::min(sizeOf(bucket), bucket.tokens + seconds * bucket.rate * bucket.share);
+    bucket.tokens = std::min(sizeOf(bucket), bucket.tokens + seconds * bucket.rate * bucket.share);
 }
 
 TeamQuotas::Bucket *TeamQuotas::limited(const TeamId &team)
--- a/bluebellshift/gateway/testing/gatewaybench.cpp
+++ b/bluebellshift/gateway/testing/gatewaybench.cpp
@@ -115,7 +115,8 @@
 
 void GatewayBench::reduce(EventBody body)
 {
-    perform(reducer_.reduce({ now_, random_ = random_ * 6364136223846793005ULL + 1, std::move(body) }));
+    perform(
+        reducer_.reduce({ now_, random_ = random_ * 6364136223846793005ULL + 1, std::move(body) }));
 }
 
 void GatewayBench::advance(Duration time)
@@ -288,8 +289,8 @@
         else if (const auto *pass = std::get_if<PassAnswer>(&effect))
             ended_.push_back({ pass->request, 0, Duration(), "", true });
         else if (const auto *refusal = std::get_if<RefuseRequest>(&effect))
-            ended_.push_back({ refusal->request, refusal->status, refusal->retryAfter,
-                               refusal->reason, false });
+            ended_.push_back(
+                { refusal->request, refusal->status, refusal->retryAfter, refusal->reason, false });
         else if (const auto *drop = std::get_if<DropRequest>(&effect))
             ended_.push_back({ drop->request, 0, Duration(), "", false });
         else if (const auto *cancel = std::get_if<CancelAttempt>(&effect))
--- a/bluebellshift/gateway/testing/partstest.cpp
+++ b/bluebellshift/gateway/testing/partstest.cpp
@@ -23,9 +23,10 @@
 
 TargetPool makePool(const GatewayOptions &options)
 {
-    TargetPool pool(options, { [](std::uint32_t, Instant) { return 0; },
-                               [](std::uint64_t, Instant) { return std::size_t { 0 }; },
-                               [](const core::LogRecord &) {} });
+    TargetPool pool(options,
+                    { [](std::uint32_t, Instant) { return 0; },
+                      [](std::uint64_t, Instant) { return std::size_t { 0 }; },
+                      [](const core::LogRecord &) {} });
     pool.setConfig(sampleConfig());
     return pool;
 }
@@ -113,11 +114,10 @@
             return total;
         };
         // The users count the requests of the window, the one before it or half before.
-        const int asked = std::max({ sum(requests, end - 100, end),
-                                     sum(requests, end - 150, end - 50),
-                                     sum(requests, end - 200, end - 100) });
-        CHECK(sum(repeats, end - 100, end)
-              <= bounds.repeatRatio * asked + bounds.repeatSlack);
+        const int asked =
+            std::max({ sum(requests, end - 100, end), sum(requests, end - 150, end - 50),
+                       sum(requests, end - 200, end - 100) });
+        CHECK(sum(repeats, end - 100, end) <= bounds.repeatRatio * asked + bounds.repeatSlack);
     }
 }
 
@@ -155,8 +155,7 @@
         }
         admitted.push_back(count);
     }
-    const double most =
-        (100 * 5 + 100) * (1 + bounds.quotaOverage) + bounds.quotaSlack;
+    const double most = (100 * 5 + 100) * (1 + bounds.quotaOverage) + bounds.quotaSlack;
     for (std::size_t end = 50; end <= admitted.size(); ++end) {
         int sum = 0;
         for (std::size_t i = end - 50; i < end; ++i)
--- a/bluebellshift/gateway/testing/reducertest.cpp
+++ b/bluebellshift/gateway/testing/reducertest.cpp
@@ -24,7 +24,7 @@
     AttemptOutcome outcome;
     int status;
     bool saysNotRun;
-    bool hasRun;           // as far as the gateway can know, it may have
+    bool hasRun; // as far as the gateway can know, it may have
     bool repeatedIfSafe;
     bool repeatedIfUnsafe;
 };
--- a/bluebellshift/gateway/trafficconfig.h
+++ b/bluebellshift/gateway/trafficconfig.h
@@ -70,18 +70,18 @@
 {
     ServiceId id;
     std::string healthPath;
-    int connectionsMost = 0;                // of one target, from all VMs together
-    Duration warmup;                        // how long a target stays cold
-    double coldRequestsPerSecond = 0;       // that a cold target bears; 0: any
+    int connectionsMost = 0;          // of one target, from all VMs together
+    Duration warmup;                  // how long a target stays cold
+    double coldRequestsPerSecond = 0; // that a cold target bears; 0: any
 };
 
 struct Team
 {
     TeamId id;
     std::vector<std::string> keys;
-    std::optional<int> priority; // goes before the route's
-    double ratePerSecond = 0;    // over all VMs together; 0: no limit
-    double burst = 0;            // requests
+    std::optional<int> priority;          // goes before the route's
+    double ratePerSecond = 0;             // over all VMs together; 0: no limit
+    double burst = 0;                     // requests
     std::vector<RegionId> allowedRegions; // empty: all
 };
 
--- a/bluebellshift/gatewayd/gateway.cpp
+++ b/bluebellshift/gatewayd/gateway.cpp
@@ -49,8 +49,9 @@
     , settings_(settings)
     , clock_(clock)
     , logWriter_(loop, STDOUT_FILENO)
-    , logger_(loggerOptions(settings),
-              [this](const std::string &line) { logWriter_.append(line); }, clock.wallTime)
+    , logger_(
+          loggerOptions(settings), [this](const std::string &line) { logWriter_.append(line); },
+          clock.wallTime)
     , reducer_(settings.gateway)
     , http_(loop)
     , store_(http_, settings.store,
@@ -214,7 +215,7 @@
     gateway::AttemptEnded ended = ::platform::readAnswer(result);
     ended.request = request;
     ended.attempt = attempt;
-    handle(std::move(ended));
+    handle(ended);
 }
 
 void Gateway::perform(const gateway::CancelAttempt &cancel)
@@ -240,8 +241,8 @@
     const auto found = requests_.find(refusal.request.number());
     if (found == requests_.end())
         return;
-    const std::string *id = net::findHeader(found->second.request.headers,
-                                            ::platform::requestIdHeader);
+    const std::string *id =
+        net::findHeader(found->second.request.headers, ::platform::requestIdHeader);
     const core::Answer answer =
         ::platform::refusalForCaller(refusal, id == nullptr ? std::string() : *id);
     metrics_.observeRequest(clock_.now() - found->second.arrivedAt);
@@ -282,8 +283,8 @@
         hooks.log = [this](core::LogRecord record) { writeLog(record); };
         mesh_ = std::make_unique<shell::PeerMesh>(std::move(options), std::move(hooks));
         if (absl::Status status = mesh_->start(); !status.ok()) {
-            writeLog({ core::log::messageDropped,
-                       { { "reason", std::string(status.message()) } } });
+            writeLog(
+                { core::log::messageDropped, { { "reason", std::string(status.message()) } } });
         }
     }
     std::vector<core::Vm> vms;
--- a/bluebellshift/gatewayd/logwriter.cpp
+++ b/bluebellshift/gatewayd/logwriter.cpp
@@ -33,8 +33,7 @@
 {
     std::size_t written = 0;
     while (written < buffer_.size()) {
-        const ssize_t size =
-            write(descriptor_, buffer_.data() + written, buffer_.size() - written);
+        const ssize_t size = write(descriptor_, buffer_.data() + written, buffer_.size() - written);
         if (size < 0 && errno == EINTR)
             continue;
         if (size <= 0)
--- a/bluebellshift/gatewayd/main.cpp
+++ b/bluebellshift/gatewayd/main.cpp
@@ -54,8 +54,8 @@
         fmt::print("\n{}", exitCodes);
         code = exitOk;
     } else if (parsed < -1) {
-        fmt::print(stderr, "bluebellshift-gateway: option \"{}\": {}\n",
-                   poptBadOption(context, 0), poptStrerror(parsed));
+        fmt::print(stderr, "bluebellshift-gateway: option \"{}\": {}\n", poptBadOption(context, 0),
+                   poptStrerror(parsed));
         code = exitUsage;
     } else if (settingsFile == nullptr || poptPeekArg(context) != nullptr) {
         fmt::print(stderr, "bluebellshift-gateway: give exactly --settings FILE (see --help)\n");
--- a/bluebellshift/gatewayd/metrics.cpp
+++ b/bluebellshift/gatewayd/metrics.cpp
@@ -60,10 +60,7 @@
     {
     }
 
-    void setGauge(const char *name, double value)
-    {
-        gauges.Add({ { "name", name } }).Set(value);
-    }
+    void setGauge(const char *name, double value) { gauges.Add({ { "name", name } }).Set(value); }
 
     prometheus::Registry registry;
     prometheus::Family<prometheus::Counter> &events;
--- a/bluebellshift/gatewayd/settings.cpp
+++ b/bluebellshift/gatewayd/settings.cpp
@@ -32,8 +32,7 @@
 
 Duration seconds(shell::TomlTable &table, const char *key, Duration fallback)
 {
-    const double value =
-        table.number(key, 0, durationMost.toSeconds(), fallback.toSeconds());
+    const double value = table.number(key, 0, durationMost.toSeconds(), fallback.toSeconds());
     return Duration::micros(static_cast<std::int64_t>(value * 1e6));
 }
 
--- a/bluebellshift/net/httpclient.cpp
+++ b/bluebellshift/net/httpclient.cpp
@@ -30,10 +30,10 @@
 using Clock = std::chrono::steady_clock;
 using boost::system::error_code;
 
-constexpr std::size_t readBytes = 4096;              // asked of the socket at a time
-constexpr std::uint32_t headerBytesMost = 64 * 1024; // of an answer
-constexpr std::size_t idleMost = 8;                  // connections of one pool
-constexpr std::chrono::seconds keptMost { 8 };       // idle, if the answer told nothing
+constexpr std::size_t readBytes = 4096;                  // asked of the socket at a time
+constexpr std::uint32_t headerBytesMost = 64 * 1024;     // of an answer
+constexpr std::size_t idleMost = 8;                      // connections of one pool
+constexpr std::chrono::seconds keptMost { 8 };           // idle, if the answer told nothing
 constexpr std::chrono::milliseconds keptMargin { 1000 }; // before the other end's own time-out
 constexpr std::chrono::seconds sweepInterval { 1 };
 constexpr int passedOverMost = 2; // answers to other requests
@@ -154,19 +154,17 @@
         error_code error;
         const auto address = asio::ip::make_address(endpoint.address, error);
         if (error) {
-            asio::post(client_.loop_, [self = shared_from_this()] {
-                self->end(CallOutcome::ConnectFailed);
-            });
+            asio::post(client_.loop_,
+                       [self = shared_from_this()] { self->end(CallOutcome::ConnectFailed); });
             return;
         }
         ++client_.connectionsMade_;
         connectBegunAt_ = Clock::now();
         setTimer(std::min(deadline_, Clock::now() + toChrono(options_.connectTimeout)),
                  CallOutcome::ConnectFailed);
-        socket_.async_connect({ address, endpoint.port },
-                              [self = shared_from_this()](error_code failed) {
-                                  self->onConnected(failed);
-                              });
+        socket_.async_connect(
+            { address, endpoint.port },
+            [self = shared_from_this()](error_code failed) { self->onConnected(failed); });
     }
 
     void onConnected(error_code error)
@@ -435,8 +433,7 @@
     return count;
 }
 
-HttpClient::ConnectionPointer HttpClient::takeIdle(const std::string &pool,
-                                                   core::Duration mostIdle)
+HttpClient::ConnectionPointer HttpClient::takeIdle(const std::string &pool, core::Duration mostIdle)
 {
     const auto found = idle_.find(pool);
     if (found == idle_.end() || mostIdle <= core::Duration())
--- a/bluebellshift/net/httpmessage.cpp
+++ b/bluebellshift/net/httpmessage.cpp
@@ -10,8 +10,15 @@
 namespace {
 
 constexpr std::array<std::string_view, 9> connectionHeaders = {
-    "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-    "TE",         "Trailer",    "Transfer-Encoding",  "Upgrade",
+    "Connection",
+    "Keep-Alive",
+    "Proxy-Authenticate",
+    "Proxy-Authorization",
+    "Proxy-Connection",
+    "TE",
+    "Trailer",
+    "Transfer-Encoding",
+    "Upgrade",
 };
 
 char toLower(char c)
@@ -67,9 +74,9 @@
 
 bool isSameName(std::string_view a, std::string_view b)
 {
-    return a.size() == b.size()
-        && std::equal(a.begin(), a.end(), b.begin(),
-                      [](char x, char y) { return toLower(x) == toLower(y); });
+    return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) {
+               return toLower(x) == toLower(y);
+           });
 }
 
 const std::string *findHeader(const Headers &headers, std::string_view name)
--- a/bluebellshift/net/httpserver.cpp
+++ b/bluebellshift/net/httpserver.cpp
@@ -24,11 +24,11 @@
 using Clock = std::chrono::steady_clock;
 using boost::system::error_code;
 
-constexpr std::size_t readBytes = 4096;                     // asked of the socket at a time
-constexpr std::size_t pipelinedMost = 32;                   // unanswered, on one connection
-constexpr std::chrono::milliseconds sweepInterval { 250 };  // precision of the time-outs
-constexpr std::chrono::milliseconds lingerTime { 1000 };    // for a caller to read a last answer
-constexpr std::chrono::seconds bodyStallMost { 10 };        // between two pieces of a body
+constexpr std::size_t readBytes = 4096;                    // asked of the socket at a time
+constexpr std::size_t pipelinedMost = 32;                  // unanswered, on one connection
+constexpr std::chrono::milliseconds sweepInterval { 250 }; // precision of the time-outs
+constexpr std::chrono::milliseconds lingerTime { 1000 };   // for a caller to read a last answer
+constexpr std::chrono::seconds bodyStallMost { 10 };       // between two pieces of a body
 constexpr int listenBacklog = 1024;
 
 std::chrono::microseconds toChrono(core::Duration duration)
@@ -88,7 +88,8 @@
             return;
         }
         if (parser_ && hasRequestBegun()) {
-            if (!parser_->is_header_done() && now - requestBegunAt_ > toChrono(limits.headerTimeout))
+            if (!parser_->is_header_done()
+                && now - requestBegunAt_ > toChrono(limits.headerTimeout))
                 refuse(408);
             else if (parser_->is_header_done() && now - readAt_ > bodyStallMost)
                 refuse(408);
@@ -126,7 +127,7 @@
         bool keepsConnection = true;
         bool isHandedOver = false;
         bool closes = false;
-        std::optional<Request> request; // until it is handed over
+        std::optional<Request> request;   // until it is handed over
         std::optional<std::string> bytes; // of the answer
     };
     using Parser = http::request_parser<http::string_body>;
@@ -328,10 +329,9 @@
         isWriting_ = true;
         writing_.swap(outgoing_);
         outgoing_.clear();
-        asio::async_write(socket_, asio::buffer(writing_),
-                          [self = shared_from_this()](error_code error, std::size_t) {
-                              self->onWritten(error);
-                          });
+        asio::async_write(
+            socket_, asio::buffer(writing_),
+            [self = shared_from_this()](error_code error, std::size_t) { self->onWritten(error); });
     }
 
     void onWritten(error_code error)
@@ -370,7 +370,7 @@
     bool isClosing_ = false;   // the last answer has been handed to the socket
     bool isLingering_ = false; // it has been written; the caller's close is awaited
     bool isClosed_ = false;
-    bool isRefusing_ = false;  // a request that can't be handed over ends the connection
+    bool isRefusing_ = false; // a request that can't be handed over ends the connection
     bool hasContinued_ = false;
 };
 
--- a/bluebellshift/net/testing/httpclienttest.cpp
+++ b/bluebellshift/net/testing/httpclienttest.cpp
@@ -42,19 +42,18 @@
     { "only another request's", stale, Then::Finish, CallOutcome::Cut, "" },
     { "interim answer first", "HTTP/1.1 100 Continue\r\n\r\n" + good, Then::Stay,
       CallOutcome::Answered, "yes" },
-    { "success that names no request",
-      "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nyes", Then::Finish, CallOutcome::Cut, "" },
-    { "failure that names no request",
-      "HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", Then::Finish,
-      CallOutcome::Cut, "" },
+    { "success that names no request", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nyes",
+      Then::Finish, CallOutcome::Cut, "" },
+    { "failure that names no request", "HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+      Then::Finish, CallOutcome::Cut, "" },
     { "cut in its head", "HTTP/1.1 200 OK\r\nRequest-", Then::Finish, CallOutcome::Cut, "" },
     { "cut in its body", good.substr(0, good.size() - 1), Then::Finish, CallOutcome::Cut, "" },
     { "cut by a reset", good.substr(0, good.size() - 1), Then::Reset, CallOutcome::Cut, "" },
     { "chunks without their end",
       "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n",
       Then::Finish, CallOutcome::Cut, "" },
-    { "no length, ended by its close", "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\nyes",
-      Then::Finish, CallOutcome::Answered, "yes" },
+    { "no length, ended by its close", "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\nyes", Then::Finish,
+      CallOutcome::Answered, "yes" },
     { "no length, ended by a reset", "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\nyes", Then::Reset,
       CallOutcome::Cut, "" },
     { "not in the protocol", "SSH-2.0-x\r\n\r\n", Then::Stay, CallOutcome::Malformed, "" },
@@ -83,7 +82,10 @@
         options.idHeader = "Request-Id";
         options.requestId = "r1";
     }
-    void teardown() override { client.reset(); }
+    void teardown() override
+    {
+        client.reset();
+    }
 
     void accept()
     {
@@ -104,7 +106,10 @@
         return client->start(endpoint(), "pool", request, options,
                              [this](CallResult &&got) { result = std::move(got); });
     }
-    bool waitFor(const std::function<bool()> &isDone) { return runUntil(loop, isDone); }
+    bool waitFor(const std::function<bool()> &isDone)
+    {
+        return runUntil(loop, isDone);
+    }
     bool hasRead(std::size_t peer, std::size_t requests)
     {
         return peers.size() > peer && peers[peer].received().size() >= requests * request.size();
--- a/bluebellshift/net/testing/httpservertest.cpp
+++ b/bluebellshift/net/testing/httpservertest.cpp
@@ -43,8 +43,8 @@
     { "chunks beside length",
       head + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n", "400" },
     { "coding that is not chunked", head + "Transfer-Encoding: gzip\r\n\r\nabc", "501" },
-    { "chunked behind another coding",
-      head + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", "501" },
+    { "chunked behind another coding", head + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+      "501" },
     { "bad chunk size", head + "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n", "400" },
     { "chunk without its end", head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabcXX0\r\n\r\n",
       "400" },
@@ -61,7 +61,8 @@
       "431" },
     { "large body", head + "Content-Length: 5000\r\n\r\n", "413" },
     { "large chunks",
-      head + "Transfer-Encoding: chunked\r\n\r\n1388\r\n" + std::string(5000, 'x') + "\r\n0\r\n\r\n",
+      head + "Transfer-Encoding: chunked\r\n\r\n1388\r\n" + std::string(5000, 'x')
+          + "\r\n0\r\n\r\n",
       "413" },
 };
 
@@ -89,9 +90,15 @@
         port = freePort(loop);
         CHECK(server->listen({ "127.0.0.1", port }).ok());
     }
-    void teardown() override { server.reset(); }
+    void teardown() override
+    {
+        server.reset();
+    }
 
-    bool waitFor(const std::function<bool()> &isDone) { return runUntil(loop, isDone); }
+    bool waitFor(const std::function<bool()> &isDone)
+    {
+        return runUntil(loop, isDone);
+    }
 };
 
 TEST(NetHttpServer, HandsOverARequestAsItWasSent)
@@ -180,7 +187,8 @@
     RawPeer caller = RawPeer::connect(loop, echoPort);
     std::string bytes;
     for (int i = 0; i < 300; ++i) {
-        const std::string body(static_cast<std::size_t>(1 + i * 7 % 400), static_cast<char>('a' + i % 26));
+        const std::string body(static_cast<std::size_t>(1 + i * 7 % 400),
+                               static_cast<char>('a' + i % 26));
         bytes += "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body.size())
             + "\r\n\r\n" + body;
     }
--- a/bluebellshift/net/testing/looptools.h
+++ b/bluebellshift/net/testing/looptools.h
@@ -64,10 +64,7 @@
         state_->socket.set_option(boost::asio::socket_base::linger(true, 0));
         state_->socket.close();
     }
-    void finishSending()
-    {
-        state_->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
-    }
+    void finishSending() { state_->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send); }
     const std::string &received() const { return state_->received; }
     bool isEnded() const { return state_->isEnded; }
 
--- a/bluebellshift/shell/messagefields.h
+++ b/bluebellshift/shell/messagefields.h
@@ -119,10 +119,9 @@
 template<> struct Fields<core::VmReport>
 {
     using T = core::VmReport;
-    static constexpr auto list =
-        std::make_tuple(&T::sequence, &T::isReady, &T::isLeaving, &T::configVersion, &T::demands,
-                        &T::uses, &T::hasDemands, &T::readsStore, &T::storeAgeMillis,
-                        &T::newsRevisions);
+    static constexpr auto list = std::make_tuple(
+        &T::sequence, &T::isReady, &T::isLeaving, &T::configVersion, &T::demands, &T::uses,
+        &T::hasDemands, &T::readsStore, &T::storeAgeMillis, &T::newsRevisions);
 };
 
 template<> struct EnumRange<core::Run>
