Take no share of a limit before the other VMs are known

Change: shares are set once the VMs are listed; a new bucket holds little from its first share on. Test: TakesOnlyItsPartOfALimitFromTheFirstRequest fails before (share 1.000000).

--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -246,6 +246,8 @@
 void Reducer::State::onListed(Registry registry)
 {
     log({ core::log::registryListed, { { "registry", toText(registry) } } });
+    if (registry == Registry::Vms)
+        updateShares(Of::NewTeams);
     if (registry == Registry::PeerKeys && peerKey_.empty() && !isKeyAsked_) {
         isKeyAsked_ = true;
         perform(CreatePeerKey { options_.peerKeyCandidate, writeTimeout });
@@ -473,7 +475,8 @@
 
 void Reducer::State::updateShares(Of which)
 {
-    if (!config_)
+    // Before the other VMs are known, an even share would be all of the limit.
+    if (!config_ || !store_.isListed(Registry::Vms))
         return;
     quotas_.setVmCount(fleet_.vmCount());
     for (const Team &team : config_->teams) {
--- a/bluebellshift/gateway/teamquotas.cpp
+++ b/bluebellshift/gateway/teamquotas.cpp
@@ -15,8 +15,6 @@
             fill(bucket, now);
         bucket.rate = team.ratePerSecond;
         bucket.burst = team.burst;
-        if (isNew)
-            bucket.tokens = slackOf(bucket) * slackAtStart;
         bucket.tokens = std::min(bucket.tokens, sizeOf(bucket));
     }
     for (auto entry = buckets_.begin(); entry != buckets_.end();)
@@ -30,6 +28,8 @@
         return;
     Bucket &bucket = found->second;
     fill(bucket, now);
+    if (bucket.computedCount == 0)
+        bucket.tokens = slackOf(bucket) * slackAtStart;
     bucket.computed[bucket.computedCount++ % sharesToGrow] = share;
     const std::size_t known = std::min(bucket.computedCount, sharesToGrow);
     bucket.share = *std::min_element(bucket.computed.begin(),
--- a/bluebellshift/gateway/teamquotas.h
+++ b/bluebellshift/gateway/teamquotas.h
@@ -37,7 +37,8 @@
     }
 
     // Limits of teams that stay are changed at once; a bucket keeps what it holds, up
-    // to its new size. The bucket of a team that is new starts with little.
+    // to its new size. The bucket of a team that is new is
+    // empty until its first share is set, and then holds little.
     void setConfig(const TrafficConfig &config, Instant now);
     // The share as computed anew from the newest reports.
     void setShare(const TeamId &team, double share, Instant now);
--- a/bluebellshift/gateway/testing/reducertest.cpp
+++ b/bluebellshift/gateway/testing/reducertest.cpp
@@ -307,6 +307,25 @@
     CHECK_EQUAL(3000, sent + refused);
 }
 
+// A VM that starts anew among others takes no more of a limit than its part, also of
+// what arrived before it knew them.
+TEST(Reducer, TakesOnlyItsPartOfALimitFromTheFirstRequest)
+{
+    std::vector<VmEntry> vms;
+    for (int i = 2; i <= 12; ++i)
+        vms.push_back(sampleOptions("vm-" + std::to_string(i)).vm);
+    bench.begin(sampleConfig(), sampleTargets(200), vms);
+    int sent = 0;
+    for (std::uint64_t id = 1; id <= 200; ++id)
+        bench.request(id, swapPath);
+    sent += static_cast<int>(bench.takeSent().size());
+    CHECK(sent <= 25); // of a burst of 100 and a rate of 100, after 2 s
+    for (const core::LogRecord &record : bench.logs()) {
+        if (record.event.number == core::log::shareMoved.number)
+            CHECK_TEXT(std::stod(record.fields[1].value) < 0.5, record.fields[1].value.c_str());
+    }
+}
+
 TEST(Reducer, StopsByServingThenRefusingThenLeaving)
 {
     bench.begin(sampleConfig(), sampleTargets(3));
