Tell VMs that follow what changed of the targets

Change: the first of the VMs that read sends the changed entries to all others, which call the store only for what they miss. RegionFlow compares 2 s with 6 s instead of 1 s with 4 s, with less tolerance, as the VMs of a large fleet get few requests each.

--- a/bluebellshift/core/message.h
+++ b/bluebellshift/core/message.h
@@ -13,6 +13,7 @@
 #include "bluebellshift/core/answer.h"
 #include "bluebellshift/core/ids.h"
 #include "bluebellshift/core/object.h"
+#include "bluebellshift/core/targetnews.h"
 #include "bluebellshift/core/units.h"
 #include "bluebellshift/core/vmreport.h"
 
@@ -160,7 +161,8 @@
     std::uint64_t correlation = 0;
 };
 
-using Message = std::variant<Heartbeat, BorrowRequest, BorrowReply, ViewRequest, ViewReply,
-                             RelayRequest, RelayReply, RelayCancel, VmReport, SpendingReport>;
+using Message =
+    std::variant<Heartbeat, BorrowRequest, BorrowReply, ViewRequest, ViewReply, RelayRequest,
+                 RelayReply, RelayCancel, VmReport, SpendingReport, TargetNews>;
 
 } // namespace bluebellshift::core
--- a/bluebellshift/core/reducer.cpp
+++ b/bluebellshift/core/reducer.cpp
@@ -70,6 +70,7 @@
     // Said between gateways only.
     void hear(const VmReport &) { }
     void hear(const SpendingReport &) { }
+    void hear(const TargetNews &) { }
 
     void start();
     void afterInstall(View::Installed installed, Instant asOf);
--- a/bluebellshift/gateway/effect.h
+++ b/bluebellshift/gateway/effect.h
@@ -106,6 +106,12 @@
     SpendingReport spending;
 };
 
+struct SendTargetNews
+{
+    std::vector<VmId> to;
+    TargetNews news;
+};
+
 // Connect to these VMs and to no others, proving ourselves with the secret.
 struct SetPeers
 {
@@ -137,7 +143,7 @@
 using Effect =
     std::variant<ListRegistry, WatchRegistry, WriteVm, RemoveVm, CreatePeerKey, SendAttempt,
                  CancelAttempt, PassAnswer, RefuseRequest, DropRequest, SendReport, SendSpending,
-                 SetPeers, ForgetTarget, WriteLog, CloseConnections, Exit>;
+                 SendTargetNews, SetPeers, ForgetTarget, WriteLog, CloseConnections, Exit>;
 
 using Effects = std::vector<Effect>;
 
--- a/bluebellshift/gateway/event.h
+++ b/bluebellshift/gateway/event.h
@@ -120,6 +120,13 @@
     SpendingReport spending;
 };
 
+// A VM that reads the store for others has read changes of the targets' registry.
+struct PeerTold
+{
+    VmId from;
+    TargetNews news;
+};
+
 struct PeerLost
 {
     VmId vm;
@@ -133,7 +140,7 @@
 
 using EventBody = std::variant<TimerFired, RegistryListed, RegistryChanged, RegistryFailed,
                                StoreWritten, StoreWriteFailed, RequestArrived, CallerGone,
-                               AttemptEnded, PeerSaid, PeerSpent, PeerLost, StopAsked>;
+                               AttemptEnded, PeerSaid, PeerSpent, PeerTold, PeerLost, StopAsked>;
 
 struct Event
 {
--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -76,11 +76,7 @@
 private:
     void on(const TimerFired &event);
     void on(const RegistryListed &event) { store_.onListed(event, now_); }
-    void on(const RegistryChanged &event)
-    {
-        store_.onChanged(event, now_);
-        tellNews(!event.entries.empty());
-    }
+    void on(const RegistryChanged &event);
     void on(const RegistryFailed &event)
     {
         store_.onFailed(event, random_, now_);
@@ -93,6 +89,7 @@
     void on(const AttemptEnded &event) { dispatcher_.onEnded(event, random_, now_); }
     void on(const PeerSaid &event);
     void on(const PeerSpent &event);
+    void on(const PeerTold &event);
     void on(const PeerLost &event);
     void on(const StopAsked &event);
 
@@ -110,6 +107,7 @@
     void chooseStoreMode();
     // Others that follow this VM learn at once of what it read.
     void tellNews(bool isNews);
+    void tellTargets(const RegistryChanged &changed, Revision after);
     void hearNews();
     void removeLapsed();
     void removeStaleVms();
@@ -433,6 +431,59 @@
         reportAt_ = now_;
 }
 
+void Reducer::State::on(const RegistryChanged &event)
+{
+    const Revision after = store_.revision(event.registry);
+    store_.onChanged(event, now_);
+    const bool isNews = !event.entries.empty();
+    if (isNews && event.registry == Registry::Targets)
+        tellTargets(event, after);
+    tellNews(isNews);
+}
+
+// One of the VMs that read tells those that follow what changed of the targets, ahead of
+// the report that says that something did.
+void Reducer::State::tellTargets(const RegistryChanged &changed, Revision after)
+{
+    if (store_.mode() != StoreMode::Reads || fleet_.rankFor(readerOrder, now_) != 0)
+        return;
+    SendTargetNews news;
+    news.to = fleet_.heardPeers(now_);
+    news.news.after = after;
+    news.news.upTo = changed.at;
+    for (const RegistryEntry &entry : changed.entries) {
+        core::TargetChange change;
+        change.name = entry.name;
+        change.revision = entry.revision;
+        change.isGone = entry.isGone;
+        if (const auto *target = std::get_if<Target>(&entry.value))
+            change.target = *target;
+        else if (const auto *unreadable = std::get_if<UnreadableEntry>(&entry.value))
+            change.problem = unreadable->problem;
+        news.news.changes.push_back(std::move(change));
+    }
+    perform(std::move(news));
+}
+
+void Reducer::State::on(const PeerTold &event)
+{
+    RegistryChanged changed;
+    changed.registry = Registry::Targets;
+    changed.at = event.news.upTo;
+    for (const core::TargetChange &change : event.news.changes) {
+        RegistryEntry entry;
+        entry.name = change.name;
+        entry.revision = change.revision;
+        entry.isGone = change.isGone;
+        if (change.problem.empty())
+            entry.value = change.target;
+        else
+            entry.value = UnreadableEntry { change.problem };
+        changed.entries.push_back(std::move(entry));
+    }
+    store_.onTold(changed, event.news.after, now_);
+}
+
 void Reducer::State::hearNews()
 {
     if (store_.mode() != StoreMode::Follows)
--- a/bluebellshift/gateway/regionflow.h
+++ b/bluebellshift/gateway/regionflow.h
@@ -21,12 +21,12 @@
 {
 public:
     // Time constants of the two averages. The users compare windows of 2 s.
-    static constexpr Duration latest = Duration::seconds(1);
-    static constexpr Duration usual = Duration::seconds(4);
-    static constexpr double tolerance = 0.04;       // of the requests
-    static constexpr double chanceTolerance = 0.35; // over the root of the latest requests
-    static constexpr double penaltyMost = 400;      // milliseconds
-    static constexpr double penaltySlope = 4000;    // for each whole part beyond
+    static constexpr Duration latest = Duration::seconds(2);
+    static constexpr Duration usual = Duration::seconds(6);
+    static constexpr double tolerance = 0.02;      // of the requests
+    static constexpr double chanceTolerance = 0.2; // over the root of the latest requests
+    static constexpr double penaltyMost = 600;     // milliseconds
+    static constexpr double penaltySlope = 5000;   // for each whole part beyond
 
     void note(const RegionId &region, Instant now);
     double penalty(const RegionId &region, Instant now) const;
--- a/bluebellshift/gateway/registry.h
+++ b/bluebellshift/gateway/registry.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "bluebellshift/core/roster.h"
+#include "bluebellshift/core/targetnews.h"
 #include "bluebellshift/core/vmreport.h"
 #include "bluebellshift/gateway/trafficconfig.h"
 
@@ -17,7 +18,9 @@
 using core::Incarnation;
 using core::Revision;
 using core::SpendingReport;
+using core::TargetNews;
 using core::TargetUse;
+using Target = core::TargetEntry;
 using core::TeamAdmission;
 using core::TeamSpending;
 using core::VmReport;
@@ -34,20 +37,6 @@
 
 const char *toText(Registry registry);
 
-// A target as it registered itself.
-struct Target
-{
-    TargetId id;
-    ServiceId service;
-    Endpoint endpoint;
-    FailureDomainId failureDomain;
-    std::string softwareVersion;
-    int slots = 1; // requests it works on at once
-    bool isDraining = false;
-    Duration warmupLeft;         // how much longer it stays cold, when the entry was written
-    std::int64_t bornMillis = 0; // Unix time of its start; a restart under one id has another
-};
-
 // A VM of ours.
 struct VmEntry
 {
--- a/bluebellshift/gateway/storelink.cpp
+++ b/bluebellshift/gateway/storelink.cpp
@@ -176,9 +176,25 @@
     State &state = stateOf(registry);
     if (mode_ != StoreMode::Follows || state.isBusy || revision <= state.revision)
         return;
+    if (state.dueAt != Instant::never())
+        return;
     // Changes come in groups: the store is asked once for those that follow at once.
-    if (state.dueAt == Instant::never())
-        state.dueAt = std::max(now, state.confirmedAt + gatherTime);
+    const Instant gathered = state.confirmedAt + gatherTime;
+    const Instant told = registry == Registry::Targets ? now + toldWait : now;
+    state.dueAt = std::max(told, gathered);
+}
+
+void StoreLink::onTold(const RegistryChanged &changed, Revision after, Instant now)
+{
+    State &state = stateOf(changed.registry);
+    const bool isNext = after <= state.revision && state.revision < changed.at;
+    if (mode_ != StoreMode::Follows || isLost_ || state.mustList || state.isBusy || !isNext)
+        return; // the store is asked for what was missed
+    for (const RegistryEntry &entry : changed.entries)
+        apply(changed.registry, entry);
+    state.revision = changed.at;
+    state.confirmedAt = now;
+    state.dueAt = Instant::never();
 }
 
 Instant StoreLink::confirmedAt() const
--- a/bluebellshift/gateway/storelink.h
+++ b/bluebellshift/gateway/storelink.h
@@ -12,7 +12,8 @@
 // While it is lost nothing that is known is forgotten.
 //
 // In a large fleet a few VMs read for all: they watch with short waits and tell the
-// others which revision changed. A VM that follows them calls the store only then.
+// others which revision changed, and one of them what changed of the targets. A VM that
+// follows them calls the store only for what it isn't told.
 #pragma once
 
 #include <array>
@@ -59,6 +60,8 @@
     // must be given its two seconds within the users' contact time.
     static constexpr Duration retryMost = Duration::millis(300);
     static constexpr Duration askTimeout = Duration::millis(500); // while it is lost
+    // A VM that follows waits this long after hearing that targets changed to be told how.
+    static constexpr Duration toldWait = Duration::millis(350);
     // After a change, the next watch begins this much later: changes come in groups.
     static constexpr Duration gatherTime = Duration::millis(300);
     static constexpr int failuresToLose = 2; // one after another
@@ -76,6 +79,10 @@
     StoreMode mode() const { return mode_; }
     // A VM that reads has seen a change of that revision.
     void onNews(Registry registry, Revision revision, Instant now);
+    // It has told what changed after a revision.
+    void onTold(const RegistryChanged &changed, Revision after, Instant now);
+    // Where the registry's watch continues from.
+    Revision revision(Registry registry) const { return stateOf(registry).revision; }
     // The revision of the last change that was seen.
     Revision newsRevision(Registry registry) const { return stateOf(registry).news; }
     // Since when the store's last confirmation of each watched registry is the oldest.
--- a/bluebellshift/gateway/testing/reducertest.cpp
+++ b/bluebellshift/gateway/testing/reducertest.cpp
@@ -371,3 +371,90 @@
     for (const Endpoint &address : addresses)
         CHECK(address.address != "10.0.1.5");
 }
+
+namespace {
+
+// A VM of a fleet in which two others read the store for it.
+class Follower
+{
+public:
+    Follower()
+    {
+        std::vector<VmEntry> vms;
+        for (int i = 2; i <= 30; ++i) {
+            vms.push_back(sampleOptions("vm-" + std::to_string(i)).vm);
+            vms.back().callers = { "10.0.1." + std::to_string(i), 80 };
+        }
+        peers_ = vms;
+        bench_.begin(sampleConfig(), sampleTargets(3), vms);
+        beat(4);
+    }
+
+    // Every VM reports, the readers with the revision of the last change of targets.
+    void beat(int times)
+    {
+        for (; times > 0; --times) {
+            VmReport report;
+            report.sequence = ++sequence_;
+            report.isReady = true;
+            for (const VmEntry &vm : peers_) {
+                report.readsStore = vm.id == VmId("vm-2") || vm.id == VmId("vm-3");
+                report.newsRevisions = { 0, news_, 0 };
+                bench_.reduce(PeerSaid { vm.id, vm.incarnation, report });
+            }
+            bench_.advance(Duration::millis(250));
+        }
+    }
+
+    // A reader tells of a new target, or only that there is one.
+    void join(const std::string &id, std::uint64_t revision, std::uint64_t after, bool isTold)
+    {
+        news_ = revision;
+        if (!isTold)
+            return;
+        core::TargetChange change;
+        change.name = id;
+        change.revision = Revision(revision);
+        change.target = sampleTargets(1)[0];
+        change.target.id = TargetId(id);
+        TargetNews news { Revision(after), Revision(revision), { change } };
+        bench_.reduce(PeerTold { VmId("vm-2"), news });
+    }
+
+    GatewayBench bench_ { sampleOptions() };
+
+private:
+    std::vector<VmEntry> peers_;
+    std::uint64_t sequence_ = 0;
+    std::uint64_t news_ = 0;
+};
+
+constexpr std::uint64_t knownRevision = 1000; // beyond the bench's own
+
+} // namespace
+
+TEST(Reducer, AFollowerTakesWhatItIsToldWithoutACall)
+{
+    Follower follower;
+    follower.beat(4);
+    const int calls = follower.bench_.storeCalls();
+    const std::size_t targets = follower.bench_.reducer().readings(follower.bench_.now()).targets;
+    follower.join("told", knownRevision, 1, true);
+    follower.join("told-next", knownRevision + 5, knownRevision, true);
+    follower.beat(3);
+    CHECK_EQUAL(targets + 2, follower.bench_.reducer().readings(follower.bench_.now()).targets);
+    CHECK_EQUAL(calls, follower.bench_.storeCalls());
+}
+
+TEST(Reducer, AFollowerAsksTheStoreForWhatItIsNotTold)
+{
+    for (const bool isTold : { false, true }) {
+        Follower follower;
+        follower.beat(4);
+        const int calls = follower.bench_.storeCalls();
+        // Told of changes after a revision that it has not reached, or of nothing.
+        follower.join("missed", knownRevision + 5, knownRevision, isTold);
+        follower.beat(3);
+        CHECK(follower.bench_.storeCalls() > calls);
+    }
+}
--- a/bluebellshift/gatewayd/gateway.cpp
+++ b/bluebellshift/gatewayd/gateway.cpp
@@ -269,6 +269,14 @@
         mesh_->send(spending.to, spending.spending);
 }
 
+void Gateway::perform(const gateway::SendTargetNews &news)
+{
+    if (!mesh_)
+        return;
+    for (const core::VmId &vm : news.to)
+        mesh_->send(vm, news.news);
+}
+
 void Gateway::perform(const gateway::SetPeers &peers)
 {
     if (!mesh_) {
@@ -286,6 +294,8 @@
                 handle(gateway::PeerSaid { std::move(from), incarnation, std::move(*said) });
             else if (auto *spent = std::get_if<core::SpendingReport>(&message))
                 handle(gateway::PeerSpent { std::move(from), incarnation, std::move(*spent) });
+            else if (auto *news = std::get_if<core::TargetNews>(&message))
+                handle(gateway::PeerTold { std::move(from), std::move(*news) });
         };
         hooks.onLost = [this](core::VmId vm) { handle(gateway::PeerLost { std::move(vm) }); };
         hooks.log = [this](core::LogRecord record) { writeLog(record); };
--- a/bluebellshift/gatewayd/gateway.h
+++ b/bluebellshift/gatewayd/gateway.h
@@ -74,6 +74,7 @@
     void perform(const gateway::DropRequest &drop);
     void perform(const gateway::SendReport &report);
     void perform(const gateway::SendSpending &spending);
+    void perform(const gateway::SendTargetNews &news);
     void perform(const gateway::SetPeers &peers);
     void perform(const gateway::ForgetTarget &forget);
     void perform(const gateway::WriteLog &log) { writeLog(log.record); }
--- a/bluebellshift/shell/eventfields.h
+++ b/bluebellshift/shell/eventfields.h
@@ -79,11 +79,6 @@
     static constexpr core::AttemptOutcome unknown = core::AttemptOutcome::Cut;
 };
 
-template<> struct Fields<core::Endpoint>
-{
-    using T = core::Endpoint;
-    static constexpr auto list = std::make_tuple(&T::address, &T::port);
-};
 template<> struct Fields<core::Vm>
 {
     using T = core::Vm;
--- a/bluebellshift/shell/messagefields.h
+++ b/bluebellshift/shell/messagefields.h
@@ -134,6 +134,30 @@
         &T::storeAgeMillis, &T::newsRevisions, &T::isYoung, &T::admissions);
 };
 
+template<> struct Fields<core::Endpoint>
+{
+    using T = core::Endpoint;
+    static constexpr auto list = std::make_tuple(&T::address, &T::port);
+};
+template<> struct Fields<core::TargetEntry>
+{
+    using T = core::TargetEntry;
+    static constexpr auto list =
+        std::make_tuple(&T::id, &T::service, &T::endpoint, &T::failureDomain, &T::softwareVersion,
+                        &T::slots, &T::isDraining, &T::warmupLeft, &T::bornMillis);
+};
+template<> struct Fields<core::TargetChange>
+{
+    using T = core::TargetChange;
+    static constexpr auto list =
+        std::make_tuple(&T::name, &T::revision, &T::isGone, &T::problem, &T::target);
+};
+template<> struct Fields<core::TargetNews>
+{
+    using T = core::TargetNews;
+    static constexpr auto list = std::make_tuple(&T::after, &T::upTo, &T::changes);
+};
+
 template<> struct EnumRange<core::Run>
 {
     static constexpr core::Run last = core::Run::Unknown;
