--- a/bluebellshift/ctl/commands.cpp
+++ b/bluebellshift/ctl/commands.cpp
@@ -19,6 +19,7 @@
     std::size_t argumentCount;
     int (*run)(const CommandContext &, const Arguments &);
     const char *help;
+    bool mayTakeMore = false; // arguments beyond argumentCount
 };
 
 constexpr Command commands[] = {
@@ -48,6 +49,11 @@
       "Replays a recording of bluebellshiftd; tells where effects differ." },
     { "vm", "status", "", 0, tellVmStatus, "Tells how the VM and its peers are." },
     { "lookup", "", "SERVICE", 1, lookUp, "Asks which VMs a caller is sent to (--client)." },
+    { "explain", "", "REQUEST-ID [LOG...]", 1, explainRequest,
+      "Tells a request's story from the logs of many VMs.\n\n"
+      "Each LOG is one VM's log, named as the VM; without any, lines come from standard\n"
+      "input, where what stands before a line ends with the VM's name.",
+      true },
 };
 
 std::size_t wordsOf(const Command &command)
@@ -95,7 +101,8 @@
             continue;
         const Arguments rest(arguments.begin() + static_cast<std::ptrdiff_t>(wordsOf(command)),
                              arguments.end());
-        if (rest.size() == command.argumentCount)
+        if (rest.size() == command.argumentCount
+            || (command.mayTakeMore && rest.size() > command.argumentCount))
             return command.run(context, rest);
         context.printError(fmt::format("usage: bluebellctl {}", usageOf(command)));
         return exitUsage;
--- a/bluebellshift/ctl/commands.h
+++ b/bluebellshift/ctl/commands.h
@@ -65,6 +65,7 @@
 int checkRecording(const CommandContext &context, const Arguments &arguments);
 int tellVmStatus(const CommandContext &context, const Arguments &arguments);
 int lookUp(const CommandContext &context, const Arguments &arguments);
+int explainRequest(const CommandContext &context, const Arguments &arguments);
 
 // Prints a failure and returns its exit code.
 int fail(const CommandContext &context, const absl::Status &status);
