Take the other VMs of a region to do as this one does

Cause: with 87 VMs what others have at a target is told every 1.5 s.

Change: while a target told nothing fresh, others are expected to have there what this VM has at the region's targets, times the VMs of its region.

Test: a VM of 29 sends some requests to another region before its own requests fill its own.

--- a/bluebellshift/gateway/fleet.cpp
+++ b/bluebellshift/gateway/fleet.cpp
@@ -172,6 +172,16 @@
     return found == inFlight_.end() ? 0 : found->second;
 }
 
+std::size_t Fleet::heardInRegion(Instant now) const
+{
+    return 1
+        + static_cast<std::size_t>(
+               std::count_if(entries_.begin(), entries_.end(), [&](const auto &entry) {
+                   return entry.second.entry.region == options_.vm.region
+                       && isHeard(entry.second, now);
+               }));
+}
+
 std::size_t Fleet::rankFor(std::uint64_t target, Instant now) const
 {
     const std::uint64_t own = mixHashes(hashText(options_.vm.id.text()), target);
--- a/bluebellshift/gateway/fleet.h
+++ b/bluebellshift/gateway/fleet.h
@@ -60,6 +60,8 @@
     std::uint64_t newsRevision(std::size_t registry, Instant now) const;
 
     int othersInFlight(std::uint32_t target) const;
+    // VMs of this VM's region that are heard, itself included.
+    std::size_t heardInRegion(Instant now) const;
     // This VM's place, from 0, in an order of the VMs that are heard; each target has
     // an order of its own.
     std::size_t rankFor(std::uint64_t target, Instant now) const;
--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -157,6 +157,7 @@
     , pool_(options_,
             { [this](std::uint32_t target, Instant) { return fleet_.othersInFlight(target); },
               [this](std::uint64_t target, Instant now) { return fleet_.rankFor(target, now); },
+              [this](Instant now) { return fleet_.heardInRegion(now); },
               [this](core::LogRecord record) { log(std::move(record)); } })
     , quotas_(options_.bounds)
     , accounts_(options_.bounds)
--- a/bluebellshift/gateway/targetpool.cpp
+++ b/bluebellshift/gateway/targetpool.cpp
@@ -152,7 +152,7 @@
     if (wish.object != 0)
         warmHomes(wish, candidates, now);
     double bestScore = 0;
-    const double price = workPrice(wish.service, now);
+    const Business &business = businessOf(wish.service, now);
     std::map<RegionId, double> penalties;
     for (const auto &[domain, region] : options_.regionOf)
         penalties.emplace(region, 0);
@@ -164,10 +164,11 @@
         ++counts[static_cast<std::size_t>(ruledOut)];
         if (ruledOut != RuledOut::No)
             continue;
-        const int others = othersAt(state, now);
+        const int others = othersAt(state, business, now);
         const double work = workAt(state, wish, candidate.warmth, now);
         const Duration finish = finishAt(state, wish, others, work, now);
-        double score = millis(finish) + price * work + failureOf(state, now) * millis(failureCost);
+        double score =
+            millis(finish) + business.price * work + failureOf(state, now) * millis(failureCost);
         score += penalties[state.region];
         if (state.target.failureDomain != options_.vm.failureDomain)
             score +=
@@ -297,11 +298,14 @@
     return isUsual ? 1 : state.slowness;
 }
 
-int TargetPool::othersAt(const State &state, Instant now) const
+int TargetPool::othersAt(const State &state, const Business &business, Instant now) const
 {
     if (now - state.reportedAt < loadReportFresh)
         return state.reportedOthers;
-    const int told = hooks_.othersInFlight(static_cast<std::uint32_t>(state.hash), now);
+    int told = hooks_.othersInFlight(static_cast<std::uint32_t>(state.hash), now);
+    if (const auto expected = business.expectedOthers.find(state.region);
+        expected != business.expectedOthers.end())
+        told = std::max(told, static_cast<int>(expected->second));
     if (now - state.reportedAt > loadReportUse)
         return told;
     return std::max(told, state.reportedOthers);
@@ -323,26 +327,51 @@
     return found == objects_.end() ? keptFirst : found->second.kept;
 }
 
-// What work costs those that wait: nothing while many slots are free.
-double TargetPool::workPrice(const ServiceId &service, Instant now) const
+// How busy the service's targets are: what work costs those that wait, nothing while
+// many slots are free, and what others are expected to have at a target.
+const TargetPool::Business &TargetPool::businessOf(const ServiceId &service, Instant now) const
 {
     Business &business = business_[service];
-    if (now - business.at < busyCheck)
-        return business.price;
+    const auto targets = byService_.find(service);
+    if (now - business.at < busyCheck || targets == byService_.end())
+        return business;
+    business.at = now;
+    expectOthers(targets->second, business, now);
     double used = 0;
     double slots = 0;
-    const auto targets = byService_.find(service);
-    if (targets != byService_.end()) {
-        for (const State *state : targets->second) {
-            if (state->target.isDraining || evacuated_.count(state->target.failureDomain) > 0)
-                continue;
-            slots += state->target.slots;
-            used += std::min(state->target.slots, state->inFlight + othersAt(*state, now));
-        }
+    for (const State *state : targets->second) {
+        if (state->target.isDraining || evacuated_.count(state->target.failureDomain) > 0)
+            continue;
+        slots += state->target.slots;
+        used += std::min(state->target.slots, state->inFlight + othersAt(*state, business, now));
     }
     const double part = slots > 0 ? used / slots : 0;
-    business = { now, std::clamp((part - busyFrom) / (busyFull - busyFrom), 0.0, 1.0) };
-    return business.price;
+    business.price = std::clamp((part - busyFrom) / (busyFull - busyFrom), 0.0, 1.0);
+    return business;
+}
+
+void TargetPool::expectOthers(const std::vector<State *> &targets, Business &business,
+                              Instant now) const
+{
+    struct Use
+    {
+        int targets = 0;
+        int inFlight = 0;
+    };
+    std::map<RegionId, Use> uses;
+    for (const State *state : targets) {
+        if (state->target.isDraining || evacuated_.count(state->target.failureDomain) > 0)
+            continue;
+        Use &use = uses[state->region];
+        ++use.targets;
+        use.inFlight += state->inFlight;
+    }
+    const auto others = static_cast<double>(hooks_.vmsInRegion(now)) - 1;
+    for (const auto &[region, use] : uses) {
+        double &expected = business.expectedOthers[region];
+        const double newest = use.inFlight * others / use.targets;
+        expected += busySmoothing * (newest - expected);
+    }
 }
 
 bool TargetPool::wasSentLately(const State &state, std::uint64_t object, Instant now) const
--- a/bluebellshift/gateway/targetpool.h
+++ b/bluebellshift/gateway/targetpool.h
@@ -61,6 +61,8 @@
     // This VM's place among those that may send to a cold target, from 0; the others
     // agree on it without a message.
     std::function<std::size_t(std::uint64_t target, Instant now)> rankForColdTarget;
+    // VMs of this VM's region, itself included.
+    std::function<std::size_t(Instant now)> vmsInRegion;
     std::function<void(core::LogRecord)> log;
 };
 
@@ -105,6 +107,7 @@
     static constexpr double busyFrom = 0.5; // of all slots
     static constexpr double busyFull = 0.9;
     static constexpr Duration busyCheck = Duration::millis(100);
+    static constexpr double busySmoothing = 0.2; // weight of the newest check
     // There and back, until connections have shown it.
     static constexpr Duration wayInRegion = Duration::millis(8);
     static constexpr Duration wayBetweenRegions = Duration::millis(90);
@@ -173,6 +176,9 @@
     {
         Instant at = Instant::never();
         double price = 0; // of work, 0 to 1
+        // Requests that the other VMs of this region have at a target of a region, if
+        // they do as this VM does: what each told is old in a large fleet.
+        std::map<RegionId, double> expectedOthers;
     };
 
     enum class RuledOut { No, Draining, Evacuated, Region, Tried, Avoided, Cold };
@@ -184,14 +190,15 @@
     Duration coldSpacing(const State &state) const;
     double failureOf(const State &state, Instant now) const;
     static double slownessOf(const State &state);
-    int othersAt(const State &state, Instant now) const;
+    int othersAt(const State &state, const Business &business, Instant now) const;
     std::vector<Candidate> candidatesFor(const Wish &wish, std::array<int, 7> *counts,
                                          Instant now) const;
     void warmHomes(const Wish &wish, std::vector<Candidate> &candidates, Instant now) const;
     static void warmFirst(std::vector<Candidate *> &group, double part);
     double objectCount(const ServiceId &service) const;
     double objectsKept(const ServiceId &service) const;
-    double workPrice(const ServiceId &service, Instant now) const;
+    const Business &businessOf(const ServiceId &service, Instant now) const;
+    void expectOthers(const std::vector<State *> &targets, Business &business, Instant now) const;
     bool wasSentLately(const State &state, std::uint64_t object, Instant now) const;
     void noteObject(State &state, const Wish &wish, Instant now);
     Duration wayTo(const State &state) const;
--- a/bluebellshift/gateway/testing/partstest.cpp
+++ b/bluebellshift/gateway/testing/partstest.cpp
@@ -21,11 +21,12 @@
 
 const Instant begin = Instant::fromMicros(5'000'000'000);
 
-TargetPool makePool(const GatewayOptions &options)
+TargetPool makePool(const GatewayOptions &options, std::size_t vmsInRegion = 1)
 {
     TargetPool pool(options,
                     { [](std::uint32_t, Instant) { return 0; },
                       [](std::uint64_t, Instant) { return std::size_t { 0 }; },
+                      [vmsInRegion](Instant) { return vmsInRegion; },
                       [](const core::LogRecord &) {} });
     pool.setConfig(sampleConfig());
     return pool;
@@ -204,6 +205,25 @@
     CHECK(same >= 190);
 }
 
+// 29 VMs that do alike fill the near region long before one VM's own requests show it.
+TEST(GatewayParts, AVmTakesTheOthersOfItsRegionToDoAsItDoes)
+{
+    const GatewayOptions options = sampleOptions();
+    for (const std::size_t vms : { std::size_t { 1 }, std::size_t { 29 } }) {
+        TargetPool pool = makePool(options, vms);
+        for (const Target &target : sampleTargets(30)) // 20 of them near, with two slots each
+            pool.put(target, begin);
+        int far = 0;
+        for (int i = 0; i < 12; ++i) { // a request every 100 ms, none of which ends
+            const Instant now = begin + Duration::millis(100 * i);
+            const Choice choice = pool.choose(wishFor(0), i, now);
+            far += choice.target->failureDomain == FailureDomainId("far-1") ? 1 : 0;
+            pool.onSent(choice.target->id, wishFor(0), now);
+        }
+        CHECK(vms == 1 ? far == 0 : far >= 3);
+    }
+}
+
 TEST(GatewayParts, AColdTargetGetsNoMoreThanItsBoundFromThoseThatMaySend)
 {
     const GatewayOptions options = sampleOptions();
