Give an answer that has begun its time

Cause: a VM that follows asks the store with 0.5 s for the whole call.

Tests: both of the client's new cases fail before.

--- a/bluebellshift/net/httpclient.cpp
+++ b/bluebellshift/net/httpclient.cpp
@@ -231,6 +231,8 @@
             return;
         }
         result_.isAnswerBegun = true;
+        if (options_.silenceMost > core::Duration())
+            setTimer(Clock::now() + toChrono(options_.silenceMost), CallOutcome::TimedOut);
         buffer_.commit(size);
         parse();
         if (!isClosed_)
--- a/bluebellshift/net/httpclient.h
+++ b/bluebellshift/net/httpclient.h
@@ -58,6 +58,9 @@
 {
     core::Duration connectTimeout = core::Duration::millis(500);
     core::Duration timeout = core::Duration::seconds(10); // for the whole call
+    // Once the answer has begun, the call ends after this long without a byte of it, and
+    // `timeout` counts no more: a long answer takes its time. Zero: `timeout` holds.
+    core::Duration silenceMost;
     // A kept connection is used if it has been idle for at most this; zero: a new one.
     core::Duration reuseIdleMost = core::Duration::seconds(8);
     std::string idHeader;  // a header of the request that its answer repeats
--- a/bluebellshift/net/testing/httpclienttest.cpp
+++ b/bluebellshift/net/testing/httpclienttest.cpp
@@ -216,6 +216,34 @@
     CHECK(result->outcome == CallOutcome::Answered);
 }
 
+// A long answer over a slow link is not lost to the time-out of its call.
+TEST(NetHttpClient, LetsAnAnswerThatHasBegunTakeItsTime)
+{
+    options.timeout = core::Duration::seconds(2);
+    options.silenceMost = core::Duration::seconds(60);
+    call();
+    CHECK(waitFor([&] { return hasRead(0, 1); }));
+    peers[0].send(good.substr(0, good.size() - 1));
+    bool isTimeoutOver = false;
+    boost::asio::steady_timer timer(loop, std::chrono::milliseconds(2200));
+    timer.async_wait([&](const boost::system::error_code &) { isTimeoutOver = true; });
+    CHECK(waitFor([&] { return isTimeoutOver; }));
+    peers[0].send(good.substr(good.size() - 1));
+    CHECK(waitFor([&] { return result.has_value(); }));
+    CHECK(result->outcome == CallOutcome::Answered);
+}
+
+TEST(NetHttpClient, EndsACallWhoseAnswerStops)
+{
+    options.timeout = core::Duration::seconds(600);
+    options.silenceMost = core::Duration::millis(20);
+    call();
+    CHECK(waitFor([&] { return hasRead(0, 1); }));
+    peers[0].send(good.substr(0, good.size() - 1));
+    CHECK(waitFor([&] { return result.has_value(); }));
+    CHECK(result->outcome == CallOutcome::TimedOut);
+}
+
 TEST(NetHttpClient, EndsTheConnectionOfACancelledCall)
 {
     const CallId id = call();
