Expect a small region to send a part of its requests away from the start

Change: RegionFlow begins with what the slots and VMs of the regions let expect at 0.6 of all slots in use; it decays like requests.

--- a/bluebellshift/gateway/fleet.cpp
+++ b/bluebellshift/gateway/fleet.cpp
@@ -182,6 +182,14 @@
                }));
 }
 
+double Fleet::regionPart() const
+{
+    const auto others = std::count_if(entries_.begin(), entries_.end(), [&](const auto &entry) {
+        return entry.second.entry.region == options_.vm.region;
+    });
+    return static_cast<double>(others + 1) / static_cast<double>(vmCount());
+}
+
 std::size_t Fleet::rankFor(std::uint64_t target, Instant now) const
 {
     const std::uint64_t own = mixHashes(hashText(options_.vm.id.text()), target);
--- a/bluebellshift/gateway/fleet.h
+++ b/bluebellshift/gateway/fleet.h
@@ -62,6 +62,8 @@
     int othersInFlight(std::uint32_t target) const;
     // VMs of this VM's region that are heard, itself included.
     std::size_t heardInRegion(Instant now) const;
+    // The part of all VMs, heard or not, that are in this VM's region.
+    double regionPart() const;
     // This VM's place, from 0, in an order of the VMs that are heard; each target has
     // an order of its own.
     std::size_t rankFor(std::uint64_t target, Instant now) const;
--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -158,6 +158,7 @@
             { [this](std::uint32_t target, Instant) { return fleet_.othersInFlight(target); },
               [this](std::uint64_t target, Instant now) { return fleet_.rankFor(target, now); },
               [this](Instant now) { return fleet_.heardInRegion(now); },
+              [this] { return fleet_.regionPart(); },
               [this](core::LogRecord record) { log(std::move(record)); } })
     , quotas_(options_.bounds)
     , accounts_(options_.bounds)
--- a/bluebellshift/gateway/regionflow.cpp
+++ b/bluebellshift/gateway/regionflow.cpp
@@ -15,6 +15,13 @@
     at = now;
 }
 
+void RegionFlow::begin(const std::map<RegionId, double> &expected, Instant now)
+{
+    for (const auto &[region, part] : expected)
+        regions_[region] = { 0, expectedWeight * part, now };
+    total_ = { 0, expectedWeight, now };
+}
+
 void RegionFlow::note(const RegionId &region, Instant now)
 {
     for (Counts *counts : { &total_, &regions_[region] }) {
--- a/bluebellshift/gateway/regionflow.h
+++ b/bluebellshift/gateway/regionflow.h
@@ -1,6 +1,7 @@
 // Keeps the part of a region's requests that each region serves from jumping.
 //
 //   RegionFlow flow;
+//   flow.begin({ { region, 0.6 }, ... });       // what is expected before any request
 //   flow.note(region, now);                     // a request was sent there
 //   score += flow.penalty(region, now);         // milliseconds, for the next choice
 //
@@ -28,6 +29,12 @@
     static constexpr double penaltyMost = 600;     // milliseconds
     static constexpr double penaltySlope = 5000;   // for each whole part beyond
 
+    // Requests that what is expected counts for, until it has decayed as they would.
+    static constexpr double expectedWeight = 60;
+
+    // The parts of the requests that the regions are expected to serve; they add up to 1.
+    void begin(const std::map<RegionId, double> &expected, Instant now);
+    bool hasBegun() const { return total_.at != Instant::never(); }
     void note(const RegionId &region, Instant now);
     double penalty(const RegionId &region, Instant now) const;
 
--- a/bluebellshift/gateway/targetpool.cpp
+++ b/bluebellshift/gateway/targetpool.cpp
@@ -395,6 +395,29 @@
         sent.erase(sent.begin());
 }
 
+// How this VM's requests will be spread over the regions: its own serves what its slots
+// can, the others the rest by their slots. Without this a small region takes all of its
+// first requests and soon sends most of them away.
+std::map<RegionId, double> TargetPool::expectedParts() const
+{
+    std::map<RegionId, double> slots;
+    double all = 0;
+    for (const auto &[id, state] : states_) {
+        if (state.target.isDraining || evacuated_.count(state.target.failureDomain) > 0)
+            continue;
+        slots[state.region] += state.target.slots;
+        all += state.target.slots;
+    }
+    if (all <= 0)
+        return { { options_.vm.region, 1.0 } };
+    const double own = slots[options_.vm.region];
+    const double asked = std::max(1e-9, hooks_.regionPart() * expectedUse * all);
+    const double atHome = own >= all ? 1 : std::min(1.0, own / asked);
+    for (auto &[region, part] : slots)
+        part = region == options_.vm.region ? atHome : (1 - atHome) * part / (all - own);
+    return slots;
+}
+
 Duration TargetPool::wayTo(const State &state) const
 {
     const auto measured = ways_.find(state.target.failureDomain);
@@ -437,6 +460,8 @@
     if (state == nullptr)
         return;
     ++state->inFlight;
+    if (!flow_.hasBegun())
+        flow_.begin(expectedParts(), now);
     flow_.note(state->region, now);
     if (isCold(*state, now))
         state->coldSentAt = now;
--- a/bluebellshift/gateway/targetpool.h
+++ b/bluebellshift/gateway/targetpool.h
@@ -63,6 +63,8 @@
     std::function<std::size_t(std::uint64_t target, Instant now)> rankForColdTarget;
     // VMs of this VM's region, itself included.
     std::function<std::size_t(Instant now)> vmsInRegion;
+    // The region's part of all VMs that the registry names, and so of all requests.
+    std::function<double()> regionPart;
     std::function<void(core::LogRecord)> log;
 };
 
@@ -108,6 +110,8 @@
     static constexpr double busyFull = 0.9;
     static constexpr Duration busyCheck = Duration::millis(100);
     static constexpr double busySmoothing = 0.2; // weight of the newest check
+    // The part of all slots that is taken to be in use before any request was seen.
+    static constexpr double expectedUse = 0.6;
     // There and back, until connections have shown it.
     static constexpr Duration wayInRegion = Duration::millis(8);
     static constexpr Duration wayBetweenRegions = Duration::millis(90);
@@ -201,6 +205,7 @@
     void expectOthers(const std::vector<State *> &targets, Business &business, Instant now) const;
     bool wasSentLately(const State &state, std::uint64_t object, Instant now) const;
     void noteObject(State &state, const Wish &wish, Instant now);
+    std::map<RegionId, double> expectedParts() const;
     Duration wayTo(const State &state) const;
     double workAt(const State &state, const Wish &wish, double warmth, Instant now) const;
     Duration finishAt(const State &state, const Wish &wish, int others, double work,
--- a/bluebellshift/gateway/testing/partstest.cpp
+++ b/bluebellshift/gateway/testing/partstest.cpp
@@ -21,13 +21,14 @@
 
 const Instant begin = Instant::fromMicros(5'000'000'000);
 
-TargetPool makePool(const GatewayOptions &options, std::size_t vmsInRegion = 1)
+TargetPool makePool(const GatewayOptions &options, std::size_t vmsInRegion = 1,
+                    double regionPart = 0.5)
 {
     TargetPool pool(options,
                     { [](std::uint32_t, Instant) { return 0; },
                       [](std::uint64_t, Instant) { return std::size_t { 0 }; },
                       [vmsInRegion](Instant) { return vmsInRegion; },
-                      [](const core::LogRecord &) {} });
+                      [regionPart] { return regionPart; }, [](const core::LogRecord &) {} });
     pool.setConfig(sampleConfig());
     return pool;
 }
@@ -224,6 +225,36 @@
     }
 }
 
+// A region with a sixth of the slots that gets most of the requests: it must not begin by
+// taking all and then send many away.
+TEST(GatewayParts, ASmallRegionSendsAPartAwayFromTheFirstSecondOn)
+{
+    GatewayOptions options = sampleOptions();
+    options.vm.failureDomain = FailureDomainId("far-1");
+    options.vm.region = RegionId("far");
+    TargetPool pool = makePool(options, 10, 0.8);
+    std::vector<Target> targets = sampleTargets(120); // a third of them far
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        if (i % 6 != 2) // half of those are left out
+            targets[i].failureDomain = FailureDomainId(i % 2 == 0 ? "near-1" : "near-2");
+        pool.put(targets[i], begin);
+    }
+    std::vector<int> atHome(4); // in each half second
+    for (int i = 0; i < 80; ++i) {
+        const Instant now = begin + Duration::millis(25 * i);
+        const Choice choice = pool.choose(wishFor(0), i, now);
+        const bool isHome = choice.target->failureDomain == options.vm.failureDomain;
+        atHome[static_cast<std::size_t>(i / 20)] += isHome ? 1 : 0;
+        pool.onSent(choice.target->id, wishFor(0), now);
+        AttemptEnded ended = success();
+        pool.onEnded(choice.target->id, wishFor(0), ended, Duration(), now);
+    }
+    for (const int count : atHome) {
+        CHECK(count >= 4);
+        CHECK(count <= 14); // of 20
+    }
+}
+
 TEST(GatewayParts, AColdTargetGetsNoMoreThanItsBoundFromThoseThatMaySend)
 {
     const GatewayOptions options = sampleOptions();
