Estimate a service's objects from few requests; list VMs again soon while new ones appear

Cause 1: a VM of a large fleet sees a quarter of the objects in 10 s and took them for all, so that each object had four times as many homes as fit what a target keeps. Cause 2: a fleet that starts together learned of its VMs every 4 s; until then each VM watched the store for itself.

Change: the number of objects is estimated from how many of the requests were for an object seen before; lists of VMs follow after 0.7 s while they bring new entries.

--- /dev/null
+++ b/bluebellshift/gateway/objectcount.cpp
@@ -0,0 +1,44 @@
+// Of N equally likely objects, n requests show N (1 - exp(-n / N)) on average, which
+// grows with N; a bisection finds N. It runs each time the number of requests has grown
+// by an eighth, so that a request costs a look-up in a set.
+#include "bluebellshift/gateway/objectcount.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bluebellshift::gateway {
+namespace {
+
+constexpr int bisections = 24; // to a thousandth of an object
+
+} // namespace
+
+void ObjectCount::note(std::uint64_t object, core::Instant now)
+{
+    if (begunAt_ == core::Instant::never() || now - begunAt_ > generation) {
+        seen_.clear();
+        requests_ = 0;
+        begunAt_ = now;
+    }
+    if (seen_.size() >= objectsMost)
+        return;
+    seen_.insert(object);
+    ++requests_;
+    const bool isFirst = estimate_ <= 1 || requests_ >= requestsLeast;
+    if (isFirst && requests_ % std::max<std::size_t>(1, requests_ / 8) == 0)
+        estimate_ = objectsFor(requests_, seen_.size());
+}
+
+double ObjectCount::objectsFor(std::size_t requests, std::size_t seen)
+{
+    double least = std::max<double>(1, static_cast<double>(seen));
+    double most = objectsMost;
+    for (int i = 0; i < bisections && least < most; ++i) {
+        const double middle = (least + most) / 2;
+        const double shown = middle * -std::expm1(-static_cast<double>(requests) / middle);
+        (shown < static_cast<double>(seen) ? least : most) = middle;
+    }
+    return least;
+}
+
+} // namespace bluebellshift::gateway
--- a/bluebellshift/gateway/storelink.cpp
+++ b/bluebellshift/gateway/storelink.cpp
@@ -133,7 +133,9 @@
         state.dueAt = Instant::never();
     if (!isWatched(registry)) {
         const bool isSettled = registry == Registry::PeerKeys && !state.known.empty();
-        state.dueAt = isSettled ? Instant::never() : now + pollInterval;
+        const Duration pause = state.hasNew ? pollWhileNew : pollInterval;
+        state.dueAt = isSettled ? Instant::never() : now + pause;
+        state.hasNew = false;
     }
     hooks_.onListed(registry);
 }
@@ -221,6 +223,7 @@
             return;
         state.known.erase(known);
     } else {
+        state.hasNew = state.hasNew || known == state.known.end();
         state.known[entry.name] = entry.revision;
     }
     hooks_.onEntry(registry, entry);
--- a/bluebellshift/gateway/storelink.h
+++ b/bluebellshift/gateway/storelink.h
@@ -55,6 +55,9 @@
     static constexpr Duration readWait = Duration::millis(900);    // of a VM that reads for others
     static constexpr Duration readMargin = Duration::millis(500);
     static constexpr Duration pollInterval = Duration::seconds(4); // of what is not watched
+    // While lists of it still bring new entries: a fleet that starts finds itself soon, and
+    // most of its VMs then stop watching for themselves.
+    static constexpr Duration pollWhileNew = Duration::millis(700);
     static constexpr Duration retryFirst = Duration::millis(30);
     // With askTimeout, the store's return is noticed within 0.8 s: what lapsed meanwhile
     // must be given its two seconds within the users' contact time.
@@ -105,6 +108,7 @@
         bool isBusy = false;              // a call is under way
         Instant dueAt = Instant::never(); // of the next call, if not busy; never: none
         bool mustList = true;
+        bool hasNew = false;    // the list under way brought an entry that was not known
         std::string listedUpTo; // the last name of the pages so far
         bool isFirstPage = true;
         Revision listedAt; // of the first page
--- a/bluebellshift/gateway/targetpool.cpp
+++ b/bluebellshift/gateway/targetpool.cpp
@@ -24,8 +24,6 @@
 constexpr double learnRate = 0.1; // weight of one more measurement
 constexpr double slownessLeast = 0.3;
 constexpr double slownessMost = 12;
-constexpr std::size_t objectsMost = 4096; // counted for one service
-constexpr Duration objectGeneration = Duration::seconds(10);
 constexpr double warmAnswer = 0.6; // of the usual work; a shorter one had a warm object
 constexpr double workMost = 3;     // times the usual, that one measurement counts for
 
@@ -217,7 +215,7 @@
         const bool isNear = candidate.state->region == options_.vm.region;
         (isNear ? inRegion : elsewhere).push_back(&candidate);
     }
-    const double part = objectsKept(wish.service) / objectCount(wish.service);
+    const double part = objectsKept(wish.service) / objectsAskedFor(wish.service);
     warmFirst(inRegion, part * nearRegionPart);
     warmFirst(elsewhere, part * (1 - nearRegionPart));
     for (Candidate &candidate : candidates) {
@@ -311,14 +309,10 @@
     return std::max(told, state.reportedOthers);
 }
 
-// How many objects of a service are asked for at this VM.
-double TargetPool::objectCount(const ServiceId &service) const
+double TargetPool::objectsAskedFor(const ServiceId &service) const
 {
     const auto found = objects_.find(service);
-    if (found == objects_.end())
-        return 1;
-    const std::size_t count = std::max(found->second.current.size(), found->second.previous);
-    return std::max(1.0, static_cast<double>(count));
+    return found == objects_.end() ? 1 : found->second.asked.estimate();
 }
 
 double TargetPool::objectsKept(const ServiceId &service) const
@@ -467,14 +461,7 @@
         state->coldSentAt = now;
     if (wish.object == 0)
         return;
-    ObjectCount &objects = objects_[wish.service];
-    if (now - objects.begunAt > objectGeneration) {
-        objects.previous = objects.current.size();
-        objects.current.clear();
-        objects.begunAt = now;
-    }
-    if (objects.current.size() < objectsMost)
-        objects.current.insert(wish.object);
+    objects_[wish.service].asked.note(wish.object, now);
 }
 
 void TargetPool::onEnded(const TargetId &target, const Wish &wish, const AttemptEnded &ended,
--- a/bluebellshift/gateway/targetpool.h
+++ b/bluebellshift/gateway/targetpool.h
@@ -25,6 +25,7 @@
 
 #include "bluebellshift/core/logevent.h"
 #include "bluebellshift/gateway/event.h"
+#include "bluebellshift/gateway/objectcount.h"
 #include "bluebellshift/gateway/options.h"
 #include "bluebellshift/gateway/regionflow.h"
 #include "bluebellshift/gateway/registry.h"
@@ -168,12 +169,9 @@
         std::uint64_t rank = 0; // among the homes of the wish's object: lower is earlier
         double warmth = 0;
     };
-    // The objects that were asked for lately, in two generations.
-    struct ObjectCount
+    struct Objects
     {
-        std::unordered_set<std::uint64_t> current;
-        std::size_t previous = 0;
-        Instant begunAt;
+        ObjectCount asked;       // of the service
         double kept = keptFirst; // by one target
     };
     struct Business
@@ -199,7 +197,7 @@
                                          Instant now) const;
     void warmHomes(const Wish &wish, std::vector<Candidate> &candidates, Instant now) const;
     static void warmFirst(std::vector<Candidate *> &group, double part);
-    double objectCount(const ServiceId &service) const;
+    double objectsAskedFor(const ServiceId &service) const;
     double objectsKept(const ServiceId &service) const;
     const Business &businessOf(const ServiceId &service, Instant now) const;
     void expectOthers(const std::vector<State *> &targets, Business &business, Instant now) const;
@@ -225,7 +223,7 @@
     std::unordered_set<FailureDomainId> evacuated_;
     std::unordered_map<FailureDomainId, Duration> ways_; // there and back, as measured
     std::unordered_map<std::string, double> work_;       // milliseconds of a cold object, by route
-    std::unordered_map<ServiceId, ObjectCount> objects_;
+    std::unordered_map<ServiceId, Objects> objects_;
     mutable std::unordered_map<ServiceId, Business> business_; // computed seldom
 };
 
--- a/bluebellshift/gateway/testing/gatewaybench.cpp
+++ b/bluebellshift/gateway/testing/gatewaybench.cpp
@@ -223,6 +223,11 @@
     deliver(Registry::Targets, entryOf(target.id.text(), 0, target));
 }
 
+void GatewayBench::putVm(const VmEntry &vm)
+{
+    deliver(Registry::Vms, entryOf(vm.id.text(), 0, vm));
+}
+
 void GatewayBench::removeTarget(const TargetId &target)
 {
     RegistryEntry entry = entryOf(target.text(), 0, UnreadableEntry {});
--- a/bluebellshift/gateway/testing/gatewaybench.h
+++ b/bluebellshift/gateway/testing/gatewaybench.h
@@ -55,6 +55,7 @@
 
     void putConfig(std::shared_ptr<TrafficConfig> config);
     void putTarget(const Target &target);
+    void putVm(const VmEntry &vm);
     void removeTarget(const TargetId &target);
     void setEvacuated(const std::string &domain, bool isEvacuated);
     // The store turns every call away, or serves again.
--- a/bluebellshift/gateway/testing/partstest.cpp
+++ b/bluebellshift/gateway/testing/partstest.cpp
@@ -324,6 +324,25 @@
     CHECK(usual < 760);
 }
 
+TEST(GatewayParts, FewRequestsTellHowManyObjectsThereAre)
+{
+    std::mt19937 random(17);
+    for (const std::size_t all : { 40, 340, 700 }) {
+        for (const std::size_t requests : { std::size_t { 120 }, std::size_t { 700 } }) {
+            double sum = 0; // one VM may be off by a third; many are not on average
+            for (int vm = 0; vm < 40; ++vm) {
+                ObjectCount objects;
+                for (std::size_t i = 0; i < requests; ++i)
+                    objects.note(random() % all + 1, begin + Duration::millis(10 * i));
+                sum += std::log(objects.estimate());
+            }
+            const double mean = std::exp(sum / 40);
+            CHECK(mean > 0.7 * static_cast<double>(all));
+            CHECK(mean < 1.4 * static_cast<double>(all));
+        }
+    }
+}
+
 TEST(GatewayParts, RegionFlowPushesBackOnlyBeyondItsTolerance)
 {
     RegionFlow flow;
--- a/bluebellshift/gateway/testing/reducertest.cpp
+++ b/bluebellshift/gateway/testing/reducertest.cpp
@@ -1,4 +1,5 @@
 // The gateway's promises, each driven through the whole reducer.
+#include "bluebellshift/gateway/storelink.h"
 #include "bluebellshift/gateway/testing/gatewaybench.h"
 
 #include <algorithm>
@@ -458,3 +459,19 @@
         CHECK(follower.bench_.storeCalls() > calls);
     }
 }
+
+// A fleet that starts together finds itself by its lists within a second or two.
+TEST(Reducer, ListsVmsAgainSoonWhileNewOnesAppear)
+{
+    bench.begin(sampleConfig(), sampleTargets(3));
+    const auto known = [&] { return bench.reducer().readings(bench.now()).vms; };
+    for (std::size_t i = 2; i <= 5; ++i) {
+        bench.putVm(sampleOptions("vm-" + std::to_string(i)).vm);
+        // The first is found by a list whose time was set before.
+        const Duration most = i == 2 ? StoreLink::pollInterval : StoreLink::pollWhileNew;
+        Duration waited;
+        for (; known() < i && waited <= most; waited = waited + Duration::millis(10))
+            bench.advance(Duration::millis(10));
+        CHECK_EQUAL(i, known());
+    }
+}
