--- a/bluebellshift/ctl/explainer.cpp
+++ b/bluebellshift/ctl/explainer.cpp
@@ -10,7 +10,6 @@
 namespace bluebellshift::ctl {
 namespace {
 
-using core::LogEvent;
 namespace events = core::log;
 
 // The events that change a belief, and the field that names what it is about; empty:
--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -15,8 +15,7 @@
 #include "bluebellshift/gateway/hashing.h"
 #include "bluebellshift/gateway/storelink.h"
 #include "bluebellshift/gateway/targetpool.h"
-#include "bluebellshift/gateway/teamaccounts.h"
-#include "bluebellshift/gateway/teamquotas.h"
+#include "bluebellshift/gateway/teamlimits.h"
 
 namespace bluebellshift::gateway {
 namespace {
@@ -35,9 +34,7 @@
 constexpr std::uint64_t readerOrder = 0x72656164; // any number, the same on every VM
 constexpr std::array<Registry, 3> followedRegistries = { Registry::Traffic, Registry::Targets,
                                                          Registry::Evacuations };
-// What was admitted of a team is told to the keeper of its account this much later, with
-// what came meanwhile; and what its keeper allows is told at most this often.
-constexpr Duration spendingDelay = Duration::millis(100);
+// What this VM allows as a keeper of accounts is told to all at most this often.
 constexpr Duration admissionGap = Duration::millis(200);
 constexpr Duration writeTimeout = Duration::millis(1000);
 constexpr Duration writeRetry = Duration::millis(400);
@@ -45,7 +42,6 @@
 constexpr Duration stopServing = Duration::seconds(3); // after a stop was asked for
 constexpr Duration stopMargin = Duration::millis(300); // before the process is killed
 constexpr Duration lookupTtlAim = Duration::seconds(2);
-constexpr std::uint32_t admissionMoveLogged = 100; // permille; changes by more are logged
 
 } // namespace
 
@@ -66,8 +62,7 @@
     TrafficConfigPointer config_;
     Fleet fleet_;
     TargetPool pool_;
-    TeamQuotas quotas_;
-    TeamAccounts accounts_;
+    TeamLimits limits_;
     Dispatcher dispatcher_;
     StoreLink store_;
 
@@ -111,13 +106,9 @@
     void hearNews();
     void removeLapsed();
     void removeStaleVms();
-    bool isYoung() const { return now_ - startedAt_ < options_.bounds.quotaWindow; }
-    // Finds the keeper of each team's account anew.
-    void findKeepers();
-    void admitAs(TeamHash team, const std::optional<TeamAdmission> &admission);
-    // Tells the keepers what was admitted here.
-    void tellSpending();
-    void settleOwnAccounts();
+    void updateLimits();
+    // What this VM allows as a keeper of accounts is told soon if it has changed by much.
+    void tellAdmissions();
     void noteReady();
     void stop();
     void log(core::LogRecord record) { effects_.push_back(WriteLog { std::move(record) }); }
@@ -130,16 +121,6 @@
     bool mustCreateEntry_ = true;
     Instant entryDueAt_ = Instant::never();
     std::map<TargetId, Instant> lapsed_; // until when they may return
-    struct Keeper
-    {
-        std::optional<VmId> vm; // empty: this VM
-        std::uint32_t loggedPermille = 1000;
-    };
-    std::unordered_map<TeamHash, Keeper> keepers_;
-    std::uint64_t keepersVersion_ = 0; // of the fleet for which they were found
-    bool areKeepersStale_ = true;
-    Instant spendingDueAt_ = Instant::never();
-    Instant startedAt_;
     std::uint64_t reportSequence_ = 0;
     Instant reportAt_ = Instant::never();
     Instant reportedAt_ = Instant::never();
@@ -160,13 +141,14 @@
               [this](Instant now) { return fleet_.heardInRegion(now); },
               [this] { return fleet_.regionPart(); },
               [this](core::LogRecord record) { log(std::move(record)); } })
-    , quotas_(options_.bounds)
-    , accounts_(options_.bounds)
+    , limits_(options_, fleet_,
+              { [this](Effect effect) { perform(std::move(effect)); },
+                [this](core::LogRecord record) { log(std::move(record)); } })
     , dispatcher_(options_,
                   { [this] { return config_; }, [this] { return isReady() || isStopping_; },
                     [this] { return fleet_.vmCount(); },
                     [this](Effect effect) { perform(std::move(effect)); } },
-                  pool_, quotas_)
+                  pool_, limits_.quotas())
     , store_({ [this](Effect effect) { perform(std::move(effect)); },
                [this](Registry registry, const RegistryEntry &entry) { onEntry(registry, entry); },
                [this](Registry registry) { onListed(registry); },
@@ -178,7 +160,7 @@
 {
     now_ = now;
     random_ = random;
-    startedAt_ = now;
+    limits_.start(now);
     reportAt_ = now;
     reportedAt_ = now;
     entryDueAt_ = now;
@@ -192,15 +174,14 @@
     random_ = event.random;
     std::visit([this](const auto &body) { on(body); }, event.body);
     noteReady();
-    if (quotas_.hasSpending() && spendingDueAt_ == Instant::never())
-        spendingDueAt_ = now_ + spendingDelay;
+    limits_.noteRequests(now_);
 }
 
 Instant Reducer::State::nextWake() const
 {
     Instant next = reportAt_;
     for (const Instant at :
-         { store_.nextWake(), dispatcher_.nextWake(), entryDueAt_, spendingDueAt_ }) {
+         { store_.nextWake(), dispatcher_.nextWake(), entryDueAt_, limits_.nextWake() }) {
         if (at != Instant::never())
             next = std::min(next, at);
     }
@@ -226,12 +207,15 @@
     if (now_ >= reportAt_) {
         report();
         fleet_.onTimer(now_);
-        findKeepers();
-        settleOwnAccounts();
+        updateLimits();
+        limits_.followOwnAccounts(now_);
+        tellAdmissions();
         removeStaleVms();
     }
-    if (spendingDueAt_ != Instant::never() && now_ >= spendingDueAt_)
-        tellSpending();
+    if (limits_.nextWake() != Instant::never() && now_ >= limits_.nextWake()) {
+        limits_.onTimer(now_);
+        tellAdmissions();
+    }
     removeLapsed();
     dispatcher_.onTimer(random_, now_);
     if (isStopping_)
@@ -268,10 +252,8 @@
 void Reducer::State::onListed(Registry registry)
 {
     log({ core::log::registryListed, { { "registry", toText(registry) } } });
-    if (registry == Registry::Vms) {
-        areKeepersStale_ = true;
-        findKeepers();
-    }
+    if (registry == Registry::Vms)
+        updateLimits();
     if (registry == Registry::PeerKeys && peerKey_.empty() && !isKeyAsked_) {
         isKeyAsked_ = true;
         perform(CreatePeerKey { options_.peerKeyCandidate, writeTimeout });
@@ -294,10 +276,8 @@
             { "services", std::to_string(config->services.size()) } } });
     config_ = config;
     pool_.setConfig(config_);
-    quotas_.setConfig(*config_, now_);
-    accounts_.setConfig(*config_, now_);
-    areKeepersStale_ = true;
-    findKeepers();
+    limits_.setConfig(*config_, now_);
+    updateLimits();
 }
 
 void Reducer::State::onTarget(const RegistryEntry &entry)
@@ -507,7 +487,7 @@
     // Other regions hear every second report of a small fleet: bytes between regions cost
     // most, and they need little of it.
     const bool isForAll = isLarge || isReader || reportSequence_ % 2 == 1 || isStopping_
-        || isReady() != wasReported_ || accounts_.hasMoved(now_);
+        || isReady() != wasReported_ || limits_.hasMoved(now_);
     wasReported_ = isReady();
     std::vector<VmId> to;
     for (const VmEntry &peer : fleet_.peers()) {
@@ -516,7 +496,7 @@
     }
     VmReport report = makeReport();
     if (isForAll)
-        accounts_.noteTold(report.admissions);
+        limits_.noteTold(report.admissions);
     if (!to.empty())
         perform(SendReport { std::move(to), std::move(report) });
 }
@@ -537,8 +517,8 @@
         for (const Registry registry : followedRegistries)
             report.newsRevisions.push_back(store_.newsRevision(registry).number());
     }
-    report.isYoung = isYoung();
-    report.admissions = accounts_.admissions(now_);
+    report.isYoung = limits_.isYoung(now_);
+    report.admissions = limits_.admissions(now_);
     return report;
 }
 
@@ -547,109 +527,31 @@
     const bool isNewcomer = fleet_.onReport(event.from, event.incarnation, event.report, now_);
     if (isNewcomer) // it learns at once what it may admit
         perform(SendReport { { event.from }, makeReport() });
-    for (const TeamAdmission &admission : event.report.admissions) {
-        const auto keeper = keepers_.find(admission.team);
-        if (keeper != keepers_.end() && keeper->second.vm == event.from)
-            admitAs(admission.team, admission);
-    }
+    limits_.onReport(event.from, event.report);
     hearNews();
 }
 
 void Reducer::State::on(const PeerSpent &event)
 {
-    for (const TeamSpending &spending : event.spending.teams)
-        accounts_.onSpending(event.from, event.incarnation, spending, now_);
-    settleOwnAccounts();
+    limits_.onSpending(event.from, event.incarnation, event.spending, now_);
+    tellAdmissions();
 }
 
 void Reducer::State::on(const PeerLost &event)
 {
     fleet_.onLost(event.vm, now_);
-    findKeepers();
-}
-
-void Reducer::State::findKeepers()
-{
-    // Before the other VMs are known, every account would seem to be this VM's.
-    if (!config_ || !store_.isListed(Registry::Vms))
-        return;
-    if (!areKeepersStale_ && fleet_.version() == keepersVersion_)
-        return;
-    areKeepersStale_ = false;
-    keepersVersion_ = fleet_.version();
-    quotas_.setVmCount(fleet_.vmCount(), now_);
-    accounts_.setFleet(fleet_.heardPart(now_), fleet_.settledPart(isYoung(), now_), now_);
-    std::unordered_map<TeamHash, Keeper> before = std::exchange(keepers_, {});
-    for (const TeamHash team : quotas_.limitedTeams()) {
-        const auto known = before.find(team);
-        Keeper &keeper = keepers_[team];
-        if (known != before.end())
-            keeper = known->second;
-        const std::optional<VmId> vm = fleet_.accountKeeper(team, isStopping_, now_);
-        if (known != before.end() && vm == keeper.vm)
-            continue;
-        keeper.vm = vm;
-        if (vm)
-            accounts_.close(team);
-        else
-            accounts_.open(team, now_);
-        const TeamAdmission *told = vm ? fleet_.admissionOf(*vm, team) : nullptr;
-        admitAs(team, told ? std::optional<TeamAdmission>(*told) : std::nullopt);
-        quotas_.tellAgain(team);
-    }
-    for (const auto &[team, keeper] : before) {
-        if (keepers_.count(team) == 0)
-            accounts_.close(team);
-    }
-    if (quotas_.hasSpending())
-        tellSpending();
+    updateLimits();
 }
 
-void Reducer::State::admitAs(TeamHash team, const std::optional<TeamAdmission> &admission)
+void Reducer::State::updateLimits()
 {
-    if (!admission) {
-        quotas_.dropAdmission(team);
-        return;
-    }
-    quotas_.setAdmission(*admission);
-    Keeper &keeper = keepers_[team];
-    const auto moved = static_cast<std::int64_t>(admission->permille) - keeper.loggedPermille;
-    if (std::abs(moved) < admissionMoveLogged)
-        return;
-    log({ core::log::admissionMoved,
-          { { "team", quotas_.nameOf(team).text() },
-            { "permille", std::to_string(admission->permille) },
-            { "previous", std::to_string(keeper.loggedPermille) },
-            { "requests", std::to_string(admission->requests) },
-            { "keeper", keeper.vm ? keeper.vm->text() : options_.vm.id.text() } } });
-    keeper.loggedPermille = admission->permille;
-}
-
-void Reducer::State::tellSpending()
-{
-    spendingDueAt_ = Instant::never();
-    std::map<VmId, SpendingReport> reports;
-    for (const TeamSpending &spending : quotas_.takeSpending(now_)) {
-        const auto keeper = keepers_.find(spending.team);
-        if (keeper == keepers_.end())
-            continue; // told again once its keeper is known
-        if (keeper->second.vm)
-            reports[*keeper->second.vm].teams.push_back(spending);
-        else
-            accounts_.onSpending(options_.vm.id, options_.vm.incarnation, spending, now_);
-    }
-    for (auto &[vm, spending] : reports)
-        perform(SendSpending { vm, std::move(spending) });
-    settleOwnAccounts();
+    if (config_ && store_.isListed(Registry::Vms))
+        limits_.setVms(isStopping_, now_);
 }
 
-// This VM hears at once what it allows as a keeper; the others hear it soon if it has
-// changed by much.
-void Reducer::State::settleOwnAccounts()
+void Reducer::State::tellAdmissions()
 {
-    for (const TeamAdmission &admission : accounts_.admissions(now_))
-        admitAs(admission.team, admission);
-    if (accounts_.hasMoved(now_))
+    if (limits_.hasMoved(now_))
         reportAt_ = std::min(reportAt_, std::max(now_, reportedAt_ + admissionGap));
 }
 
--- a/bluebellshift/gateway/targetpool.cpp
+++ b/bluebellshift/gateway/targetpool.cpp
@@ -12,7 +12,6 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <map>
 
 #include <fmt/format.h>
 
--- a/bluebellshift/gateway/targetpool.h
+++ b/bluebellshift/gateway/targetpool.h
@@ -17,7 +17,7 @@
 
 #include <array>
 #include <functional>
-#include <optional>
+#include <map>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
--- a/bluebellshift/gateway/testing/gatewaybench.h
+++ b/bluebellshift/gateway/testing/gatewaybench.h
@@ -78,10 +78,6 @@
     const std::vector<core::LogRecord> &logs() const { return logs_; }
 
 private:
-    struct Open
-    {
-        int attempt = 0;
-    };
     struct Watch
     {
         Registry registry;
--- a/bluebellshift/net/httpclient.cpp
+++ b/bluebellshift/net/httpclient.cpp
@@ -105,9 +105,7 @@
         , socket_(client.loop_)
         , timer_(client.loop_)
     {
-        ++client_.openCount_;
     }
-    ~Connection() { --client_.openCount_; }
 
     const std::string &pool() const { return pool_; }
     Clock::time_point idleSince() const { return idleSince_; }
--- a/bluebellshift/net/httpclient.h
+++ b/bluebellshift/net/httpclient.h
@@ -90,7 +90,6 @@
     void closeIdle(const std::string &pool);
 
     std::size_t idleCount() const;
-    std::size_t openCount() const { return openCount_; }
     std::uint64_t connectionsMade() const { return connectionsMade_; }
 
 private:
@@ -108,7 +107,6 @@
     std::unordered_map<std::string, std::vector<ConnectionPointer>> idle_; // newest last
     std::unordered_map<CallId, ConnectionPointer> calls_;
     CallId lastCall_ = 0;
-    std::size_t openCount_ = 0;
     std::uint64_t connectionsMade_ = 0;
 };
 
