Catch up with the store by its newest state, and learn evacuations from reports

A VM that follows others had no call scheduled: once its catch-up calls failed it counted the store as lost and never probed it again. Without the store nothing of the peers' knowledge was used.

Change: the configuration is listed, not watched, to catch up; small registries are called first and the evacuations probe the store, also for a VM that follows; reports of readers carry the evacuated domains with their revision, and changes of targets are applied while the store is lost; nothing older is applied.

--- a/bluebellshift/core/vmreport.h
+++ b/bluebellshift/core/vmreport.h
@@ -52,6 +52,8 @@
     std::vector<std::uint64_t> registryRevisions; // last change of each watched registry
     bool isYoung = false;                  // its uptime is shorter than the users' quota window
     std::vector<TeamAdmission> admissions; // for the teams whose accounts it keeps
+    // If it reads the store: the evacuated failure domains at the last change of that registry.
+    std::vector<FailureDomainId> evacuated;
 };
 
 } // namespace bluebellshift::core
--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -107,6 +107,7 @@
     void expediteReport(bool hasChanges);
     void sendTargetUpdate(const RegistryChanged &changed, Revision after);
     void applyReportedRevisions();
+    void applyReportedEvacuations(const VmReport &report);
     void removeLapsed();
     void removeStaleVms();
     void updateLimits();
@@ -478,6 +479,19 @@
                                   now_);
 }
 
+// Takes over the evacuations that a VM that reads the store knows. They are the only way to
+// learn of them while this VM has no path to the store.
+void Reducer::State::applyReportedEvacuations(const VmReport &report)
+{
+    if (!report.readsStore || report.registryRevisions.size() != followedRegistries.size())
+        return;
+    const Revision revision(report.registryRevisions.back());
+    std::vector<RegistryEntry> entries;
+    for (const FailureDomainId &domain : report.evacuated)
+        entries.push_back({ domain.text(), revision, false, EvacuationEntry() });
+    store_.onReportedEntries(Registry::Evacuations, entries, revision, now_);
+}
+
 // Sends a report of this VM's state to other VMs.
 void Reducer::State::report()
 {
@@ -520,6 +534,7 @@
         report.storeAgeMillis = static_cast<std::uint32_t>(age.toMillis());
         for (const Registry registry : followedRegistries)
             report.registryRevisions.push_back(store_.lastChangeRevision(registry).number());
+        report.evacuated = pool_.evacuatedDomains();
     }
     report.isYoung = limits_.isYoung(now_);
     report.admissions = limits_.admissions(now_);
@@ -532,6 +547,7 @@
     if (isFirstReport) // it needs this VM's admissions at once
         perform(SendReport { { event.from }, makeReport() });
     limits_.onReport(event.from, event.report);
+    applyReportedEvacuations(event.report);
     applyReportedRevisions();
 }
 
--- a/bluebellshift/gateway/storelink.cpp
+++ b/bluebellshift/gateway/storelink.cpp
@@ -5,12 +5,14 @@
 namespace bluebellshift::gateway {
 namespace {
 
+// In the order in which they are called, the smallest first: over a slow link a response
+// waits for the larger ones before it.
 constexpr std::array<Registry, registryCount> allRegistries = {
-    Registry::Traffic, Registry::Targets, Registry::Evacuations, Registry::Vms, Registry::PeerKeys,
+    Registry::Evacuations, Registry::PeerKeys, Registry::Vms, Registry::Targets, Registry::Traffic,
 };
 
-// The registry that is requested to probe a lost store.
-constexpr Registry probedRegistry = Registry::Traffic;
+// The registry that is requested to probe a lost store: a small one.
+constexpr Registry probedRegistry = Registry::Evacuations;
 
 } // namespace
 
@@ -99,6 +101,7 @@
     for (const RegistryEntry &entry : listed.entries) {
         state.listedNames.insert(entry.name);
         state.listedUpTo = entry.name;
+        state.newestEntry = std::max(state.newestEntry, entry.revision);
         apply(listed.registry, entry);
     }
     if (!listed.hasMore || listed.entries.empty())
@@ -106,7 +109,8 @@
     onTimer(now);
 }
 
-void StoreLink::finishList(Registry registry, Instant now)
+// Reports the known entries that the list no longer contains as gone.
+void StoreLink::removeUnlisted(Registry registry)
 {
     State &state = stateOf(registry);
     std::vector<std::string> gone;
@@ -122,12 +126,19 @@
         hooks_.onEntry(registry, entry);
     }
     state.listedNames.clear();
+}
+
+void StoreLink::finishList(Registry registry, Instant now)
+{
+    State &state = stateOf(registry);
+    removeUnlisted(registry);
     state.listedUpTo.clear();
     state.isFirstPage = true;
     state.mustList = false;
     state.isListed = true;
-    state.revision = state.listedAt;
-    state.lastChange = state.listedAt;
+    state.revision = std::max(state.revision, state.listedAt);
+    // An entry that was removed leaves no revision behind. The configuration is never removed.
+    state.lastChange = registry == Registry::Traffic ? state.newestEntry : state.listedAt;
     state.confirmedAt = now;
     if (isWatched(registry) && mode_ == StoreMode::Follows)
         state.dueAt = Instant::never();
@@ -169,7 +180,7 @@
         if (mode != StoreMode::Follows)
             state.dueAt = now;
         else if (state.isListed)
-            state.dueAt = Instant::never();
+            stopCalling(registry);
     }
 }
 
@@ -180,6 +191,8 @@
         return;
     if (state.dueAt != Instant::never())
         return;
+    if (registry == Registry::Traffic)
+        readNewest(state);
     // Changes come in groups: one call fetches those that follow each other closely.
     const Instant batchedAt = state.confirmedAt + changeBatchTime;
     const Instant updateDueAt = registry == Registry::Targets ? now + targetUpdateWait : now;
@@ -190,13 +203,47 @@
 {
     State &state = stateOf(changed.registry);
     const bool isNext = after <= state.revision && state.revision < changed.at;
-    if (mode_ != StoreMode::Follows || isLost_ || state.mustList || state.isBusy || !isNext)
+    if (state.mustList || !isNext)
         return; // the store is called for the missed changes
     for (const RegistryEntry &entry : changed.entries)
         apply(changed.registry, entry);
     state.revision = changed.at;
+    if (mode_ != StoreMode::Follows)
+        return; // its own watch goes on
+    state.confirmedAt = now;
+    stopCalling(changed.registry);
+}
+
+void StoreLink::onReportedEntries(Registry registry, const std::vector<RegistryEntry> &entries,
+                                  Revision revision, Instant now)
+{
+    State &state = stateOf(registry);
+    if (state.mustList || revision <= state.revision)
+        return;
+    for (const RegistryEntry &entry : entries) {
+        state.listedNames.insert(entry.name);
+        apply(registry, entry);
+    }
+    removeUnlisted(registry);
+    state.revision = revision;
+    if (mode_ != StoreMode::Follows)
+        return; // its own watch goes on
     state.confirmedAt = now;
-    state.dueAt = Instant::never();
+    stopCalling(registry);
+}
+
+// A VM that follows needs no call until it misses a change; a lost store is probed all the same.
+void StoreLink::stopCalling(Registry registry)
+{
+    if (!isLost_ || registry != probedRegistry)
+        stateOf(registry).dueAt = Instant::never();
+}
+
+// Makes the next call return the newest state of a registry rather than each change.
+void StoreLink::readNewest(State &state)
+{
+    if (!state.isBusy)
+        state.mustList = true;
 }
 
 Instant StoreLink::confirmedAt() const
@@ -248,6 +295,9 @@
                      { { "registry", toText(failed.registry) },
                        { "failure", toText(failed.failure) },
                        { "heardMsAgo", std::to_string((now - lastResponseAt_).toMillis()) } } });
+        State &probed = stateOf(probedRegistry); // a VM that follows has no call scheduled
+        if (!probed.isBusy && probed.dueAt == Instant::never())
+            probed.dueAt = now;
     }
     // Exponential backoff up to maxRetryDelay, half of it random.
     const int doublings = std::min(consecutiveFailures_, 8);
@@ -271,6 +321,7 @@
     regainedAt_ = now;
     hooks_.log(
         { core::log::storeRegained, { { "lostMs", std::to_string((now - lostAt_).toMillis()) } } });
+    readNewest(stateOf(Registry::Traffic));
     for (const Registry registry : allRegistries) {
         State &state = stateOf(registry);
         if (!state.isBusy && state.dueAt != Instant::never())
--- a/bluebellshift/gateway/storelink.h
+++ b/bluebellshift/gateway/storelink.h
@@ -9,7 +9,8 @@
 // A registry is listed once and then watched. If the history that a watch needs has been
 // discarded, the registry is listed again. After maxConsecutiveFailures the store counts as
 // lost: then one call at a time probes whether it has returned, so that an outage causes
-// little load. While the store is lost, all known entries are kept.
+// little load. While the store is lost, all known entries are kept. Afterwards the
+// configuration is listed, since a watch would return each version that was missed.
 //
 // In a large fleet a few VMs read the store for all. They use short watches and report the
 // revisions of changes to the other VMs; one of them also sends the changes of targets. A
@@ -84,8 +85,13 @@
     StoreMode mode() const { return mode_; }
     // Call when a VM that reads has reported a revision.
     void onReportedRevision(Registry registry, Revision revision, Instant now);
-    // Call when a VM that reads has sent the changes after a revision.
+    // Call when a VM that reads has sent the changes after a revision. They are applied even
+    // while the store is lost.
     void onReportedChanges(const RegistryChanged &changed, Revision after, Instant now);
+    // Call when a VM that reads has sent all entries of a registry as of its last change.
+    // Nothing older than what is known is applied.
+    void onReportedEntries(Registry registry, const std::vector<RegistryEntry> &entries,
+                           Revision revision, Instant now);
     // The revision from which the registry's watch continues.
     Revision revision(Registry registry) const { return stateOf(registry).revision; }
     // The revision of the last change that was received.
@@ -113,9 +119,10 @@
         bool hasNewEntries = false; // the current list returned an entry that was not known
         std::string listedUpTo;     // last name of the pages received so far
         bool isFirstPage = true;
-        Revision listedAt;   // of the first page
-        Revision revision;   // to watch from
-        Revision lastChange; // revision of the last change
+        Revision listedAt;    // of the first page
+        Revision newestEntry; // of the entries listed so far
+        Revision revision;    // to watch from
+        Revision lastChange;  // revision of the last change
         Instant confirmedAt = Instant::never();
         std::unordered_set<std::string> listedNames; // names in the current list
         std::unordered_map<std::string, Revision> known;
@@ -131,6 +138,9 @@
     void call(Registry registry, Instant now);
     void apply(Registry registry, const RegistryEntry &entry);
     void finishList(Registry registry, Instant now);
+    void removeUnlisted(Registry registry);
+    static void readNewest(State &state);
+    void stopCalling(Registry registry);
     void recordResponse(Instant now);
 
     const StoreLinkHooks hooks_;
--- a/bluebellshift/gateway/targetpool.h
+++ b/bluebellshift/gateway/targetpool.h
@@ -125,6 +125,10 @@
     void remove(const TargetId &target, const char *reason, Instant now);
     // Excludes or readmits all targets of a failure domain.
     void setEvacuated(const FailureDomainId &domain, bool isEvacuated, Instant now);
+    std::vector<FailureDomainId> evacuatedDomains() const
+    {
+        return { evacuated_.begin(), evacuated_.end() };
+    }
     // Replaces the configuration that holds the services' policies.
     void setConfig(TrafficConfigPointer config) { config_ = std::move(config); }
 
--- a/bluebellshift/gateway/testing/gatewaybench.cpp
+++ b/bluebellshift/gateway/testing/gatewaybench.cpp
@@ -128,6 +128,8 @@
             next = std::min(next, std::max(now_ + Duration::micros(1), watch.dueAt));
         for (const auto &[at, registry] : failingCalls_)
             next = std::min(next, std::max(now_ + Duration::micros(1), at));
+        for (const PendingResponse &response : responses_)
+            next = std::min(next, std::max(now_ + Duration::micros(1), response.at));
         now_ = next;
         serveStore();
         reduce(TimerFired {});
@@ -154,14 +156,33 @@
             reduce(RegistryChanged { registry, Revision(revision_), {} });
             continue;
         }
-        if (pendingStoreEvents_.empty())
+        if (responses_.empty() || responses_.front().at > now_)
             return;
-        EventBody body = std::move(pendingStoreEvents_.front());
-        pendingStoreEvents_.erase(pendingStoreEvents_.begin());
+        EventBody body = std::move(responses_.front().body);
+        responses_.erase(responses_.begin());
         reduce(std::move(body));
     }
 }
 
+void GatewayBench::setLink(std::size_t bytesPerSecond, std::size_t configBytes)
+{
+    linkBytesPerSecond_ = bytesPerSecond;
+    configBytes_ = configBytes;
+}
+
+void GatewayBench::respond(Registry registry, std::size_t count, EventBody body)
+{
+    constexpr std::size_t entryBytes = 300;
+    linkFreeAt_ = std::max(linkFreeAt_, now_);
+    if (linkBytesPerSecond_ > 0) {
+        const std::size_t bytes =
+            count * (registry == Registry::Traffic ? configBytes_ : entryBytes);
+        linkFreeAt_ = linkFreeAt_
+            + Duration::micros(static_cast<std::int64_t>(bytes * 1'000'000 / linkBytesPerSecond_));
+    }
+    responses_.push_back({ linkFreeAt_, std::move(body) });
+}
+
 void GatewayBench::on(const ListRegistry &list)
 {
     ++storeCalls_;
@@ -172,8 +193,12 @@
     RegistryListed listed;
     listed.registry = list.registry;
     listed.at = Revision(revision_);
-    listed.entries = entries_[static_cast<std::size_t>(list.registry)];
-    pendingStoreEvents_.push_back(std::move(listed));
+    for (const RegistryEntry &entry : entries_[static_cast<std::size_t>(list.registry)]) {
+        if (!entry.isGone)
+            listed.entries.push_back(entry);
+    }
+    const std::size_t count = listed.entries.size();
+    respond(list.registry, count, std::move(listed));
 }
 
 void GatewayBench::on(const WatchRegistry &watch)
@@ -186,12 +211,12 @@
     RegistryChanged missed;
     missed.registry = watch.registry;
     missed.at = Revision(revision_);
-    for (const RegistryEntry &entry : entries_[static_cast<std::size_t>(watch.registry)]) {
+    for (const RegistryEntry &entry : changes_[static_cast<std::size_t>(watch.registry)]) {
         if (entry.revision > watch.after)
             missed.entries.push_back(entry);
     }
-    if (!missed.entries.empty())
-        pendingStoreEvents_.push_back(std::move(missed));
+    if (const std::size_t count = missed.entries.size(); count > 0)
+        respond(watch.registry, count, std::move(missed));
     else
         watches_.push_back({ watch.registry, now_ + watch.timeout, now_ + watch.wait });
 }
@@ -203,13 +228,14 @@
     entries.erase(std::remove_if(entries.begin(), entries.end(),
                                  [&](const auto &other) { return other.name == entry.name; }),
                   entries.end());
-    entries.push_back(entry); // a removed entry stays, for later watches
+    entries.push_back(entry); // a removed entry stays, marked as gone
+    changes_[static_cast<std::size_t>(registry)].push_back(entry);
     const auto watch = std::find_if(watches_.begin(), watches_.end(),
                                     [&](const Watch &one) { return one.registry == registry; });
     if (watch == watches_.end())
         return;
     watches_.erase(watch);
-    reduce(RegistryChanged { registry, Revision(revision_), { std::move(entry) } });
+    respond(registry, 1, RegistryChanged { registry, Revision(revision_), { std::move(entry) } });
     serveStore();
 }
 
@@ -309,7 +335,7 @@
         else if (std::holds_alternative<Exit>(effect))
             hasExited_ = true;
         else if (std::holds_alternative<WriteVm>(effect))
-            pendingStoreEvents_.push_back(StoreWritten { Registry::Vms });
+            respond(Registry::Vms, 0, StoreWritten { Registry::Vms });
     }
 }
 
--- a/bluebellshift/gateway/testing/gatewaybench.h
+++ b/bluebellshift/gateway/testing/gatewaybench.h
@@ -60,6 +60,9 @@
     void setEvacuated(const std::string &domain, bool isEvacuated);
     // Makes the store refuse all calls, or serve them again.
     void setStoreDown(bool isDown);
+    // Makes responses of the store arrive one after the other over a link of this rate. Each
+    // version of the configuration has `configBytes`, any other entry 300 bytes.
+    void setLink(std::size_t bytesPerSecond, std::size_t configBytes);
 
     RequestArrived arrival(std::uint64_t id, const std::string &path = readPath) const;
     void request(std::uint64_t id, const std::string &path = readPath);
@@ -78,6 +81,11 @@
     const std::vector<core::LogRecord> &logs() const { return logs_; }
 
 private:
+    struct PendingResponse
+    {
+        Instant at;
+        EventBody body;
+    };
     struct Watch
     {
         Registry registry;
@@ -90,6 +98,8 @@
     void on(const WatchRegistry &watch);
     void on(const SendAttempt &attempt);
     void serveStore();
+    // Queues a response with `count` entries of a registry.
+    void respond(Registry registry, std::size_t count, EventBody body);
     void deliver(Registry registry, RegistryEntry entry);
 
     Instant now_ = Instant::fromMicros(1'000'000'000);
@@ -97,7 +107,11 @@
     Reducer reducer_;
     std::vector<RegistryEntry> entries_[registryCount];
     std::vector<Watch> watches_;
-    std::vector<EventBody> pendingStoreEvents_;
+    std::vector<RegistryEntry> changes_[registryCount]; // all since the start, in order
+    std::vector<PendingResponse> responses_;
+    std::size_t linkBytesPerSecond_ = 0; // 0: responses arrive at once
+    std::size_t configBytes_ = 0;
+    Instant linkFreeAt_;
     std::vector<std::pair<Instant, Registry>> failingCalls_;
     std::uint64_t revision_ = 100;
     bool isStoreDown_ = false;
--- a/bluebellshift/shell/messagefields.h
+++ b/bluebellshift/shell/messagefields.h
@@ -133,7 +133,7 @@
     using T = core::VmReport;
     static constexpr auto list = std::make_tuple(
         &T::sequence, &T::isReady, &T::isLeaving, &T::configVersion, &T::uses, &T::readsStore,
-        &T::storeAgeMillis, &T::registryRevisions, &T::isYoung, &T::admissions);
+        &T::storeAgeMillis, &T::registryRevisions, &T::isYoung, &T::admissions, &T::evacuated);
 };
 
 template<> struct Fields<core::Endpoint>
