--- a/bluebellshift/core/logevent.h
+++ b/bluebellshift/core/logevent.h
@@ -40,12 +40,14 @@
 inline constexpr LogEvent storeRegained { 209, LogLevel::Info, "store-regained" };
 inline constexpr LogEvent registryListed { 210, LogLevel::Info, "registry-listed" };
 inline constexpr LogEvent entryUnreadable { 211, LogLevel::Error, "entry-unreadable" };
+inline constexpr LogEvent storeModeChanged { 212, LogLevel::Info, "store-mode-changed" };
 // 3xx: membership
 inline constexpr LogEvent peerAlive { 301, LogLevel::Info, "peer-alive" };
 inline constexpr LogEvent peerSuspected { 302, LogLevel::Warning, "peer-suspected" };
 inline constexpr LogEvent peerLeaving { 303, LogLevel::Info, "peer-leaving" };
 inline constexpr LogEvent peerRejected { 304, LogLevel::Warning, "peer-rejected" };
 inline constexpr LogEvent messageDropped { 305, LogLevel::Warning, "message-dropped" };
+inline constexpr LogEvent neighboursChanged { 306, LogLevel::Info, "neighbours-changed" };
 // 4xx: the ledger
 inline constexpr LogEvent ledgerJoined { 401, LogLevel::Info, "ledger-joined" };
 inline constexpr LogEvent memberExpelled { 402, LogLevel::Warning, "member-expelled" };
--- a/bluebellshift/core/message.h
+++ b/bluebellshift/core/message.h
@@ -16,6 +16,7 @@
 #include "bluebellshift/core/targetupdate.h"
 #include "bluebellshift/core/units.h"
 #include "bluebellshift/core/vmreport.h"
+#include "bluebellshift/core/vmupdate.h"
 
 namespace bluebellshift::core {
 
@@ -162,8 +163,8 @@
     std::uint64_t correlation = 0;
 };
 
-using Message =
-    std::variant<Heartbeat, BorrowRequest, BorrowReply, ViewRequest, ViewReply, RelayRequest,
-                 RelayReply, RelayCancel, VmReport, SpendingReport, TargetUpdate>;
+using Message = std::variant<Heartbeat, BorrowRequest, BorrowReply, ViewRequest, ViewReply,
+                             RelayRequest, RelayReply, RelayCancel, VmReport, SpendingReport,
+                             TargetUpdate, RelayedReports, RelayedSpending, VmUpdate>;
 
 } // namespace bluebellshift::core
--- a/bluebellshift/core/reducer.cpp
+++ b/bluebellshift/core/reducer.cpp
@@ -72,6 +72,9 @@
     void onMessage(const VmReport &) { }
     void onMessage(const SpendingReport &) { }
     void onMessage(const TargetUpdate &) { }
+    void onMessage(const RelayedReports &) { }
+    void onMessage(const RelayedSpending &) { }
+    void onMessage(const VmUpdate &) { }
 
     void start();
     void afterInstall(View::InstallResult installed, Instant asOf);
--- a/bluebellshift/core/vmreport.h
+++ b/bluebellshift/core/vmreport.h
@@ -43,6 +43,7 @@
 struct VmReport
 {
     std::uint64_t sequence = 0; // increases with each report of one incarnation
+    bool isUrgent = false;      // relays pass it on without waiting for others
     bool isReady = false;
     bool isLeaving = false;
     std::uint64_t configVersion = 0; // 0: none yet
@@ -56,4 +57,27 @@
     std::vector<FailureDomainId> evacuated;
 };
 
+// A report that another VM passes on.
+struct RelayedReport
+{
+    VmId vm; // that made it
+    Incarnation incarnation;
+    std::uint32_t ageMillis = 0; // when it was passed on
+    VmReport report;
+};
+
+struct RelayedReports
+{
+    std::vector<RelayedReport> reports;
+};
+
+// A spending report on its way to a VM that its sender is not connected to.
+struct RelayedSpending
+{
+    VmId to;
+    VmId from;
+    Incarnation incarnation; // of the sender
+    SpendingReport spending;
+};
+
 } // namespace bluebellshift::core
--- /dev/null
+++ b/bluebellshift/core/vmupdate.h
@@ -0,0 +1,40 @@
+// Registry changes of the gateway VMs that one VM has read from the platform's store and
+// forwards to the VMs that follow it, so that these need not query the store.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "bluebellshift/core/ids.h"
+#include "bluebellshift/core/roster.h"
+
+namespace bluebellshift::core {
+
+// A gateway VM as registered in the store.
+struct VmEntry
+{
+    VmId id;
+    Incarnation incarnation;
+    RegionId region;
+    FailureDomainId failureDomain;
+    Endpoint callers; // where callers connect
+    Endpoint peers;   // where other VMs connect
+};
+
+struct VmChange
+{
+    std::string name; // of the entry
+    Revision revision;
+    bool isGone = false;
+    VmEntry vm; // unset if the entry is removed
+};
+
+// All changes after the revision `after`, up to and including `upTo`.
+struct VmUpdate
+{
+    Revision after;
+    Revision upTo;
+    std::vector<VmChange> changes;
+};
+
+} // namespace bluebellshift::core
--- a/bluebellshift/gateway/effect.h
+++ b/bluebellshift/gateway/effect.h
@@ -107,12 +107,31 @@
     SpendingReport spending;
 };
 
+struct SendRelayedReports
+{
+    std::vector<VmId> to;
+    RelayedReports relayed;
+};
+
+// `via` passes it on unless it is the addressee.
+struct SendRelayedSpending
+{
+    VmId via;
+    RelayedSpending relayed;
+};
+
 struct SendTargetUpdate
 {
     std::vector<VmId> to;
     TargetUpdate update;
 };
 
+struct SendVmUpdate
+{
+    std::vector<VmId> to;
+    VmUpdate update;
+};
+
 // Replaces the set of VMs to stay connected to. The secret authenticates this VM to them.
 struct SetPeers
 {
@@ -141,10 +160,11 @@
 {
 };
 
-using Effect = std::variant<ListRegistry, WatchRegistry, WriteVm, RemoveVm, CreatePeerKey,
-                            SendAttempt, CancelAttempt, ForwardResponse, RefuseRequest, DropRequest,
-                            SendReport, SendSpending, SendTargetUpdate, SetPeers, ForgetTarget,
-                            WriteLog, CloseConnections, Exit>;
+using Effect =
+    std::variant<ListRegistry, WatchRegistry, WriteVm, RemoveVm, CreatePeerKey, SendAttempt,
+                 CancelAttempt, ForwardResponse, RefuseRequest, DropRequest, SendReport,
+                 SendSpending, SendRelayedReports, SendRelayedSpending, SendTargetUpdate,
+                 SendVmUpdate, SetPeers, ForgetTarget, WriteLog, CloseConnections, Exit>;
 
 using Effects = std::vector<Effect>;
 
--- a/bluebellshift/gateway/event.h
+++ b/bluebellshift/gateway/event.h
@@ -122,6 +122,20 @@
     SpendingReport spending;
 };
 
+// Reports of other VMs that a relay passes on.
+struct PeerReportsRelayed
+{
+    VmId from;
+    RelayedReports relayed;
+};
+
+// A spending report to this VM or to one that this VM is connected to.
+struct PeerSpendingRelayed
+{
+    VmId from;
+    RelayedSpending relayed;
+};
+
 // Changes of the targets registry, from a VM that reads the store for others.
 struct PeerTargetUpdateReceived
 {
@@ -129,6 +143,13 @@
     TargetUpdate update;
 };
 
+// Changes of the registry of VMs, from a VM that reads the store for others.
+struct PeerVmUpdateReceived
+{
+    VmId from;
+    VmUpdate update;
+};
+
 struct PeerDisconnected
 {
     VmId vm;
@@ -140,10 +161,11 @@
     Duration grace; // time until the process is killed
 };
 
-using EventBody = std::variant<TimerFired, RegistryListed, RegistryChanged, RegistryFailed,
-                               StoreWritten, StoreWriteFailed, RequestArrived, CallerDisconnected,
-                               AttemptEnded, PeerReportReceived, PeerSpendingReceived,
-                               PeerTargetUpdateReceived, PeerDisconnected, StopRequested>;
+using EventBody =
+    std::variant<TimerFired, RegistryListed, RegistryChanged, RegistryFailed, StoreWritten,
+                 StoreWriteFailed, RequestArrived, CallerDisconnected, AttemptEnded,
+                 PeerReportReceived, PeerSpendingReceived, PeerReportsRelayed, PeerSpendingRelayed,
+                 PeerTargetUpdateReceived, PeerVmUpdateReceived, PeerDisconnected, StopRequested>;
 
 struct Event
 {
--- a/bluebellshift/gateway/fleet.cpp
+++ b/bluebellshift/gateway/fleet.cpp
@@ -42,28 +42,34 @@
     ++version_;
 }
 
-bool Fleet::onReport(const VmId &from, Incarnation incarnation, const VmReport &report, Instant now)
+Fleet::ReportResult Fleet::onReport(const VmId &from, Incarnation incarnation,
+                                    const VmReport &report, Instant now, Duration age)
 {
     const auto found = entries_.find(from);
     if (found == entries_.end())
-        return false; // its next report is accepted once it is registered
+        return ReportResult::Ignored; // its next report is accepted once it is registered
     Peer &peer = found->second;
     const bool isSameRun = peer.incarnation == incarnation;
     if (isSameRun && report.sequence <= peer.report.sequence)
-        return false;
+        return ReportResult::Ignored;
+    // Of a VM that restarted, reports of its earlier run may still be passed on.
+    if (!isSameRun && incarnation == peer.earlierIncarnation)
+        return ReportResult::Ignored;
     replaceUses(peer, report.uses);
     if (!peer.report.isLeaving && report.isLeaving) {
         log_({ core::log::peerLeaving, { { "vm", from.text() } } });
         ++version_;
     }
-    if (!isSameRun)
+    if (!isSameRun) {
         ++version_;
+        peer.earlierIncarnation = peer.incarnation;
+    }
     peer.report = report;
     peer.incarnation = incarnation;
-    peer.reportedAt = now;
+    peer.reportedAt = now - age;
     peer.isDisconnected = false;
-    setLive(peer, true, "it reports");
-    return !isSameRun;
+    setLive(peer, isLive(peer, now), "it reports");
+    return isSameRun ? ReportResult::Accepted : ReportResult::First;
 }
 
 void Fleet::onDisconnected(const VmId &vm, Instant now)
@@ -76,6 +82,15 @@
     setLive(found->second, false, "its connection ended");
 }
 
+void Fleet::onContactLost(const VmId &vm, Instant now)
+{
+    const auto found = entries_.find(vm);
+    if (found == entries_.end() || found->second.reportedAt == Instant::never())
+        return;
+    Peer &peer = found->second;
+    peer.reportedAt = std::min(peer.reportedAt, now - (livenessTimeout - reconnectTime));
+}
+
 void Fleet::onTimer(Instant now)
 {
     for (auto &[id, peer] : entries_) {
@@ -104,6 +119,34 @@
     return live;
 }
 
+bool Fleet::isUsable(const VmId &vm, Instant now) const
+{
+    const auto found = entries_.find(vm);
+    if (found == entries_.end())
+        return false;
+    const Peer &peer = found->second;
+    const bool isNewVm = peer.reportedAt == Instant::never() && now - peer.listedAt < newVmGrace;
+    return (isLive(peer, now) || isNewVm) && !peer.report.isLeaving;
+}
+
+RelayedReports Fleet::latestReports(Instant now) const
+{
+    RelayedReports latest;
+    for (const auto &[id, peer] : entries_) {
+        if (!isLive(peer, now))
+            continue;
+        const auto age = static_cast<std::uint32_t>((now - peer.reportedAt).toMillis());
+        latest.reports.push_back({ id, peer.incarnation, age, peer.report });
+    }
+    return latest;
+}
+
+void Fleet::setOwnerCandidates(std::vector<VmId> candidates)
+{
+    ownerCandidates_ = std::move(candidates);
+    ++version_;
+}
+
 std::vector<std::pair<VmId, Revision>> Fleet::staleEntries(Duration silence, Instant now) const
 {
     std::vector<std::pair<VmId, Revision>> stale;
@@ -205,15 +248,28 @@
     std::optional<VmId> owner;
     std::uint64_t least = mixHashes(hashText(options_.vm.id.text()), team);
     bool isAny = !isSelfLeaving;
-    for (const auto &[id, peer] : entries_) {
+    const auto consider = [&](const VmId &id, const Peer &peer) {
         if (!isLive(peer, now) || peer.report.isLeaving)
-            continue;
+            return;
         const std::uint64_t rank = mixHashes(peer.hash, team);
         if (isAny && rank >= least)
-            continue;
+            return;
         isAny = true;
         least = rank;
         owner = id;
+    };
+    if (!ownerCandidates_) {
+        for (const auto &[id, peer] : entries_)
+            consider(id, peer);
+        return owner;
+    }
+    const VmId &self = options_.vm.id;
+    isAny = isAny
+        && std::find(ownerCandidates_->begin(), ownerCandidates_->end(), self)
+            != ownerCandidates_->end();
+    for (const VmId &candidate : *ownerCandidates_) {
+        if (const auto found = entries_.find(candidate); found != entries_.end())
+            consider(candidate, found->second);
     }
     return owner;
 }
--- a/bluebellshift/gateway/fleet.h
+++ b/bluebellshift/gateway/fleet.h
@@ -30,6 +30,7 @@
 public:
     static constexpr Duration livenessTimeout = Duration::millis(3200); // two slow reports
     static constexpr Duration newVmGrace = Duration::seconds(3);        // for its first report
+    static constexpr Duration reconnectTime = Duration::millis(1500);
     // Fraction of the other VMs. While fewer are live, this VM counts as partitioned.
     static constexpr double minLiveFraction = 0.34;
     static constexpr std::size_t maxAddresses = 64;
@@ -39,9 +40,19 @@
 
     void put(const VmEntry &entry, Revision revision, Instant now);
     void remove(const VmId &vm);
-    // Returns whether this is the first report of that incarnation.
-    bool onReport(const VmId &from, Incarnation incarnation, const VmReport &report, Instant now);
+    enum class ReportResult {
+        Ignored, // from a VM that is not registered, or not newer than the last one
+        Accepted,
+        First, // accepted; the first of that incarnation
+    };
+    // `age`: of a report that another VM passed on.
+    ReportResult onReport(const VmId &from, Incarnation incarnation, const VmReport &report,
+                          Instant now, Duration age = Duration());
+    // The connection to a VM closed, over which alone its reports arrive.
     void onDisconnected(const VmId &vm, Instant now);
+    // The connection to a VM closed whose reports may still arrive through others: without one
+    // within reconnectTime, it is no longer live.
+    void onContactLost(const VmId &vm, Instant now);
     // Marks VMs without recent reports as not live. Call several times a second.
     void onTimer(Instant now);
 
@@ -49,6 +60,10 @@
     std::vector<VmEntry> peers() const;
     // The live VMs among them.
     std::vector<VmId> livePeers(Instant now) const;
+    // Whether a VM is live, or too new to have reported, and is not leaving.
+    bool isUsable(const VmId &vm, Instant now) const;
+    // The latest reports of all live VMs, for a VM that knows none.
+    RelayedReports latestReports(Instant now) const;
     std::size_t vmCount() const { return entries_.size() + 1; }
     // Entries of VMs that have not reported for `silence`. Empty if this VM is partitioned.
     std::vector<std::pair<VmId, Revision>> staleEntries(Duration silence, Instant now) const;
@@ -71,6 +86,8 @@
     // The VM that owns a team's account: the first by rendezvous hashing among the live VMs
     // that are not leaving. Empty: this VM, unless it is leaving and another can take over.
     std::optional<VmId> accountOwner(std::uint32_t team, bool isSelfLeaving, Instant now) const;
+    // The VMs that may own accounts while one of them is live. Default: all.
+    void setOwnerCandidates(std::vector<VmId> candidates);
     // The admission that `owner` last reported for the team, or null.
     const TeamAdmission *admissionOf(const VmId &owner, std::uint32_t team) const;
     // Increases whenever the result of accountOwner() may have changed.
@@ -89,6 +106,7 @@
         Instant listedAt;
         Instant reportedAt = Instant::never();
         Incarnation incarnation; // of the last report
+        Incarnation earlierIncarnation;
         VmReport report;
         bool isDisconnected = false; // its connection closed, and no report came since
         bool wasLive = false;        // liveness as last logged
@@ -102,6 +120,7 @@
     const std::function<void(core::LogRecord)> log_;
     std::map<VmId, Peer> entries_;
     std::unordered_map<std::uint32_t, int> inFlight_; // of all other VMs, by target
+    std::optional<std::vector<VmId>> ownerCandidates_;
     std::uint64_t version_ = 0;
 };
 
--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -18,6 +18,7 @@
 #include "bluebellshift/gateway/storelink.h"
 #include "bluebellshift/gateway/targetpool.h"
 #include "bluebellshift/gateway/teamlimits.h"
+#include "bluebellshift/gateway/vmexchange.h"
 
 namespace bluebellshift::gateway {
 namespace {
@@ -25,6 +26,7 @@
 constexpr Duration reportInterval = Duration::millis(500);
 constexpr std::size_t maxVmsAtFullRate = 24; // a larger fleet reports less often
 constexpr std::int64_t maxSlowdown = 3;
+constexpr Duration relayedReportInterval = Duration::seconds(1); // if relays pass it on
 // In a fleet of at least minVmsToFollow VMs, a few VMs read the store for all. A VM follows
 // them if at least requiredReaders of them had a response of the store within maxReaderAge:
 // that age plus the delay of a report is less than the time within which a configuration
@@ -33,10 +35,16 @@
 constexpr std::size_t desiredReaders = 5;
 constexpr std::size_t requiredReaders = 2;
 constexpr Duration maxReaderAge = Duration::millis(1700);
+constexpr Duration maxRelayedReaderAge = Duration::millis(2400); // if relays delay the reports
 constexpr Duration followCheckInterval = Duration::millis(250);
 constexpr std::uint64_t readerRankSeed = 0x72656164; // arbitrary, but the same on every VM
-constexpr std::array<Registry, 3> followedRegistries = { Registry::Traffic, Registry::Targets,
-                                                         Registry::Evacuations };
+constexpr std::array<Registry, 4> followedRegistries = { Registry::Traffic, Registry::Targets,
+                                                         Registry::Evacuations, Registry::Vms };
+constexpr std::size_t evacuationsIndex = 2; // in followedRegistries
+// A VM that has just started waits this long for reports of readers before it watches the
+// store itself. It need not know changes sooner than within the users' limit for contact.
+constexpr Duration joinTime = Duration::millis(3000);
+constexpr Duration joinTimeInSmallFleet = Duration::millis(700); // also until the VMs are known
 // Minimum interval between reports that are sent because an admission changed.
 constexpr Duration minAdmissionInterval = Duration::millis(200);
 constexpr Duration writeTimeout = Duration::millis(1000);
@@ -64,6 +72,7 @@
     std::uint64_t random_ = 0;
     TrafficConfigPointer config_;
     Fleet fleet_;
+    VmExchange exchange_;
     TargetPool pool_;
     TeamLimits limits_;
     Dispatcher dispatcher_;
@@ -87,8 +96,15 @@
     void on(const AttemptEnded &event) { dispatcher_.onEnded(event, random_, now_); }
     void on(const PeerReportReceived &event);
     void on(const PeerSpendingReceived &event);
+    void on(const PeerReportsRelayed &event);
+    void on(const PeerSpendingRelayed &event);
     void on(const PeerTargetUpdateReceived &event);
-    void on(const PeerDisconnected &event);
+    void on(const PeerVmUpdateReceived &event);
+    void on(const PeerDisconnected &event)
+    {
+        exchange_.onDisconnected(event.vm, now_);
+        updateLimits();
+    }
     void on(const StopRequested &event);
 
     void onEntry(Registry registry, const RegistryEntry &entry);
@@ -99,13 +115,16 @@
     void logUnreadable(Registry registry, const RegistryEntry &entry);
 
     void writeOwnEntry();
-    void setPeers();
     void report();
+    // Makes the next report an urgent one, at `at`.
+    void reportBy(Instant at);
     VmReport makeReport();
     void chooseStoreMode();
     // Sends the next report at once if other VMs follow this one and it has read changes.
     void expediteReport(bool hasChanges);
     void sendTargetUpdate(const RegistryChanged &changed, Revision after);
+    void sendVmUpdate(const RegistryChanged &changed, Revision after);
+    bool isFirstReader() const;
     void applyReportedRevisions();
     void applyReportedEvacuations(const VmReport &report);
     void removeLapsed();
@@ -118,7 +137,8 @@
     void log(core::LogRecord record) { effects_.push_back(WriteLog { std::move(record) }); }
     void perform(Effect effect) { effects_.push_back(std::move(effect)); }
 
-    std::string peerKey_; // hex; empty until it is known
+    Instant startedAt_;
+    bool isKeyKnown_ = false;
     bool isKeyRequested_ = false;
     bool isEntryWritten_ = false;
     bool isEntryWritePending_ = false;
@@ -128,6 +148,7 @@
     std::uint64_t reportSequence_ = 0;
     Instant reportAt_ = Instant::never();
     Instant reportedAt_ = Instant::never();
+    bool isReportUrgent_ = false;
     bool wasReady_ = false;
     bool wasReportedReady_ = false; // whether the last report to all VMs said ready
     bool isStopping_ = false;
@@ -139,6 +160,10 @@
 Reducer::State::State(const GatewayOptions &options)
     : options_(options)
     , fleet_(options_, [this](core::LogRecord record) { log(std::move(record)); })
+    , exchange_(options_, fleet_,
+                { [this](Effect effect) { perform(std::move(effect)); },
+                  [this] { return makeReport(); },
+                  [this](core::LogRecord record) { log(std::move(record)); } })
     , pool_(options_,
             { [this](std::uint32_t target, Instant) { return fleet_.othersInFlight(target); },
               [this](std::uint64_t target, Instant now) { return fleet_.rankFor(target, now); },
@@ -146,7 +171,7 @@
               [this] { return fleet_.regionShare(); },
               [this](core::LogRecord record) { log(std::move(record)); } })
     , limits_(options_, fleet_,
-              { [this](Effect effect) { perform(std::move(effect)); },
+              { [this](const SendSpending &spending) { exchange_.sendSpending(spending); },
                 [this](core::LogRecord record) { log(std::move(record)); } })
     , dispatcher_(options_,
                   { [this] { return config_; }, [this] { return isReady() || isStopping_; },
@@ -156,6 +181,9 @@
     , store_({ [this](Effect effect) { perform(std::move(effect)); },
                [this](Registry registry, const RegistryEntry &entry) { onEntry(registry, entry); },
                [this](Registry registry) { onListed(registry); },
+               [this](const RegistryChanged &changed, Revision after) {
+                   sendVmUpdate(changed, after);
+               },
                [this](core::LogRecord record) { log(std::move(record)); } })
 {
 }
@@ -164,6 +192,7 @@
 {
     now_ = now;
     random_ = random;
+    startedAt_ = now;
     limits_.start(now);
     reportAt_ = now;
     reportedAt_ = now;
@@ -184,8 +213,8 @@
 Instant Reducer::State::nextWake() const
 {
     Instant next = reportAt_;
-    for (const Instant at :
-         { store_.nextWake(), dispatcher_.nextWake(), entryDueAt_, limits_.nextWake() }) {
+    for (const Instant at : { store_.nextWake(), dispatcher_.nextWake(), entryDueAt_,
+                              limits_.nextWake(), exchange_.nextWake() }) {
         if (at != Instant::never())
             next = std::min(next, at);
     }
@@ -204,6 +233,7 @@
 
 void Reducer::State::on(const TimerFired &)
 {
+    exchange_.onTimer(now_);
     chooseStoreMode();
     store_.onTimer(now_);
     if (entryDueAt_ != Instant::never() && now_ >= entryDueAt_)
@@ -245,8 +275,8 @@
         break;
     case Registry::PeerKeys:
         if (const auto *key = std::get_if<PeerKeyEntry>(&entry.value); key && !entry.isGone) {
-            peerKey_ = key->secretHex;
-            setPeers();
+            isKeyKnown_ = true;
+            exchange_.setSecret(key->secretHex);
         }
         break;
     }
@@ -258,7 +288,7 @@
     log({ core::log::registryListed, { { "registry", toText(registry) } } });
     if (registry == Registry::Vms)
         updateLimits();
-    if (registry == Registry::PeerKeys && peerKey_.empty() && !isKeyRequested_) {
+    if (registry == Registry::PeerKeys && !isKeyKnown_ && !isKeyRequested_) {
         isKeyRequested_ = true;
         perform(CreatePeerKey { options_.peerKeyCandidate, writeTimeout });
     }
@@ -334,11 +364,13 @@
         return;
     }
     const auto *vm = std::get_if<VmEntry>(&entry.value);
-    if (!entry.isGone && vm != nullptr)
+    if (!entry.isGone && vm != nullptr) {
         fleet_.put(*vm, entry.revision, now_);
-    else
+        exchange_.put(*vm, now_);
+    } else {
         fleet_.remove(id);
-    setPeers();
+        exchange_.remove(id, now_);
+    }
 }
 
 void Reducer::State::logUnreadable(Registry registry, const RegistryEntry &entry)
@@ -391,30 +423,40 @@
         + Duration::micros(static_cast<std::int64_t>(random_ % writeRetry.toMicros()));
 }
 
-void Reducer::State::setPeers()
-{
-    if (!peerKey_.empty())
-        perform(SetPeers { fleet_.peers(), peerKey_ });
-}
-
 // Chooses whether this VM reads the store for others, follows VMs that do, or watches the
 // store for itself only.
 void Reducer::State::chooseStoreMode()
 {
-    StoreMode mode = StoreMode::Watches;
-    if (fleet_.vmCount() >= minVmsToFollow && !isStopping_) {
-        if (fleet_.rankFor(readerRankSeed, now_) < desiredReaders)
+    const bool isLarge = fleet_.vmCount() >= minVmsToFollow;
+    const bool isJoining = now_ - startedAt_ < (isLarge ? joinTime : joinTimeInSmallFleet);
+    const Duration maxAge = exchange_.usesRelays() ? maxRelayedReaderAge : maxReaderAge;
+    StoreMode mode = isJoining ? StoreMode::Follows : StoreMode::Watches;
+    if (isLarge && !isStopping_) {
+        const auto rank = exchange_.readerRank(readerRankSeed, now_);
+        if (rank && *rank < desiredReaders)
             mode = StoreMode::Reads;
-        else if (fleet_.freshReaders(maxReaderAge, now_) >= requiredReaders)
+        else if (fleet_.freshReaders(maxAge, now_) >= requiredReaders)
             mode = StoreMode::Follows;
     }
+    if (mode == store_.mode())
+        return;
     store_.setMode(mode, now_);
+    log({ core::log::storeModeChanged,
+          { { "mode", toText(mode) },
+            { "freshReaders", std::to_string(fleet_.freshReaders(maxAge, now_)) },
+            { "vms", std::to_string(fleet_.vmCount()) } } });
 }
 
 void Reducer::State::expediteReport(bool hasChanges)
 {
     if (hasChanges && store_.mode() == StoreMode::Reads)
-        reportAt_ = now_;
+        reportBy(now_);
+}
+
+void Reducer::State::reportBy(Instant at)
+{
+    reportAt_ = std::min(reportAt_, at);
+    isReportUrgent_ = true;
 }
 
 void Reducer::State::on(const RegistryChanged &event)
@@ -431,12 +473,11 @@
 // that announces the new revision.
 void Reducer::State::sendTargetUpdate(const RegistryChanged &changed, Revision after)
 {
-    if (store_.mode() != StoreMode::Reads || fleet_.rankFor(readerRankSeed, now_) != 0)
+    if (!isFirstReader())
         return;
-    SendTargetUpdate update;
-    update.to = fleet_.livePeers(now_);
-    update.update.after = after;
-    update.update.upTo = changed.at;
+    TargetUpdate update;
+    update.after = after;
+    update.upTo = changed.at;
     for (const RegistryEntry &entry : changed.entries) {
         core::TargetChange change;
         change.name = entry.name;
@@ -446,9 +487,42 @@
             change.target = *target;
         else if (const auto *unreadable = std::get_if<UnreadableEntry>(&entry.value))
             change.problem = unreadable->problem;
-        update.update.changes.push_back(std::move(change));
+        update.changes.push_back(std::move(change));
+    }
+    exchange_.sendTargetUpdate(std::move(update), now_);
+}
+
+bool Reducer::State::isFirstReader() const
+{
+    return store_.mode() == StoreMode::Reads
+        && exchange_.readerRank(readerRankSeed, now_) == std::size_t { 0 };
+}
+
+void Reducer::State::sendVmUpdate(const RegistryChanged &changed, Revision after)
+{
+    expediteReport(true);
+    if (!isFirstReader())
+        return;
+    VmUpdate update;
+    update.after = after;
+    update.upTo = changed.at;
+    for (const RegistryEntry &entry : changed.entries) {
+        const auto *vm = std::get_if<VmEntry>(&entry.value);
+        update.changes.push_back({ entry.name, entry.revision, entry.isGone || vm == nullptr,
+                                   vm != nullptr ? *vm : VmEntry() });
     }
-    perform(std::move(update));
+    exchange_.sendVmUpdate(std::move(update), now_);
+}
+
+void Reducer::State::on(const PeerVmUpdateReceived &event)
+{
+    RegistryChanged changed;
+    changed.registry = Registry::Vms;
+    changed.at = event.update.upTo;
+    for (const core::VmChange &change : event.update.changes)
+        changed.entries.push_back({ change.name, change.revision, change.isGone, change.vm });
+    store_.onReportedChanges(changed, event.update.after, now_);
+    exchange_.onVmUpdate(event, now_);
 }
 
 void Reducer::State::on(const PeerTargetUpdateReceived &event)
@@ -468,6 +542,7 @@
         changed.entries.push_back(std::move(entry));
     }
     store_.onReportedChanges(changed, event.update.after, now_);
+    exchange_.onTargetUpdate(event, now_);
 }
 
 void Reducer::State::applyReportedRevisions()
@@ -483,9 +558,9 @@
 // learn of them while this VM has no path to the store.
 void Reducer::State::applyReportedEvacuations(const VmReport &report)
 {
-    if (!report.readsStore || report.registryRevisions.size() != followedRegistries.size())
+    if (!report.readsStore || report.registryRevisions.size() <= evacuationsIndex)
         return;
-    const Revision revision(report.registryRevisions.back());
+    const Revision revision(report.registryRevisions[evacuationsIndex]);
     std::vector<RegistryEntry> entries;
     for (const FailureDomainId &domain : report.evacuated)
         entries.push_back({ domain.text(), revision, false, EvacuationEntry() });
@@ -500,23 +575,20 @@
     const bool isReader = store_.mode() == StoreMode::Reads;
     const std::int64_t slowdown =
         std::clamp<std::int64_t>(vms / static_cast<std::int64_t>(maxVmsAtFullRate), 1, maxSlowdown);
-    reportAt_ = now_ + reportInterval * (isReader ? 1 : slowdown);
+    const Duration interval =
+        exchange_.usesRelays() ? relayedReportInterval : reportInterval * slowdown;
+    reportAt_ = now_ + (isReader ? reportInterval : interval);
     reportedAt_ = now_;
     // In a small fleet, other regions get only every second report: traffic between regions is
     // the most expensive, and they need little of a report's content.
     const bool isForAll = isLarge || isReader || reportSequence_ % 2 == 1 || isStopping_
         || isReady() != wasReportedReady_ || limits_.hasChanged(now_);
     wasReportedReady_ = isReady();
-    std::vector<VmId> to;
-    for (const VmEntry &peer : fleet_.peers()) {
-        if (isForAll || peer.region == options_.vm.region)
-            to.push_back(peer.id);
-    }
     VmReport report = makeReport();
+    report.isUrgent = std::exchange(isReportUrgent_, false);
     if (isForAll)
         limits_.markReported(report.admissions);
-    if (!to.empty())
-        perform(SendReport { std::move(to), std::move(report) });
+    exchange_.send(report, isForAll ? VmExchange::Reach::All : VmExchange::Reach::Region, now_);
 }
 
 VmReport Reducer::State::makeReport()
@@ -543,24 +615,34 @@
 
 void Reducer::State::on(const PeerReportReceived &event)
 {
-    const bool isFirstReport = fleet_.onReport(event.from, event.incarnation, event.report, now_);
-    if (isFirstReport) // it needs this VM's admissions at once
-        perform(SendReport { { event.from }, makeReport() });
+    if (exchange_.onReport(event, now_) == Fleet::ReportResult::Ignored)
+        return;
     limits_.onReport(event.from, event.report);
     applyReportedEvacuations(event.report);
     applyReportedRevisions();
 }
 
-void Reducer::State::on(const PeerSpendingReceived &event)
+void Reducer::State::on(const PeerReportsRelayed &event)
 {
-    limits_.onSpending(event.from, event.incarnation, event.spending, now_);
+    for (const RelayedReport &one : exchange_.onRelayed(event, now_)) {
+        limits_.onReport(one.vm, one.report);
+        applyReportedEvacuations(one.report);
+    }
+    applyReportedRevisions();
+}
+
+void Reducer::State::on(const PeerSpendingRelayed &event)
+{
+    if (!exchange_.onSpending(event))
+        return;
+    limits_.onSpending(event.relayed.from, event.relayed.incarnation, event.relayed.spending, now_);
     expediteAdmissions();
 }
 
-void Reducer::State::on(const PeerDisconnected &event)
+void Reducer::State::on(const PeerSpendingReceived &event)
 {
-    fleet_.onDisconnected(event.vm, now_);
-    updateLimits();
+    limits_.onSpending(event.from, event.incarnation, event.spending, now_);
+    expediteAdmissions();
 }
 
 void Reducer::State::updateLimits()
@@ -572,7 +654,7 @@
 void Reducer::State::expediteAdmissions()
 {
     if (limits_.hasChanged(now_))
-        reportAt_ = std::min(reportAt_, std::max(now_, reportedAt_ + minAdmissionInterval));
+        reportBy(std::max(now_, reportedAt_ + minAdmissionInterval));
 }
 
 // Removes the entries of VMs that have not reported for staleEntryAge. Only the first live
@@ -599,7 +681,7 @@
                           : "start" },
             { "vms", std::to_string(fleet_.vmCount()) },
             { "config", config_ ? std::to_string(config_->version.number()) : "none" } } });
-    reportAt_ = now_; // announce it to the other VMs at once
+    reportBy(now_); // announce it to the other VMs at once
     if (ready)
         dispatcher_.onReady(random_, now_);
 }
@@ -616,6 +698,8 @@
             { "stayMs", std::to_string((stopServingAt_ - now_).toMillis()) } } });
     perform(CloseConnections {});
     perform(RemoveVm { options_.vm.id, Revision(), writeTimeout });
+    exchange_.setLeaving();
+    isReportUrgent_ = true;
     report();
 }
 
--- a/bluebellshift/gateway/registry.h
+++ b/bluebellshift/gateway/registry.h
@@ -10,12 +10,16 @@
 #include "bluebellshift/core/roster.h"
 #include "bluebellshift/core/targetupdate.h"
 #include "bluebellshift/core/vmreport.h"
+#include "bluebellshift/core/vmupdate.h"
 #include "bluebellshift/gateway/trafficconfig.h"
 
 namespace bluebellshift::gateway {
 
 using core::Endpoint;
 using core::Incarnation;
+using core::RelayedReport;
+using core::RelayedReports;
+using core::RelayedSpending;
 using core::Revision;
 using core::SpendingReport;
 using core::TargetUpdate;
@@ -23,7 +27,9 @@
 using Target = core::TargetEntry;
 using core::TeamAdmission;
 using core::TeamSpending;
+using core::VmEntry;
 using core::VmReport;
+using core::VmUpdate;
 
 // The store's lists of entries. Each has its own watch.
 enum class Registry {
@@ -37,17 +43,6 @@
 
 const char *toText(Registry registry);
 
-// A gateway VM.
-struct VmEntry
-{
-    VmId id;
-    Incarnation incarnation;
-    RegionId region;
-    FailureDomainId failureDomain;
-    Endpoint callers; // where callers connect
-    Endpoint peers;   // where other VMs connect
-};
-
 struct PeerKeyEntry
 {
     std::string secretHex;
--- a/bluebellshift/gateway/storelink.cpp
+++ b/bluebellshift/gateway/storelink.cpp
@@ -16,6 +16,19 @@
 
 } // namespace
 
+const char *toText(StoreMode mode)
+{
+    switch (mode) {
+    case StoreMode::Watches:
+        return "watches";
+    case StoreMode::Reads:
+        return "reads";
+    case StoreMode::Follows:
+        return "follows";
+    }
+    return "unknown";
+}
+
 StoreLink::StoreLink(StoreLinkHooks hooks)
     : hooks_(std::move(hooks))
 {
@@ -94,6 +107,10 @@
     State &state = stateOf(listed.registry);
     state.isBusy = false;
     state.dueAt = now;
+    if (!isWatched(listed.registry) && state.isListed && listed.at < state.revision) {
+        state.dueAt = now + pollIntervalWhileGrowing; // the list is older than what is known
+        return;
+    }
     if (state.isFirstPage) {
         state.isFirstPage = false;
         state.listedAt = listed.at; // the watch then returns changes made during later pages
@@ -115,7 +132,8 @@
     State &state = stateOf(registry);
     std::vector<std::string> gone;
     for (const auto &[name, revision] : state.known) {
-        if (state.listedNames.count(name) == 0)
+        // A list that may be stale lacks entries that are newer than it.
+        if (state.listedNames.count(name) == 0 && revision <= state.listedAt)
             gone.push_back(name);
     }
     for (const std::string &name : gone) {
@@ -123,7 +141,9 @@
         RegistryEntry entry;
         entry.name = name;
         entry.isGone = true;
+        entry.revision = state.listedAt;
         hooks_.onEntry(registry, entry);
+        state.listedChanges.push_back(std::move(entry));
     }
     state.listedNames.clear();
 }
@@ -136,21 +156,42 @@
     state.isFirstPage = true;
     state.mustList = false;
     state.isListed = true;
+    const Revision before = state.lastChange;
     state.revision = std::max(state.revision, state.listedAt);
+    const std::vector<RegistryEntry> changes = std::exchange(state.listedChanges, {});
     // An entry that was removed leaves no revision behind. The configuration is never removed.
-    state.lastChange = registry == Registry::Traffic ? state.newestEntry : state.listedAt;
+    if (registry == Registry::Traffic)
+        state.lastChange = state.newestEntry;
+    else if (isWatched(registry) || !changes.empty())
+        state.lastChange = state.revision;
     state.confirmedAt = now;
     if (isWatched(registry) && mode_ == StoreMode::Follows)
         state.dueAt = Instant::never();
-    if (!isWatched(registry)) {
-        const bool isSettled = registry == Registry::PeerKeys && !state.known.empty();
-        const Duration pause = state.hasNewEntries ? pollIntervalWhileGrowing : pollInterval;
-        state.dueAt = isSettled ? Instant::never() : now + pause;
-        state.hasNewEntries = false;
-    }
+    if (!isWatched(registry))
+        state.dueAt = nextPoll(registry, !changes.empty(), now);
+    if (registry == Registry::Vms && !changes.empty())
+        hooks_.onVmsChanged({ registry, state.revision, changes }, before);
     hooks_.onListed(registry);
 }
 
+// When to list an unwatched registry again.
+Instant StoreLink::nextPoll(Registry registry, bool hasChanged, Instant now) const
+{
+    if (registry == Registry::PeerKeys && !stateOf(registry).known.empty())
+        return Instant::never();
+    if (hasChanged)
+        return now + pollIntervalWhileGrowing;
+    switch (mode_) {
+    case StoreMode::Reads:
+        return now + readerPollInterval;
+    case StoreMode::Follows:
+        return registry == Registry::Vms ? Instant::never() : now + pollInterval;
+    case StoreMode::Watches:
+        break;
+    }
+    return now + pollInterval;
+}
+
 void StoreLink::onChanged(const RegistryChanged &changed, Instant now)
 {
     recordResponse(now);
@@ -175,7 +216,7 @@
     mode_ = mode;
     for (const Registry registry : allRegistries) {
         State &state = stateOf(registry);
-        if (!isWatched(registry) || state.isBusy)
+        if (registry == Registry::PeerKeys || state.isBusy)
             continue;
         if (mode != StoreMode::Follows)
             state.dueAt = now;
@@ -195,7 +236,8 @@
         readNewest(state);
     // Changes come in groups: one call fetches those that follow each other closely.
     const Instant batchedAt = state.confirmedAt + changeBatchTime;
-    const Instant updateDueAt = registry == Registry::Targets ? now + targetUpdateWait : now;
+    const bool isSent = registry == Registry::Targets || registry == Registry::Vms;
+    const Instant updateDueAt = isSent ? now + updateWait : now;
     state.dueAt = std::max(updateDueAt, batchedAt);
 }
 
@@ -207,7 +249,9 @@
         return; // the store is called for the missed changes
     for (const RegistryEntry &entry : changed.entries)
         apply(changed.registry, entry);
+    state.listedChanges.clear();
     state.revision = changed.at;
+    state.lastChange = changed.at;
     if (mode_ != StoreMode::Follows)
         return; // its own watch goes on
     state.confirmedAt = now;
@@ -220,12 +264,15 @@
     State &state = stateOf(registry);
     if (state.mustList || revision <= state.revision)
         return;
+    state.listedAt = revision;
     for (const RegistryEntry &entry : entries) {
         state.listedNames.insert(entry.name);
         apply(registry, entry);
     }
     removeUnlisted(registry);
+    state.listedChanges.clear();
     state.revision = revision;
+    state.lastChange = revision;
     if (mode_ != StoreMode::Follows)
         return; // its own watch goes on
     state.confirmedAt = now;
@@ -270,10 +317,11 @@
             return;
         state.known.erase(known);
     } else {
-        state.hasNewEntries = state.hasNewEntries || known == state.known.end();
         state.known[entry.name] = entry.revision;
     }
     hooks_.onEntry(registry, entry);
+    if (!isWatched(registry))
+        state.listedChanges.push_back(entry);
 }
 
 void StoreLink::onFailed(const RegistryFailed &failed, std::uint64_t random, Instant now)
--- a/bluebellshift/gateway/storelink.h
+++ b/bluebellshift/gateway/storelink.h
@@ -35,6 +35,8 @@
     Follows, // from VMs that read; it calls the store for changes that they only announce
 };
 
+const char *toText(StoreMode mode);
+
 struct StoreLinkHooks
 {
     std::function<void(Effect)> perform;
@@ -42,6 +44,8 @@
     std::function<void(Registry, const RegistryEntry &)> onEntry;
     // Called when a registry has been listed completely.
     std::function<void(Registry)> onListed;
+    // Called when a list of VMs differs from the one before, with the differences.
+    std::function<void(const RegistryChanged &, Revision after)> onVmsChanged;
     std::function<void(core::LogRecord)> log;
 };
 
@@ -55,7 +59,8 @@
     static constexpr Duration watchMargin = Duration::millis(600);     // for the response to arrive
     static constexpr Duration readerWatchWait = Duration::millis(900); // if it reads for others
     static constexpr Duration readerWatchMargin = Duration::millis(500);
-    static constexpr Duration pollInterval = Duration::seconds(4); // of unwatched registries
+    static constexpr Duration pollInterval = Duration::seconds(4);       // of unwatched registries
+    static constexpr Duration readerPollInterval = Duration::seconds(1); // if it reads for others
     // Used while lists still return new entries, so that the VMs of a starting fleet find each
     // other quickly and most of them can stop watching the store themselves.
     static constexpr Duration pollIntervalWhileGrowing = Duration::millis(700);
@@ -65,9 +70,9 @@
     // contact to the store.
     static constexpr Duration maxRetryDelay = Duration::millis(300);
     static constexpr Duration probeTimeout = Duration::millis(500); // while the store is lost
-    // How long a VM that follows waits for the changes of targets after their revision was
-    // reported, before it calls the store.
-    static constexpr Duration targetUpdateWait = Duration::millis(350);
+    // How long a VM that follows waits for the changes of targets or VMs after their revision
+    // was reported, before it calls the store.
+    static constexpr Duration updateWait = Duration::millis(350);
     // Delay of the next watch after a change, since changes come in groups.
     static constexpr Duration changeBatchTime = Duration::millis(300);
     static constexpr int maxConsecutiveFailures = 2; // then the store counts as lost
@@ -116,8 +121,7 @@
         bool isBusy = false;              // a call is in progress
         Instant dueAt = Instant::never(); // time of the next call, if not busy; never(): none
         bool mustList = true;
-        bool hasNewEntries = false; // the current list returned an entry that was not known
-        std::string listedUpTo;     // last name of the pages received so far
+        std::string listedUpTo; // last name of the pages received so far
         bool isFirstPage = true;
         Revision listedAt;    // of the first page
         Revision newestEntry; // of the entries listed so far
@@ -125,6 +129,7 @@
         Revision lastChange;  // revision of the last change
         Instant confirmedAt = Instant::never();
         std::unordered_set<std::string> listedNames; // names in the current list
+        std::vector<RegistryEntry> listedChanges;    // of the current list, against the known
         std::unordered_map<std::string, Revision> known;
     };
 
@@ -139,14 +144,15 @@
     void apply(Registry registry, const RegistryEntry &entry);
     void finishList(Registry registry, Instant now);
     void removeUnlisted(Registry registry);
+    Instant nextPoll(Registry registry, bool hasChanged, Instant now) const;
     static void readNewest(State &state);
     void stopCalling(Registry registry);
     void recordResponse(Instant now);
 
     const StoreLinkHooks hooks_;
     std::array<State, registryCount> states_;
-    StoreMode mode_ = StoreMode::Watches;
-    int consecutiveFailures_ = 0; // over all registries
+    StoreMode mode_ = StoreMode::Follows; // until the VMs are known
+    int consecutiveFailures_ = 0;         // over all registries
     bool isLost_ = false;
     Instant lostAt_ = Instant::never();
     Instant regainedAt_ = Instant::never();
--- a/bluebellshift/gateway/teamlimits.cpp
+++ b/bluebellshift/gateway/teamlimits.cpp
@@ -126,7 +126,7 @@
             accounts_.onSpending(options_.vm.id, options_.vm.incarnation, spending, now);
     }
     for (auto &[vm, spending] : reports)
-        hooks_.perform(SendSpending { vm, std::move(spending) });
+        hooks_.sendSpending(SendSpending { vm, std::move(spending) });
     applyOwnAdmissions(now);
 }
 
--- a/bluebellshift/gateway/teamlimits.h
+++ b/bluebellshift/gateway/teamlimits.h
@@ -25,7 +25,7 @@
 
 struct TeamLimitsHooks
 {
-    std::function<void(Effect)> perform;
+    std::function<void(const SendSpending &)> sendSpending;
     std::function<void(core::LogRecord)> log;
 };
 
--- a/bluebellshift/gateway/testing/gatewaybench.cpp
+++ b/bluebellshift/gateway/testing/gatewaybench.cpp
@@ -92,12 +92,19 @@
 }
 
 GatewayBench::GatewayBench(const GatewayOptions &options)
-    : reducer_(options)
+    : self_(options.vm)
+    , reducer_(options)
 {
 }
 
+void GatewayBench::send(const std::vector<VmId> &to, const EventBody &event)
+{
+    for (const VmId &vm : to)
+        outgoing_.push_back({ vm, event });
+}
+
 void GatewayBench::begin(std::shared_ptr<TrafficConfig> config, const std::vector<Target> &targets,
-                         const std::vector<VmEntry> &vms)
+                         const std::vector<VmEntry> &vms, Duration settling)
 {
     auto &traffic = entries_[static_cast<std::size_t>(Registry::Traffic)];
     if (config)
@@ -108,9 +115,11 @@
     for (const VmEntry &vm : vms)
         entries_[static_cast<std::size_t>(Registry::Vms)].push_back(
             entryOf(vm.id.text(), ++revision_, vm));
+    entries_[static_cast<std::size_t>(Registry::PeerKeys)].push_back(
+        entryOf("current", ++revision_, PeerKeyEntry { std::string(64, 'a') }));
     perform(reducer_.start(now_, ++random_));
     serveStore();
-    advance(Duration::seconds(2));
+    advance(settling);
 }
 
 void GatewayBench::reduce(EventBody body)
@@ -327,9 +336,20 @@
         else if (const auto *cancel = std::get_if<CancelAttempt>(&effect))
             cancelled_.push_back(cancel->request);
         else if (const auto *report = std::get_if<SendReport>(&effect))
-            reports_.push_back(report->report);
+            send(report->to, PeerReportReceived { self_.id, self_.incarnation, report->report });
         else if (const auto *spending = std::get_if<SendSpending>(&effect))
-            spendings_.push_back(*spending);
+            send({ spending->to },
+                 PeerSpendingReceived { self_.id, self_.incarnation, spending->spending });
+        else if (const auto *reports = std::get_if<SendRelayedReports>(&effect))
+            send(reports->to, PeerReportsRelayed { self_.id, reports->relayed });
+        else if (const auto *passed = std::get_if<SendRelayedSpending>(&effect))
+            send({ passed->via }, PeerSpendingRelayed { self_.id, passed->relayed });
+        else if (const auto *update = std::get_if<SendTargetUpdate>(&effect))
+            send(update->to, PeerTargetUpdateReceived { self_.id, update->update });
+        else if (const auto *vms = std::get_if<SendVmUpdate>(&effect))
+            send(vms->to, PeerVmUpdateReceived { self_.id, vms->update });
+        else if (const auto *peers = std::get_if<SetPeers>(&effect))
+            peers_ = peers->peers;
         else if (const auto *log = std::get_if<WriteLog>(&effect))
             logs_.push_back(log->record);
         else if (std::holds_alternative<Exit>(effect))
--- a/bluebellshift/gateway/testing/gatewaybench.h
+++ b/bluebellshift/gateway/testing/gatewaybench.h
@@ -40,14 +40,20 @@
     bool isForwarded = false;
 };
 
+struct Outgoing
+{
+    VmId to;
+    EventBody event;
+};
+
 class GatewayBench
 {
 public:
     explicit GatewayBench(const GatewayOptions &options = sampleOptions());
 
-    // Starts the gateway and serves its first lists.
+    // Starts the gateway, serves its first lists and waits for `settling`.
     void begin(std::shared_ptr<TrafficConfig> config, const std::vector<Target> &targets,
-               const std::vector<VmEntry> &vms = {});
+               const std::vector<VmEntry> &vms = {}, Duration settling = Duration::seconds(2));
     void reduce(EventBody body);
     // Advances the time and fires all timers that become due.
     void advance(Duration time);
@@ -73,8 +79,10 @@
     std::vector<SendAttempt> takeSent() { return std::exchange(sent_, {}); }
     std::vector<Ended> takeEnded() { return std::exchange(ended_, {}); }
     std::vector<RequestId> takeCancelled() { return std::exchange(cancelled_, {}); }
-    std::vector<VmReport> takeReports() { return std::exchange(reports_, {}); }
-    std::vector<SendSpending> takeSpendings() { return std::exchange(spendings_, {}); }
+    // Messages to other VMs, as the events that they raise there.
+    std::vector<Outgoing> takeOutgoing() { return std::exchange(outgoing_, {}); }
+    // The VMs that this VM is connected to.
+    const std::vector<VmEntry> &peers() const { return peers_; }
     int storeCalls() const { return storeCalls_; }
     bool hasExited() const { return hasExited_; }
     Reducer &reducer() { return reducer_; }
@@ -94,6 +102,7 @@
     };
 
     void perform(Effects &&effects);
+    void send(const std::vector<VmId> &to, const EventBody &event);
     void on(const ListRegistry &list);
     void on(const WatchRegistry &watch);
     void on(const SendAttempt &attempt);
@@ -102,6 +111,7 @@
     void respond(Registry registry, std::size_t count, EventBody body);
     void deliver(Registry registry, RegistryEntry entry);
 
+    const VmEntry self_;
     Instant now_ = Instant::fromMicros(1'000'000'000);
     std::uint64_t random_ = 12345;
     Reducer reducer_;
@@ -120,8 +130,8 @@
     std::vector<SendAttempt> sent_;
     std::vector<Ended> ended_;
     std::vector<RequestId> cancelled_;
-    std::vector<VmReport> reports_;
-    std::vector<SendSpending> spendings_;
+    std::vector<Outgoing> outgoing_;
+    std::vector<VmEntry> peers_;
     std::vector<core::LogRecord> logs_;
     bool hasExited_ = false;
 };
--- a/bluebellshift/gateway/testing/quotawalktest.cpp
+++ b/bluebellshift/gateway/testing/quotawalktest.cpp
@@ -110,7 +110,6 @@
     struct MessageInTransit
     {
         Instant at;
-        std::size_t from;
         std::size_t to;
         EventBody body;
     };
@@ -154,19 +153,8 @@
 
     void send(std::size_t from, Instant at)
     {
-        const VmEntry &entry = entries_[from];
-        for (const VmReport &report : vms_[from]->takeReports()) {
-            for (std::size_t to = 0; to < vms_.size(); ++to) {
-                if (to != from)
-                    inTransit_.push_back(
-                        { at, from, to,
-                          PeerReportReceived { entry.id, entry.incarnation, report } });
-            }
-        }
-        for (const SendSpending &spending : vms_[from]->takeSpendings())
-            inTransit_.push_back(
-                { at, from, indexOf(spending.to),
-                  PeerSpendingReceived { entry.id, entry.incarnation, spending.spending } });
+        for (Outgoing &message : vms_[from]->takeOutgoing())
+            inTransit_.push_back({ at, indexOf(message.to), std::move(message.event) });
     }
 
     std::vector<std::unique_ptr<GatewayBench>> vms_;
--- a/bluebellshift/gatewayd/gateway.cpp
+++ b/bluebellshift/gatewayd/gateway.cpp
@@ -15,6 +15,8 @@
 
 constexpr Duration peerTickInterval = Duration::millis(250);
 constexpr char peerKeyId[] = "store";
+constexpr Duration exitCheckInterval = Duration::millis(20);
+constexpr Duration maxExitDelay = Duration::millis(400);
 // Share of the VM's memory for messages; they may take twice that, as buffers grow by doubling.
 constexpr double messageMemoryShare = 0.25;
 constexpr Duration responseMargin =
@@ -275,10 +277,20 @@
 
 void Gateway::perform(const gateway::SendReport &report)
 {
-    if (!mesh_)
-        return;
-    for (const core::VmId &vm : report.to)
-        mesh_->send(vm, report.report);
+    if (mesh_)
+        mesh_->send(report.to, report.report);
+}
+
+void Gateway::perform(const gateway::SendRelayedReports &reports)
+{
+    if (mesh_)
+        mesh_->send(reports.to, reports.relayed);
+}
+
+void Gateway::perform(const gateway::SendRelayedSpending &spending)
+{
+    if (mesh_)
+        mesh_->send(spending.via, spending.relayed);
 }
 
 void Gateway::perform(const gateway::SendSpending &spending)
@@ -289,10 +301,14 @@
 
 void Gateway::perform(const gateway::SendTargetUpdate &update)
 {
-    if (!mesh_)
-        return;
-    for (const core::VmId &vm : update.to)
-        mesh_->send(vm, update.update);
+    if (mesh_)
+        mesh_->send(update.to, update.update);
+}
+
+void Gateway::perform(const gateway::SendVmUpdate &update)
+{
+    if (mesh_)
+        mesh_->send(update.to, update.update);
 }
 
 void Gateway::perform(const gateway::SetPeers &peers)
@@ -314,8 +330,14 @@
             else if (auto *spending = std::get_if<core::SpendingReport>(&message))
                 handle(gateway::PeerSpendingReceived { std::move(from), incarnation,
                                                        std::move(*spending) });
+            else if (auto *reports = std::get_if<core::RelayedReports>(&message))
+                handle(gateway::PeerReportsRelayed { std::move(from), std::move(*reports) });
+            else if (auto *passed = std::get_if<core::RelayedSpending>(&message))
+                handle(gateway::PeerSpendingRelayed { std::move(from), std::move(*passed) });
             else if (auto *update = std::get_if<core::TargetUpdate>(&message))
                 handle(gateway::PeerTargetUpdateReceived { std::move(from), std::move(*update) });
+            else if (auto *vms = std::get_if<core::VmUpdate>(&message))
+                handle(gateway::PeerVmUpdateReceived { std::move(from), std::move(*vms) });
         };
         hooks.onLost = [this](core::VmId vm) {
             handle(gateway::PeerDisconnected { std::move(vm) });
@@ -346,7 +368,23 @@
 void Gateway::perform(const gateway::Exit &)
 {
     hasStopped_ = true;
-    writeLog({ core::log::daemonStopped, { { "requests_cut", "0" } } });
+    exitWhenIdle(clock_.now() + maxExitDelay);
+}
+
+// The reducer knows no request any more, but the last bytes of a response may still have to be
+// written, and a request may be arriving.
+void Gateway::exitWhenIdle(Instant until)
+{
+    if (callerServer_.isBusy() && clock_.now() < until) {
+        timer_.expires_after(std::chrono::microseconds(exitCheckInterval.toMicros()));
+        timer_.async_wait([this, until](const boost::system::error_code &error) {
+            if (!error)
+                exitWhenIdle(until);
+        });
+        return;
+    }
+    writeLog({ core::log::daemonStopped,
+               { { "requests_cut", std::to_string(callerServer_.pendingCount()) } } });
     logger_.flushDropped();
     logWriter_.flush();
     loop_.stop();
--- a/bluebellshift/gatewayd/gateway.h
+++ b/bluebellshift/gatewayd/gateway.h
@@ -75,7 +75,10 @@
     void perform(const gateway::DropRequest &drop);
     void perform(const gateway::SendReport &report);
     void perform(const gateway::SendSpending &spending);
+    void perform(const gateway::SendRelayedReports &reports);
+    void perform(const gateway::SendRelayedSpending &spending);
     void perform(const gateway::SendTargetUpdate &update);
+    void perform(const gateway::SendVmUpdate &update);
     void perform(const gateway::SetPeers &peers);
     void perform(const gateway::ForgetTarget &forget);
     void perform(const gateway::WriteLog &log) { writeLog(log.record); }
@@ -84,6 +87,8 @@
 
     void onRequest(net::ExchangeId exchange, net::Request &&request);
     void onAttemptEnded(core::RequestId request, int attempt, net::CallResult &&result);
+    // Ends the process once the callers' connections are idle, or at `until`.
+    void exitWhenIdle(core::Instant until);
     // Logs a request that the server rejected before it was dispatched.
     void logRejection(int status, std::size_t bytes);
     void serveLookup(net::ExchangeId exchange, const net::Request &request);
--- a/bluebellshift/net/httpserver.cpp
+++ b/bluebellshift/net/httpserver.cpp
@@ -8,6 +8,7 @@
 // cost a wake-up per request.
 #include "bluebellshift/net/httpserver.h"
 
+#include <algorithm>
 #include <deque>
 #include <optional>
 
@@ -117,6 +118,11 @@
             close();
     }
 
+    bool isBusy() const
+    {
+        return isWriting_ || !exchanges_.empty() || (parser_ && hasRequestStarted());
+    }
+
     void reset()
     {
         error_code ignored; // without the option the close is a regular one
@@ -150,7 +156,8 @@
     };
     using Parser = http::request_parser<http::string_body>;
 
-    bool hasRequestStarted() const { return buffer_.size() > 0 || parser_->is_header_done(); }
+    // Also true for a part of the head, which the parser has taken from the buffer.
+    bool hasRequestStarted() const { return buffer_.size() > 0 || parser_->got_some(); }
 
     void read()
     {
@@ -487,6 +494,12 @@
     isDraining_ = true;
 }
 
+bool HttpServer::isBusy() const
+{
+    return std::any_of(connections_.begin(), connections_.end(),
+                       [](const auto &connection) { return connection->isBusy(); });
+}
+
 void HttpServer::stopListening()
 {
     error_code ignored; // no connection is accepted afterwards either way
--- a/bluebellshift/net/httpserver.h
+++ b/bluebellshift/net/httpserver.h
@@ -87,6 +87,8 @@
     // Stops accepting connections.
     void stopListening();
 
+    // Whether responses, or requests that have begun to arrive, are not finished yet.
+    bool isBusy() const;
     std::size_t connectionCount() const { return connections_.size(); }
     std::size_t pendingCount() const { return exchanges_.size(); }
 
--- a/bluebellshift/net/testing/httpservertest.cpp
+++ b/bluebellshift/net/testing/httpservertest.cpp
@@ -215,6 +215,36 @@
     CHECK_EQUAL(0U, server->pendingCount());
 }
 
+// A planned stop must not cut what has been accepted: part of a request, a request that waits
+// for its response, and a response that the caller has not read.
+TEST(NetHttpServer, IsBusyUntilTheLastResponseIsWritten)
+{
+    CHECK_FALSE(server->isBusy());
+    RawPeer caller = RawPeer::connect(loop, port);
+    caller.send("GET /a HTTP/1.1\r\n");
+    CHECK(waitFor([&] { return server->isBusy(); }));
+    caller.send("Host: h\r\n\r\n");
+    CHECK(waitFor([&] { return dispatched.size() == 1; }));
+    CHECK(server->isBusy());
+    boost::asio::ip::tcp::socket slow(loop); // reads nothing until later
+    slow.connect({ boost::asio::ip::make_address("127.0.0.1"), port });
+    boost::asio::write(slow, boost::asio::buffer("GET /b HTTP/1.1\r\nHost: h\r\n\r\n", 28));
+    CHECK(waitFor([&] { return dispatched.size() == 2; }));
+    server->respond(dispatched[0].id, makeResponse("yes"), false);
+    const std::size_t bodyBytes = 16 * 1024 * 1024;
+    server->respond(dispatched[1].id, makeResponse(std::string(bodyBytes, 'x')), false);
+    CHECK(waitFor([&] { return caller.received().find("yes") != std::string::npos; }));
+    CHECK_EQUAL(0U, server->pendingCount());
+    CHECK(server->isBusy());
+    std::size_t received = 0;
+    std::vector<char> buffer(1 << 20);
+    while (received < bodyBytes) {
+        loop.poll();
+        received += slow.read_some(boost::asio::buffer(buffer));
+    }
+    CHECK(waitFor([&] { return !server->isBusy(); }));
+}
+
 TEST(NetHttpServer, ClosesIdleConnectionsWhenDraining)
 {
     RawPeer idle = RawPeer::connect(loop, port);
--- a/bluebellshift/shell/messagefields.h
+++ b/bluebellshift/shell/messagefields.h
@@ -131,9 +131,25 @@
 template<> struct Fields<core::VmReport>
 {
     using T = core::VmReport;
-    static constexpr auto list = std::make_tuple(
-        &T::sequence, &T::isReady, &T::isLeaving, &T::configVersion, &T::uses, &T::readsStore,
-        &T::storeAgeMillis, &T::registryRevisions, &T::isYoung, &T::admissions, &T::evacuated);
+    static constexpr auto list =
+        std::make_tuple(&T::sequence, &T::isReady, &T::isLeaving, &T::configVersion, &T::uses,
+                        &T::readsStore, &T::storeAgeMillis, &T::registryRevisions, &T::isYoung,
+                        &T::admissions, &T::evacuated, &T::isUrgent);
+};
+template<> struct Fields<core::RelayedReport>
+{
+    using T = core::RelayedReport;
+    static constexpr auto list =
+        std::make_tuple(&T::vm, &T::incarnation, &T::ageMillis, &T::report);
+};
+template<> struct Fields<core::RelayedReports>
+{
+    static constexpr auto list = std::make_tuple(&core::RelayedReports::reports);
+};
+template<> struct Fields<core::RelayedSpending>
+{
+    using T = core::RelayedSpending;
+    static constexpr auto list = std::make_tuple(&T::to, &T::from, &T::incarnation, &T::spending);
 };
 
 template<> struct Fields<core::Endpoint>
@@ -160,6 +176,23 @@
     static constexpr auto list = std::make_tuple(&T::after, &T::upTo, &T::changes);
 };
 
+template<> struct Fields<core::VmEntry>
+{
+    using T = core::VmEntry;
+    static constexpr auto list = std::make_tuple(&T::id, &T::incarnation, &T::region,
+                                                 &T::failureDomain, &T::callers, &T::peers);
+};
+template<> struct Fields<core::VmChange>
+{
+    using T = core::VmChange;
+    static constexpr auto list = std::make_tuple(&T::name, &T::revision, &T::isGone, &T::vm);
+};
+template<> struct Fields<core::VmUpdate>
+{
+    using T = core::VmUpdate;
+    static constexpr auto list = std::make_tuple(&T::after, &T::upTo, &T::changes);
+};
+
 template<> struct EnumRange<core::Run>
 {
     static constexpr core::Run last = core::Run::Unknown;
--- a/bluebellshift/shell/peermesh.cpp
+++ b/bluebellshift/shell/peermesh.cpp
@@ -120,11 +120,13 @@
     void setPeers(std::vector<core::Vm> peers);
     void setKeys(std::vector<PeerKey> keys);
     bool send(const core::VmId &to, const core::Message &message);
+    void send(const std::vector<core::VmId> &to, const core::Message &message);
     PeerMeshCounts counts() const;
 
 private:
     enum class EnqueueResult { Accepted, NoSession, Dropped };
 
+    bool sendEncoded(const core::VmId &to, const core::Message &message, std::string bytes);
     EnqueueResult enqueue(const core::VmId &to, QueuedMessage queued);
     template<typename Endpoint> void prepare(Endpoint *endpoint);
     void installPeers(const std::vector<core::Vm> &peers);
@@ -319,8 +321,20 @@
 
 bool PeerMesh::Impl::send(const core::VmId &to, const core::Message &message)
 {
-    QueuedMessage queued { encodeMessage(message),
-                           std::holds_alternative<core::Heartbeat>(message) };
+    return sendEncoded(to, message, encodeMessage(message));
+}
+
+void PeerMesh::Impl::send(const std::vector<core::VmId> &to, const core::Message &message)
+{
+    const std::string bytes = encodeMessage(message);
+    for (const core::VmId &vm : to)
+        sendEncoded(vm, message, bytes);
+}
+
+bool PeerMesh::Impl::sendEncoded(const core::VmId &to, const core::Message &message,
+                                 std::string encoded)
+{
+    QueuedMessage queued { std::move(encoded), std::holds_alternative<core::Heartbeat>(message) };
     const std::size_t bytes = queued.bytes.size();
     const bool isTooLong = bytes > maxMessageBytes;
     const EnqueueResult result =
@@ -713,6 +727,11 @@
     return impl_->send(to, message);
 }
 
+void PeerMesh::send(const std::vector<core::VmId> &to, const core::Message &message)
+{
+    impl_->send(to, message);
+}
+
 PeerMeshCounts PeerMesh::counts() const
 {
     return impl_->counts();
--- a/bluebellshift/shell/peermesh.h
+++ b/bluebellshift/shell/peermesh.h
@@ -96,6 +96,8 @@
     // queued heartbeats are dropped; the last two are logged unless the message is a
     // heartbeat. True does not guarantee delivery.
     bool send(const core::VmId &to, const core::Message &message);
+    // The same for several VMs; the message is encoded once.
+    void send(const std::vector<core::VmId> &to, const core::Message &message);
 
     PeerMeshCounts counts() const;
 
