Count the time of a body's transfer in the choice of a target

The expected time counted one round trip for every request, and learned the transfers between regions as service time: 400 of 752 uploads were late by a median of 45 ms, where bookings with the same work took 187 ms.

Change: TargetPool::transferTime counts a round trip for each 16 KB, in the expected time and in what is learned. Test: ALargeBodyStaysNearItsCaller.

--- a/bluebellshift/gateway/targetpool.cpp
+++ b/bluebellshift/gateway/targetpool.cpp
@@ -435,6 +435,12 @@
     return state.region == options_.vm.region ? defaultRttInRegion : defaultRttBetweenRegions;
 }
 
+Duration TargetPool::transferTime(const State &state, const TargetCriteria &criteria) const
+{
+    const double roundTrips = 1 + static_cast<double>(criteria.bodyBytes) / bytesPerRoundTrip;
+    return fromMillis(millis(rttTo(state)) * roundTrips);
+}
+
 // Expected service time, in milliseconds, of a request whose object is not warm.
 double TargetPool::coldObjectServiceTimeMs(const State &state, const TargetCriteria &criteria,
                                            Instant now) const
@@ -463,7 +469,7 @@
         occupied < slots ? 0 : queuedServiceTimeMs * (occupied - slots + 1) / slots;
     // A nearly full target is more likely to be full when the request arrives.
     const double crowdingMs = 0.1 * queuedServiceTimeMs * occupied / slots;
-    return rttTo(state) + fromMillis(waitMs + crowdingMs + serviceTimeMs);
+    return transferTime(state, criteria) + fromMillis(waitMs + crowdingMs + serviceTimeMs);
 }
 
 void TargetPool::onSent(const TargetId &target, const TargetCriteria &criteria, Instant now)
@@ -558,7 +564,7 @@
     recordObject(state, criteria, now);
     if (elapsed <= Duration() || isCold(state, now) || !criteria.foundFreeSlot)
         return;
-    const double measuredMs = std::max(1.0, millis(elapsed - rttTo(state)));
+    const double measuredMs = std::max(1.0, millis(elapsed - transferTime(state, criteria)));
     const auto [known, isNew] = serviceTimesMs_.emplace(criteria.route, measuredMs);
     double &usualMs = known->second;
     if (isNew)
--- a/bluebellshift/gateway/targetpool.h
+++ b/bluebellshift/gateway/targetpool.h
@@ -116,6 +116,8 @@
     // Round trip times until one has been measured by a connection.
     static constexpr Duration defaultRttInRegion = Duration::millis(8);
     static constexpr Duration defaultRttBetweenRegions = Duration::millis(90);
+    // Bytes of a request that a connection carries in one round trip.
+    static constexpr double bytesPerRoundTrip = 16 * 1024;
     static constexpr double crossDomainMillisPerKilobyte = 2; // cost of billed traffic in the score
 
     TargetPool(const GatewayOptions &options, PoolHooks hooks);
@@ -213,6 +215,8 @@
     void recordObject(State &state, const TargetCriteria &criteria, Instant now);
     std::map<RegionId, double> expectedRegionShares() const;
     Duration rttTo(const State &state) const;
+    // Round trips until a request has arrived and its response has returned, without service.
+    Duration transferTime(const State &state, const TargetCriteria &criteria) const;
     double serviceTimeMsAt(const State &state, const TargetCriteria &criteria, double warmth,
                            Instant now) const;
     Duration timeToFinishAt(const State &state, const TargetCriteria &criteria, int others,
--- a/bluebellshift/gateway/testing/partstest.cpp
+++ b/bluebellshift/gateway/testing/partstest.cpp
@@ -260,6 +260,25 @@
     }
 }
 
+// Uploads: a body takes one round trip for each window of bytes, so that a free target in
+// another region is slower for it than a full one nearby.
+TEST(GatewayParts, ALargeBodyStaysNearItsCaller)
+{
+    const GatewayOptions options = sampleOptions();
+    for (const std::size_t bodyBytes : { std::size_t { 400 }, std::size_t { 60'000 } }) {
+        TargetPool pool = makePool(options);
+        std::vector<Target> targets = sampleTargets(3);
+        pool.put(targets[0], begin); // near-1
+        pool.put(targets[2], begin); // far-1
+        TargetCriteria criteria = criteriaFor(0);
+        criteria.bodyBytes = bodyBytes;
+        for (int i = 0; i < targets[0].slots; ++i)
+            pool.onSent(targets[0].id, criteria, begin);
+        const TargetId &expected = bodyBytes < 1000 ? targets[2].id : targets[0].id;
+        CHECK(pool.select(criteria, 1, begin).target->id == expected);
+    }
+}
+
 TEST(GatewayParts, AColdTargetGetsAtMostItsBoundFromTheVmsThatMaySend)
 {
     const GatewayOptions options = sampleOptions();
