Let each leaf take the reports from one relay, and wait longer for the readers

At a start, VMs left the wait for readers before the connections to them stood, and watched the store for a second or two.

Change: a report says whether its receiver is to send all reports back; a leaf says so to one relay that it hears. The wait is 3.8 s (4 s without touch are allowed), 1.5 s until the VMs are known; four readers in place of five; the first list of keys may be stale. A list of VMs leads to one choice of neighbours, not to one for each VM. A Keep-Alive header without a number counts as absent (it was read as 0).

--- a/bluebellshift/core/vmreport.h
+++ b/bluebellshift/core/vmreport.h
@@ -44,6 +44,7 @@
 {
     std::uint64_t sequence = 0; // increases with each report of one incarnation
     bool isUrgent = false;      // relays pass it on without waiting for others
+    bool wantsReports = false;  // the relay that receives it is to send those of all VMs
     bool isReady = false;
     bool isLeaving = false;
     std::uint64_t configVersion = 0; // 0: none yet
--- a/bluebellshift/gateway/overlay.cpp
+++ b/bluebellshift/gateway/overlay.cpp
@@ -62,11 +62,6 @@
     vms_.erase(found);
 }
 
-void Overlay::onHeard(const VmId &vm, Role role, Instant now)
-{
-    contacts_[vm] = { role, now };
-}
-
 void Overlay::onDisconnected(const VmId &vm, Instant now)
 {
     contacts_.erase(vm);
@@ -230,6 +225,30 @@
     return all;
 }
 
+std::vector<VmId> Overlay::receivingLeaves(Instant now) const
+{
+    std::vector<VmId> all;
+    for (const auto &[vm, contact] : contacts_) {
+        if (contact.wantsReports && now - contact.heardAt <= contactTimeout)
+            all.push_back(vm);
+    }
+    return all;
+}
+
+std::optional<VmId> Overlay::sendingRelay() const
+{
+    if (neighbours_.empty())
+        return std::nullopt;
+    const std::size_t first = hashText(self_.id.text()) % neighbours_.size();
+    for (std::size_t i = 0; i < neighbours_.size(); ++i) {
+        const VmId &vm = neighbours_[(first + i) % neighbours_.size()].id;
+        const auto attempt = attempts_.find(vm);
+        if (attempt != attempts_.end() && !attempt->second.isFailing && !attempt->second.isRetry)
+            return vm;
+    }
+    return neighbours_[first].id;
+}
+
 std::vector<VmId> Overlay::otherRelays(Instant now) const
 {
     std::vector<VmId> all;
--- a/bluebellshift/gateway/overlay.h
+++ b/bluebellshift/gateway/overlay.h
@@ -46,8 +46,11 @@
     void remove(const VmId &vm);
 
     // Call for each message that a VM sent to this VM: its own report, or those of others.
-    void onReport(const VmId &vm, Instant now) { onHeard(vm, Role::Leaf, now); }
-    void onRelayed(const VmId &vm, Instant now) { onHeard(vm, Role::Relay, now); }
+    void onReport(const VmId &vm, bool wantsReports, Instant now)
+    {
+        contacts_[vm] = { Role::Leaf, wantsReports, now };
+    }
+    void onRelayed(const VmId &vm, Instant now) { contacts_[vm] = { Role::Relay, false, now }; }
     void onDisconnected(const VmId &vm, Instant now);
 
     // Chooses relays and neighbours again. `isUsable` tells whether a VM may be a relay as far
@@ -65,8 +68,13 @@
 
     // Whether this VM forwards messages of others: it is a relay, or is used as one.
     bool isForwarding(Instant now) const;
-    // The VMs that report to this VM.
+    // The VMs that report to this VM, and those of them that this VM sends all reports to: of
+    // its relays, a leaf takes them from one.
     std::vector<VmId> leaves(Instant now) const;
+    std::vector<VmId> receivingLeaves(Instant now) const;
+    // The neighbour that is to send all reports to this VM: one that this VM hears. Half of a
+    // domain's VMs use one relay, half the other. Empty if there are no neighbours.
+    std::optional<VmId> sendingRelay() const;
     // The VMs that forward messages as well.
     std::vector<VmId> otherRelays(Instant now) const;
 
@@ -80,6 +88,7 @@
     struct Contact
     {
         Role role = Role::Leaf; // according to its latest message
+        bool wantsReports = false;
         Instant heardAt = Instant::never();
     };
     // How the connection to a neighbour goes.
@@ -90,7 +99,6 @@
         bool isRetry = false;   // it failed before and has not been heard since
     };
 
-    void onHeard(const VmId &vm, Role role, Instant now);
     void judgeAttempts(Instant now);
     void rememberAttempts(Instant now);
     std::size_t relaysPerDomain() const;
--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -32,7 +32,7 @@
 // that age plus the delay of a report is less than the time within which a configuration
 // must take effect.
 constexpr std::size_t minVmsToFollow = 20;
-constexpr std::size_t desiredReaders = 5;
+constexpr std::size_t desiredReaders = 4;
 constexpr std::size_t requiredReaders = 2;
 constexpr Duration maxReaderAge = Duration::millis(1700);
 constexpr Duration maxRelayedReaderAge = Duration::millis(2400); // if relays delay the reports
@@ -43,8 +43,8 @@
 constexpr std::size_t evacuationsIndex = 2; // in followedRegistries
 // A VM that has just started waits this long for reports of readers before it watches the
 // store itself. It need not know changes sooner than within the users' limit for contact.
-constexpr Duration joinTime = Duration::millis(3000);
-constexpr Duration joinTimeInSmallFleet = Duration::millis(700); // also until the VMs are known
+constexpr Duration joinTime = Duration::millis(3800);
+constexpr Duration joinTimeInSmallFleet = Duration::millis(1500); // also until the VMs are known
 // Minimum interval between reports that are sent because an admission changed.
 constexpr Duration minAdmissionInterval = Duration::millis(200);
 constexpr Duration writeTimeout = Duration::millis(1000);
--- a/bluebellshift/gateway/storelink.cpp
+++ b/bluebellshift/gateway/storelink.cpp
@@ -83,8 +83,10 @@
     State &state = stateOf(registry);
     state.isBusy = true;
     if (state.mustList || !isWatched(registry)) {
-        // The first list must be current; later polls may lag behind.
-        const bool mayBeStale = state.isListed && !isWatched(registry);
+        // The first list of VMs must be current, later ones may lag behind. A key that is missing
+        // from a stale list is created, and listed again if that shows that it exists.
+        const bool mayBeStale = (registry == Registry::Vms && state.isListed)
+            || (registry == Registry::PeerKeys && !state.isListed);
         const Duration timeout = isLost_ ? probeTimeout : callTimeout;
         hooks_.perform(ListRegistry { registry, state.listedUpTo, mayBeStale, timeout });
         return;
--- a/bluebellshift/gateway/testing/disseminationtest.cpp
+++ b/bluebellshift/gateway/testing/disseminationtest.cpp
@@ -138,7 +138,7 @@
 TEST(Dissemination, OnlyReadersCallTheStoreOnceTheFleetRuns)
 {
     constexpr int callsOfAStart = 11;
-    constexpr std::size_t readers = 5;
+    constexpr std::size_t readers = 4;
     for (const std::size_t vmCount : { std::size_t { 45 }, std::size_t { 120 } }) {
         FleetWalk walk({ vmCount, domains, 7 });
         walk.run(settling);
--- a/bluebellshift/gateway/vmexchange.cpp
+++ b/bluebellshift/gateway/vmexchange.cpp
@@ -28,18 +28,18 @@
 void VmExchange::put(const VmEntry &vm, Instant now)
 {
     overlay_.put(vm);
-    updateOverlay(now);
+    overlayAt_ = now; // a list brings many at once
 }
 
 void VmExchange::remove(const VmId &vm, Instant now)
 {
     overlay_.remove(vm);
-    updateOverlay(now);
+    overlayAt_ = now;
 }
 
 void VmExchange::updateOverlay(Instant now)
 {
-    overlayAt_ = now + overlayInterval;
+    overlayAt_ = usesRelays() ? now + overlayInterval : Instant::never();
     const auto isUsable = [&](const VmId &vm) { return fleet_.isUsable(vm, now); };
     if (!overlay_.update(isUsable, !isLeaving_, now))
         return;
@@ -68,26 +68,43 @@
         scheduleFlush(report.isUrgent, now);
         return;
     }
+    if (usesRelays()) {
+        sendAsLeaf(report);
+        return;
+    }
     std::vector<VmId> to;
     for (const VmEntry &peer : overlay_.neighbours()) {
-        if (usesRelays() || reach == Reach::All || peer.region == options_.vm.region)
+        if (reach == Reach::All || peer.region == options_.vm.region)
             to.push_back(peer.id);
     }
     if (!to.empty())
         hooks_.perform(SendReport { std::move(to), report });
 }
 
+void VmExchange::sendAsLeaf(VmReport report)
+{
+    const std::optional<VmId> sender = overlay_.sendingRelay();
+    std::vector<VmId> others;
+    for (const VmEntry &peer : overlay_.neighbours()) {
+        if (peer.id != sender)
+            others.push_back(peer.id);
+    }
+    if (!others.empty())
+        hooks_.perform(SendReport { std::move(others), report });
+    report.wantsReports = true;
+    if (sender)
+        hooks_.perform(SendReport { { *sender }, std::move(report) });
+}
+
 void VmExchange::sendSpending(const SendSpending &spending)
 {
     if (overlay_.isNeighbour(spending.to) || overlay_.neighbours().empty()) {
         hooks_.perform(spending);
         return;
     }
-    // Half of a domain's VMs use one relay, half the other.
-    const auto &neighbours = overlay_.neighbours();
-    const VmEntry &via = neighbours[hashText(options_.vm.id.text()) % neighbours.size()];
-    hooks_.perform(SendRelayedSpending {
-        via.id, { spending.to, options_.vm.id, options_.vm.incarnation, spending.spending } });
+    RelayedSpending relayed { spending.to, options_.vm.id, options_.vm.incarnation,
+                              spending.spending };
+    hooks_.perform(SendRelayedSpending { *overlay_.sendingRelay(), std::move(relayed) });
 }
 
 bool VmExchange::onSpending(const PeerSpendingRelayed &event)
@@ -151,7 +168,7 @@
             hooks_.perform(SendReport { { event.from }, hooks_.makeReport() });
         return result;
     }
-    overlay_.onReport(event.from, now);
+    overlay_.onReport(event.from, event.report.wantsReports, now);
     if (result == Fleet::ReportResult::Ignored)
         return result;
     const RelayedReport relayed { event.from, event.incarnation, 0, event.report };
@@ -205,8 +222,26 @@
 {
     flushAt_ = Instant::never();
     flushedAt_ = now;
+    const auto own = toRelays_.find(options_.vm.id);
+    if (own != toRelays_.end())
+        sendAsRelay(own->second.relayed, now);
     sendBatch(toRelays_, overlay_.otherRelays(now), now);
-    sendBatch(toLeaves_, overlay_.leaves(now), now);
+    sendBatch(toLeaves_, overlay_.receivingLeaves(now), now);
+}
+
+// Tells the leaves that take the reports from another relay that this one is reachable.
+void VmExchange::sendAsRelay(const RelayedReport &own, Instant now)
+{
+    std::vector<VmId> to = overlay_.leaves(now);
+    const std::vector<VmId> receiving = overlay_.receivingLeaves(now);
+    to.erase(std::remove_if(to.begin(), to.end(),
+                            [&](const VmId &vm) {
+                                return std::find(receiving.begin(), receiving.end(), vm)
+                                    != receiving.end();
+                            }),
+             to.end());
+    if (!to.empty())
+        hooks_.perform(SendRelayedReports { std::move(to), { { own } } });
 }
 
 void VmExchange::sendBatch(Batch &batch, std::vector<VmId> to, Instant now)
@@ -241,7 +276,7 @@
 Instant VmExchange::nextWake() const
 {
     Instant next = flushAt_;
-    if (usesRelays() && overlayAt_ != Instant::never())
+    if (overlayAt_ != Instant::never())
         next = next == Instant::never() ? overlayAt_ : std::min(next, overlayAt_);
     return next;
 }
--- a/bluebellshift/gateway/vmexchange.h
+++ b/bluebellshift/gateway/vmexchange.h
@@ -83,6 +83,8 @@
     using Batch = std::map<VmId, Pending>;
 
     void updateOverlay(Instant now);
+    void sendAsLeaf(VmReport report);
+    void sendAsRelay(const RelayedReport &own, Instant now);
     void add(Batch &batch, const RelayedReport &relayed, Instant now);
     void scheduleFlush(bool isUrgent, Instant now);
     void flush(Instant now);
--- a/bluebellshift/net/httpclient.cpp
+++ b/bluebellshift/net/httpclient.cpp
@@ -67,7 +67,7 @@
     set(TCP_USER_TIMEOUT, tcpUserTimeoutMillis);
 }
 
-// Returns N of `Keep-Alive: timeout=N`, or nothing if the header is absent.
+// Returns N of `Keep-Alive: timeout=N`, or nothing if the header is absent or N no number.
 std::optional<std::chrono::seconds> parseKeepAliveTimeout(const core::Answer &response)
 {
     const std::string *value = findHeader(response.headers, "Keep-Alive");
@@ -76,7 +76,14 @@
     const auto at = value->find("timeout=");
     if (at == std::string::npos)
         return std::nullopt;
-    return std::chrono::seconds(std::strtol(value->c_str() + at + 8, nullptr, 10));
+    constexpr std::size_t nameLength = 8; // "timeout="
+    constexpr long maxSeconds = 3600;
+    const char *begin = value->c_str() + at + nameLength;
+    char *end = nullptr;
+    const long seconds = std::strtol(begin, &end, 10);
+    if (end == begin || seconds < 0)
+        return std::nullopt;
+    return std::chrono::seconds(std::min(seconds, maxSeconds));
 }
 
 } // namespace
--- a/bluebellshift/net/testing/httpclienttest.cpp
+++ b/bluebellshift/net/testing/httpclienttest.cpp
@@ -202,6 +202,30 @@
     CHECK_EQUAL(0U, client->idleCount());
 }
 
+TEST(NetHttpClient, PoolsAConnectionUnlessItsStatedTimeoutIsTooShort)
+{
+    const struct
+    {
+        const char *keepAlive;
+        std::size_t pooled;
+    } cases[] = { { "timeout=5", 1 },   { "timeout=1", 0 },
+                  { "timeout=0", 0 },   { "max=3, timeout=5", 1 },
+                  { "timeout=abc", 1 }, { "timeout=-1", 1 },
+                  { "timeout=", 1 },    { "timeout=99999999999999999999", 1 } };
+    for (const auto &testCase : cases) {
+        const std::size_t peer = peers.size();
+        options.maxReuseIdleTime = core::Duration();
+        call();
+        CHECK(waitFor([&] { return hasRead(peer, 1); }));
+        peers[peer].send(std::string("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 0\r\n"
+                                     "Keep-Alive: ")
+                         + testCase.keepAlive + "\r\n\r\n");
+        CHECK(waitFor([&] { return result.has_value(); }));
+        CHECK_EQUAL_TEXT(testCase.pooled, client->idleCount(), testCase.keepAlive);
+        client->closeIdle("pool");
+    }
+}
+
 TEST(NetHttpClient, ReportsARefusedConnection)
 {
     const core::Endpoint nobody { "127.0.0.1", freePort(loop) };
--- a/bluebellshift/shell/messagefields.h
+++ b/bluebellshift/shell/messagefields.h
@@ -134,7 +134,7 @@
     static constexpr auto list =
         std::make_tuple(&T::sequence, &T::isReady, &T::isLeaving, &T::configVersion, &T::uses,
                         &T::readsStore, &T::storeAgeMillis, &T::registryRevisions, &T::isYoung,
-                        &T::admissions, &T::evacuated, &T::isUrgent);
+                        &T::admissions, &T::evacuated, &T::isUrgent, &T::wantsReports);
 };
 template<> struct Fields<core::RelayedReport>
 {
