Log and measure the delay of the gateway's event loop

Nothing told a gateway that acts late, because it is short of processor time, from one whose bytes are late on the way: of the three hypotheses in docs/incidents/callers-gone.md the first needs a delayed loop, the others don't. Each timer's delay now goes into a histogram, and one of 250 ms or more is logged as event 108 (at most as often as timers fire). No decision is changed.

--- a/bluebellshift/core/logevent.h
+++ b/bluebellshift/core/logevent.h
@@ -28,6 +28,7 @@
 inline constexpr LogEvent readyChanged { 105, LogLevel::Info, "ready-changed" };
 inline constexpr LogEvent settingsReloaded { 106, LogLevel::Info, "settings-reloaded" };
 inline constexpr LogEvent settingsFaulty { 107, LogLevel::Error, "settings-faulty" };
+inline constexpr LogEvent loopDelayed { 108, LogLevel::Warning, "loop-delayed" };
 // 2xx: the view
 inline constexpr LogEvent viewInstalled { 201, LogLevel::Info, "view-installed" };
 inline constexpr LogEvent viewStale { 202, LogLevel::Warning, "view-stale" };
--- a/bluebellshift/gatewayd/gateway.cpp
+++ b/bluebellshift/gatewayd/gateway.cpp
@@ -17,6 +17,7 @@
 constexpr char peerKeyId[] = "store";
 constexpr Duration exitCheckInterval = Duration::millis(20);
 constexpr Duration maxExitDelay = Duration::millis(400);
+constexpr Duration minLoggedLoopDelay = Duration::millis(250);
 // Share of the VM's memory for messages; they may take twice that, as buffers grow by doubling.
 constexpr double messageMemoryShare = 0.25;
 constexpr Duration responseMargin =
@@ -182,11 +183,22 @@
     timer_.async_wait([this](const boost::system::error_code &error) {
         if (error)
             return;
+        observeLoopDelay(clock_.now() - timerAt_);
         timerAt_ = Instant::never();
         handle(gateway::TimerFired {});
     });
 }
 
+void Gateway::observeLoopDelay(Duration delay)
+{
+    metrics_.observeLoopDelay(std::max(delay, Duration()));
+    if (delay < minLoggedLoopDelay)
+        return;
+    writeLog({ core::log::loopDelayed,
+               { { "delayMs", std::to_string(delay.toMillis()) },
+                 { "pending", std::to_string(requests_.size()) } } });
+}
+
 void Gateway::onRequest(net::ExchangeId exchange, net::Request &&request)
 {
     gateway::RequestArrived arrived = ::platform::parseRequest(request);
--- a/bluebellshift/gatewayd/gateway.h
+++ b/bluebellshift/gatewayd/gateway.h
@@ -62,6 +62,8 @@
     void handle(gateway::EventBody body);
     void performAll(gateway::Effects &&effects);
     void armTimer();
+    // How late the loop handled a timer.
+    void observeLoopDelay(core::Duration delay);
 
     void perform(const gateway::ListRegistry &list) { store_.perform(list); }
     void perform(const gateway::WatchRegistry &watch) { store_.perform(watch); }
--- a/bluebellshift/gatewayd/metrics.cpp
+++ b/bluebellshift/gatewayd/metrics.cpp
@@ -57,6 +57,11 @@
         , total(latencies.Add({ { "part", "total" } }, latencyBuckets))
         , queue(latencies.Add({ { "part", "queue" } }, latencyBuckets))
         , target(latencies.Add({ { "part", "target" } }, latencyBuckets))
+        , loopDelay(prometheus::BuildHistogram()
+                        .Name("bluebellshift_loop_delay_seconds")
+                        .Help("How late timers of the event loop were handled.")
+                        .Register(registry)
+                        .Add({}, latencyBuckets))
     {
     }
 
@@ -72,6 +77,7 @@
     prometheus::Histogram &total;
     prometheus::Histogram &queue;
     prometheus::Histogram &target;
+    prometheus::Histogram &loopDelay;
     // Caches the counters by event number, as a look-up by labels costs more than the count.
     std::unordered_map<int, prometheus::Counter *> eventCounters;
 };
@@ -112,6 +118,11 @@
     families_->target.Observe(targetTime.toSeconds());
 }
 
+void Metrics::observeLoopDelay(core::Duration delay)
+{
+    families_->loopDelay.Observe(delay.toSeconds());
+}
+
 std::string Metrics::text(const MetricsReadings &readings)
 {
     Families &families = *families_;
--- a/bluebellshift/gatewayd/metrics.h
+++ b/bluebellshift/gatewayd/metrics.h
@@ -43,6 +43,7 @@
     void observeRequest(core::Duration total);
     void observeQueue(core::Duration queueTime);
     void observeTarget(core::Duration targetTime);
+    void observeLoopDelay(core::Duration delay);
     std::string text(const MetricsReadings &readings);
 
 private:
