Abort a request whose caller has closed before sending it to a target

Callers saw nothing; targets ran work for callers that had left (GONE). Cause: a caller's close is learned from the next read of its socket, while a request is sent as soon as it is parsed, or as soon as a response or a timer frees a slot for it. A gateway that is behind by half a second handles those first, and on a kept connection the request leaves at once.

Change: each send first asks the socket whether the caller's close has arrived, also behind bytes that are not read yet, and aborts the connection's requests if so. This covers first sends, queued requests and retries in one place.

--- a/bluebellshift/gatewayd/gateway.cpp
+++ b/bluebellshift/gatewayd/gateway.cpp
@@ -214,6 +214,10 @@
     const auto found = requests_.find(attempt.request.number());
     if (found == requests_.end())
         return;
+    // A gateway that is behind may handle a request, or the response that frees a slot for it,
+    // before the caller's close that has already arrived.
+    if (callerServer_.abortIfCallerClosed(found->first))
+        return;
     Request &pending = found->second;
     if (attempt.attempt == 1)
         metrics_.observeQueue(clock_.now() - pending.arrivedAt);
--- a/bluebellshift/net/httpserver.cpp
+++ b/bluebellshift/net/httpserver.cpp
@@ -16,6 +16,9 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <cerrno>
+#include <poll.h>
+#include <sys/socket.h>
 
 namespace bluebellshift::net {
 namespace {
@@ -118,6 +121,21 @@
             close();
     }
 
+    // Whether the caller has closed the connection. Its close may wait in the socket while other
+    // events are handled, and behind bytes that are not read yet.
+    bool hasCallerClosed()
+    {
+        const int handle = socket_.native_handle();
+        char byte = 0;
+        const ssize_t size = recv(handle, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+        if (size == 0)
+            return true;
+        if (size < 0)
+            return errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+        pollfd polled { handle, POLLRDHUP, 0 };
+        return poll(&polled, 1, 0) > 0 && (polled.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+    }
+
     bool isBusy() const
     {
         return isWriting_ || !exchanges_.empty() || (parser_ && hasRequestStarted());
@@ -306,8 +324,11 @@
             isFirst = false;
         }
         const auto self = shared_from_this();
-        for (auto &[id, request] : ready)
+        for (auto &[id, request] : ready) {
+            if (isClosed_)
+                return; // a hook closed the connection, which aborted the rest
             server_.hooks_.onRequest(id, std::move(request));
+        }
     }
 
     // Rejects a request that can't be dispatched and closes the connection after the
@@ -482,6 +503,18 @@
     connection->respond(exchange, response, closesConnection);
 }
 
+bool HttpServer::abortIfCallerClosed(ExchangeId exchange)
+{
+    const auto found = exchanges_.find(exchange);
+    if (found == exchanges_.end())
+        return true;
+    const std::shared_ptr<Connection> connection = found->second->shared_from_this();
+    if (!connection->hasCallerClosed())
+        return false;
+    connection->close();
+    return true;
+}
+
 void HttpServer::resetConnection(ExchangeId exchange)
 {
     const auto found = exchanges_.find(exchange);
--- a/bluebellshift/net/httpserver.h
+++ b/bluebellshift/net/httpserver.h
@@ -79,6 +79,10 @@
 
     void respond(ExchangeId exchange, const core::Answer &response, bool closesConnection);
 
+    // Aborts the exchange, and all others of its connection, if the caller has closed the
+    // connection, even where that has not been read yet. Returns whether it has.
+    bool abortIfCallerClosed(ExchangeId exchange);
+
     // Resets the exchange's connection without a response.
     void resetConnection(ExchangeId exchange);
 
