Try the queued requests once all entries of a registry change are applied

A queued request could also be sent to a target that a later entry of the same change removes.

Change: an event that changed entries tries the queues once, at its end.

Before: the new reducer test fails, the request goes to the target that had left.

--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -144,6 +144,7 @@
     bool isEntryWritePending_ = false;
     bool mustCreateEntry_ = true;
     Instant entryDueAt_ = Instant::never();
+    bool hasEntryChanged_ = false;            // by the current event
     std::map<TargetId, Instant> lapsedUntil_; // time by which they must register again
     std::uint64_t reportSequence_ = 0;
     Instant reportAt_ = Instant::never();
@@ -206,6 +207,8 @@
     now_ = event.now;
     random_ = event.random;
     std::visit([this](const auto &body) { on(body); }, event.body);
+    if (std::exchange(hasEntryChanged_, false))
+        dispatcher_.onCapacityChanged(random_, now_);
     updateReadiness();
     limits_.scheduleSpendingReport(now_);
 }
@@ -280,7 +283,7 @@
         }
         break;
     }
-    dispatcher_.onCapacityChanged(random_, now_);
+    hasEntryChanged_ = true;
 }
 
 void Reducer::State::onListed(Registry registry)
--- a/bluebellshift/gateway/testing/reducertest.cpp
+++ b/bluebellshift/gateway/testing/reducertest.cpp
@@ -478,3 +478,21 @@
         CHECK_EQUAL(i, known());
     }
 }
+
+// Guards against a scan of the queues for each entry of a batch: it stalls a small VM when many
+// targets change at once, and may send a request to a target that left in the same batch.
+TEST(Reducer, TriesQueuedRequestsOnceAllEntriesOfABatchAreApplied)
+{
+    bench.begin(sampleConfig(), sampleTargets(1));
+    const Target brief = sampleTargets(2)[1];
+    bench.putTarget(sampleTargets(1)[0]); // ends the watch: the next changes come together
+    bench.putTarget(brief);
+    bench.removeTarget(brief.id);
+    bench.advance(StoreLink::changeBatchTime - Duration::millis(50));
+    std::uint64_t id = 1;
+    do
+        bench.request(id++);
+    while (!bench.takeSent().empty());
+    bench.advance(Duration::millis(60));
+    CHECK_EQUAL(0U, targetsOf(bench.takeSent()).count(brief.id.text()));
+}
