Count the delay of the event loop from when its timer could fire

The reducer's next wake may lie in the past when it is set, such as for a queue that has just got its first request. The delay counted from then and reported up to 8 s on a VM that was not late at all. It now counts from the later of the wake and the arming of the timer.

--- a/bluebellshift/gatewayd/gateway.cpp
+++ b/bluebellshift/gatewayd/gateway.cpp
@@ -178,12 +178,13 @@
     if (wake == timerAt_ || hasStopped_)
         return;
     timerAt_ = wake;
-    const Duration wait = std::max(wake - clock_.now(), Duration());
+    const Instant now = clock_.now();
+    const Duration wait = std::max(wake - now, Duration());
     timer_.expires_after(std::chrono::microseconds(wait.toMicros()));
-    timer_.async_wait([this](const boost::system::error_code &error) {
+    timer_.async_wait([this, dueAt = now + wait](const boost::system::error_code &error) {
         if (error)
             return;
-        observeLoopDelay(clock_.now() - timerAt_);
+        observeLoopDelay(clock_.now() - dueAt);
         timerAt_ = Instant::never();
         handle(gateway::TimerFired {});
     });
