Dispatch no request behind one whose response closes the connection

Cause: once a request that is not idempotent had its response, the server collected all requests that might go next and handed them out one after another. If the first of them was answered at once and its response closed the connection, the others were aborted and then dispatched all the same: a target worked for a caller that was told to send them again.

Change: the server looks for the next request after each one that it has handed out.

Before: the new test of httpservertest fails, the third request is dispatched.

--- a/bluebellshift/net/httpserver.cpp
+++ b/bluebellshift/net/httpserver.cpp
@@ -311,24 +311,29 @@
     // Dispatches queued requests: idempotent ones at once, others when they are first.
     void dispatchReady()
     {
-        std::vector<std::pair<ExchangeId, Request>> ready;
-        bool isFirst = true;
-        for (Exchange &exchange : exchanges_) {
-            if (exchange.request && (isFirst || isIdempotentMethod(exchange.request->method))) {
-                exchange.isDispatched = true;
-                ready.emplace_back(exchange.id, std::move(*exchange.request));
-                exchange.request.reset();
-            } else if (exchange.request) {
-                break;
-            }
-            isFirst = false;
-        }
         const auto self = shared_from_this();
-        for (auto &[id, request] : ready) {
-            if (isClosed_)
-                return; // a hook closed the connection, which aborted the rest
-            server_.hooks_.onRequest(id, std::move(request));
+        // A hook may respond, which removes exchanges, and may close the connection.
+        while (!isClosed_ && !isClosing_) {
+            Exchange *exchange = nextReady();
+            if (exchange == nullptr)
+                return;
+            exchange->isDispatched = true;
+            Request request = std::move(*exchange->request);
+            exchange->request.reset();
+            server_.hooks_.onRequest(exchange->id, std::move(request));
+        }
+    }
+
+    // Returns the next exchange that may be dispatched, or null.
+    Exchange *nextReady()
+    {
+        for (Exchange &exchange : exchanges_) {
+            if (!exchange.request)
+                continue;
+            const bool isFirst = &exchange == &exchanges_.front();
+            return isFirst || isIdempotentMethod(exchange.request->method) ? &exchange : nullptr;
         }
+        return nullptr;
     }
 
     // Rejects a request that can't be dispatched and closes the connection after the
--- a/bluebellshift/net/testing/httpservertest.cpp
+++ b/bluebellshift/net/testing/httpservertest.cpp
@@ -215,6 +215,37 @@
     CHECK_EQUAL(0U, server->pendingCount());
 }
 
+// Guards against work for requests that were aborted by the response to one before them.
+TEST(NetHttpServer, DispatchesNoRequestBehindOneWhoseResponseClosesTheConnection)
+{
+    server.reset();
+    std::vector<std::string> seen;
+    std::unique_ptr<HttpServer> closing;
+    ExchangeId first = 0;
+    closing = std::make_unique<HttpServer>(
+        loop, budget, [] { return ServerLimits(); },
+        ServerHooks { [&](ExchangeId id, Request &&request) {
+                         seen.push_back(request.target);
+                         if (request.target == "/first")
+                             first = id;
+                         else
+                             closing->respond(id, makeResponse("bye"), true);
+                     },
+                      [](ExchangeId) {},
+                      {} });
+    const std::uint16_t closingPort = freePort(loop);
+    CHECK(closing->listen({ "127.0.0.1", closingPort }).ok());
+    RawPeer caller = RawPeer::connect(loop, closingPort);
+    caller.send("POST /first HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+                "POST /second HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+                "GET /third HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(waitFor([&] { return first != 0; }));
+    loop.poll();
+    closing->respond(first, makeResponse("one"), false);
+    CHECK(waitFor([&] { return caller.isEnded(); }));
+    CHECK(std::find(seen.begin(), seen.end(), "/third") == seen.end());
+}
+
 // A planned stop must not cut what has been accepted: part of a request, a request that waits
 // for its response, and a response that the caller has not read.
 TEST(NetHttpServer, IsBusyUntilTheLastResponseIsWritten)
