Detect a caller's close while reading from its connection is paused

Cause: the server pauses reading while more than 32 pipelined requests of a connection are pending, and learned of a close only by reading.

Before: the new test of httpservertest fails: nothing is aborted within its 20 s.

--- a/bluebellshift/net/httpserver.cpp
+++ b/bluebellshift/net/httpserver.cpp
@@ -1,8 +1,8 @@
-// Each connection keeps one read outstanding for its whole lifetime, so that a close by
-// the caller is detected while its requests are pending. Parsed requests are kept in a
-// queue from the first pending one on; earlier responses have been written. Reading
-// stops while more than maxPipelinedRequests requests are pending, which bounds memory
-// to that many bodies per connection.
+// Each connection keeps one read outstanding, so that a close by the caller is detected
+// while its requests are pending. Parsed requests are kept in a queue from the first
+// pending one on; earlier responses have been written. Reading is paused while more than
+// maxPipelinedRequests requests are pending, which bounds memory to that many bodies per
+// connection; meanwhile the check for timeouts asks the socket whether the caller has closed.
 //
 // A single timer checks all connections for timeouts: one timer per connection would
 // cost a wake-up per request.
@@ -94,9 +94,14 @@
         flush();
     }
 
-    // Enforces the timeouts for headers, bodies, idle and lingering connections.
+    // Enforces the timeouts for headers, bodies, idle and lingering connections, and detects
+    // the caller's close while reading is paused.
     void checkTimeouts(Clock::time_point now, const ServerLimits &limits)
     {
+        if (!isReading_ && hasCallerClosed()) {
+            close();
+            return;
+        }
         if (isLingering_) {
             if (now - lastActivityAt_ > lingerTimeout)
                 close();
--- a/bluebellshift/net/testing/httpservertest.cpp
+++ b/bluebellshift/net/testing/httpservertest.cpp
@@ -215,6 +215,21 @@
     CHECK_EQUAL(0U, server->pendingCount());
 }
 
+// Guards against requests that stay pending for a caller that has left, where so many are pending
+// that the connection is not read and the close is not seen.
+TEST(NetHttpServer, AbortsPipelinedRequestsOfACallerThatClosedWhileReadingWasPaused)
+{
+    RawPeer caller = RawPeer::connect(loop, port);
+    std::string requests;
+    for (int i = 0; i < 60; ++i)
+        requests += "GET /" + std::to_string(i)
+            + " HTTP/1.1\r\nHost: h\r\nX: " + std::string(200, 'x') + "\r\n\r\n";
+    caller.send(requests);
+    CHECK(waitFor([&] { return dispatched.size() > 32; }));
+    caller.close();
+    CHECK(waitFor([&] { return aborted.size() == dispatched.size(); }));
+}
+
 // Guards against work for requests that were aborted by the response to one before them.
 TEST(NetHttpServer, DispatchesNoRequestBehindOneWhoseResponseClosesTheConnection)
 {
