Reset the connection of a call that is cancelled or ends without response

Cause: a cancelled call closed its connection in the regular way.

Change: a call without response ends with a reset, which discards the unsent bytes.

Before: the new test of httpclienttest fails in five runs of five: a target that reads late gets all 32 KB of a cancelled request.

--- a/bluebellshift/net/httpclient.cpp
+++ b/bluebellshift/net/httpclient.cpp
@@ -146,6 +146,16 @@
         connect(endpoint);
     }
 
+    // Closes the connection of a call that has no response, without invoking the callback. A
+    // reset discards what the socket still holds of the request: a regular close would deliver
+    // it, however late.
+    void abort()
+    {
+        error_code ignored; // without the option the close is a regular one
+        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+        close();
+    }
+
     // Closes the connection without invoking the callback.
     void close()
     {
@@ -372,8 +382,10 @@
             response_.reset();
             idleSince_ = Clock::now();
             client_.putIdle(self);
-        } else {
+        } else if (outcome == CallOutcome::Answered) {
             close();
+        } else {
+            abort();
         }
         if (callback)
             callback(std::move(result));
@@ -441,7 +453,7 @@
         return;
     const ConnectionPointer connection = found->second;
     calls_.erase(found);
-    connection->close();
+    connection->abort();
 }
 
 void HttpClient::closeIdle(const std::string &pool)
--- a/bluebellshift/net/httpclient.h
+++ b/bluebellshift/net/httpclient.h
@@ -87,7 +87,8 @@
     CallId start(const core::Endpoint &endpoint, const std::string &pool, std::string bytes,
                  const CallOptions &options, Callback callback);
 
-    // Aborts the call and closes its connection immediately.
+    // Aborts the call and resets its connection: bytes of the request that the socket has not
+    // sent yet are discarded.
     void cancel(CallId call);
 
     // Closes the idle connections of a pool.
--- a/bluebellshift/net/testing/httpclienttest.cpp
+++ b/bluebellshift/net/testing/httpclienttest.cpp
@@ -287,6 +287,39 @@
     CHECK(!result.has_value());
 }
 
+// Guards against a request that reaches its target after it was cancelled: its last bytes wait in
+// the socket, as over a slow or broken link, and a regular close still delivers them.
+TEST(NetHttpClient, DiscardsTheUnsentBytesOfACancelledCall)
+{
+    const std::string body(32 * 1024, 'x');
+    const std::string longRequest = "POST /a HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n"
+                                    "Content-Length: "
+        + std::to_string(body.size()) + "\r\n\r\n" + body;
+    tcp::acceptor slow(loop);
+    slow.open(tcp::v4());
+    slow.set_option(
+        boost::asio::socket_base::receive_buffer_size(4096)); // accepted ones inherit it
+    slow.bind({ boost::asio::ip::make_address("127.0.0.1"), 0 });
+    slow.listen();
+    tcp::socket target(loop); // reads nothing until the call is cancelled
+    bool isAccepted = false;
+    slow.async_accept(target, [&](const boost::system::error_code &) { isAccepted = true; });
+    const CallId id =
+        client->start({ "127.0.0.1", slow.local_endpoint().port() }, "slow", longRequest, options,
+                      [this](CallResult &&got) { result = std::move(got); });
+    CHECK(waitFor([&] { return isAccepted && target.available() > 0; }));
+    loop.poll();
+    client->cancel(id);
+    std::string received;
+    boost::system::error_code error;
+    while (!error) {
+        char buffer[4096];
+        const std::size_t size = target.read_some(boost::asio::buffer(buffer), error);
+        received.append(buffer, size);
+    }
+    CHECK(received.size() < longRequest.size());
+}
+
 // A response that arrives before a large request is fully written ends the call at
 // once, and its connection is not reused.
 TEST(NetHttpClient, AcceptsAnEarlyResponseAndDoesNotReuseItsConnection)
