Record the timeline of targets that get more than their limit, and log the limits they name

What is reported: a target got far more requests than the limit that it had named (LIMIT).

The header is decoded, once, in platform/, and each change is logged as event 516 with the VM that learned it. A header that is no finite number of 0 or more names no limit.

--- a/bluebellshift/core/logevent.h
+++ b/bluebellshift/core/logevent.h
@@ -72,6 +72,7 @@
 inline constexpr LogEvent targetLapsed { 513, LogLevel::Warning, "target-lapsed" };
 inline constexpr LogEvent domainEvacuated { 514, LogLevel::Info, "domain-evacuated" };
 inline constexpr LogEvent domainReturned { 515, LogLevel::Info, "domain-returned" };
+inline constexpr LogEvent targetLimited { 516, LogLevel::Warning, "target-limited" };
 // 6xx: steering
 inline constexpr LogEvent snapshotPublished { 601, LogLevel::Info, "snapshot-published" };
 inline constexpr LogEvent shiftStepTaken { 602, LogLevel::Info, "shift-step-taken" };
--- a/bluebellshift/gateway/event.h
+++ b/bluebellshift/gateway/event.h
@@ -105,6 +105,8 @@
     bool wasReused = false; // the connection had been used before
     Duration connectTime;   // one round trip; zero: no new connection was made
     std::optional<LoadReport> load;
+    // The requests a second that the target takes from all VMs together; nothing: it named none.
+    std::optional<double> limitPerSecond;
 };
 
 struct PeerReportReceived
--- a/bluebellshift/gateway/targetpool.cpp
+++ b/bluebellshift/gateway/targetpool.cpp
@@ -48,6 +48,7 @@
 TargetPool::TargetPool(const GatewayOptions &options, PoolHooks hooks)
     : options_(options)
     , hooks_(std::move(hooks))
+    , limits_(options.vm.id, hooks_.log)
 {
 }
 
@@ -98,6 +99,7 @@
     auto &siblings = byService_[found->second.target.service];
     siblings.erase(std::remove(siblings.begin(), siblings.end(), &found->second), siblings.end());
     states_.erase(found);
+    limits_.forget(target);
     hooks_.log({ core::log::targetGone, { { "target", target.text() }, { "reason", reason } } });
 }
 
@@ -521,6 +523,8 @@
         return;
     }
     const bool isAnswered = ended.outcome == AttemptOutcome::Answered;
+    if (ended.isAuthentic || ended.limitPerSecond)
+        limits_.onResponse(target, ended.limitPerSecond, now);
     // Errors returned by a target are common and weigh less than rejections and aborted
     // connections.
     const bool isError = isAnswered && !ended.saysNotRun;
--- a/bluebellshift/gateway/targetpool.h
+++ b/bluebellshift/gateway/targetpool.h
@@ -29,6 +29,7 @@
 #include "bluebellshift/gateway/options.h"
 #include "bluebellshift/gateway/regionflow.h"
 #include "bluebellshift/gateway/registry.h"
+#include "bluebellshift/gateway/targetlimits.h"
 
 namespace bluebellshift::gateway {
 
@@ -233,6 +234,7 @@
     const PoolHooks hooks_;
     TrafficConfigPointer config_;
     RegionFlow flow_;
+    TargetLimits limits_;
     std::unordered_map<TargetId, State> states_;
     std::unordered_map<ServiceId, std::vector<State *>> byService_; // into states_
     std::unordered_set<FailureDomainId> evacuated_;
--- a/bluebellshift/gateway/testing/gatewaybench.cpp
+++ b/bluebellshift/gateway/testing/gatewaybench.cpp
@@ -317,6 +317,18 @@
     reduce(ended);
 }
 
+void GatewayBench::answerWithLimit(std::uint64_t id, std::optional<double> perSecond)
+{
+    AttemptEnded ended;
+    ended.request = RequestId(id);
+    ended.attempt = attempts_[id];
+    ended.outcome = AttemptOutcome::Answered;
+    ended.status = 200;
+    ended.isAuthentic = true;
+    ended.limitPerSecond = perSecond;
+    reduce(ended);
+}
+
 void GatewayBench::perform(Effects &&effects)
 {
     for (Effect &effect : effects) {
--- a/bluebellshift/gateway/testing/gatewaybench.h
+++ b/bluebellshift/gateway/testing/gatewaybench.h
@@ -74,6 +74,8 @@
     void request(std::uint64_t id, const std::string &path = readPath);
     void end(std::uint64_t id, AttemptOutcome outcome, int status = 0, bool saysNotRun = false);
     void answer(std::uint64_t id, int status) { end(id, AttemptOutcome::Answered, status); }
+    // Answers with success, and with the limit that the target names.
+    void answerWithLimit(std::uint64_t id, std::optional<double> perSecond);
 
     // The effects since the previous call.
     std::vector<SendAttempt> takeSent() { return std::exchange(sent_, {}); }
