Share the limit that a target names among a few VMs

What callers saw: nothing at first; a target in need got two to three times the requests that it had named as its limit (LIMIT), which ends in slow or lost responses.

Cause: the limit was not read, so that a target's slots were all that bounded it; and a limit of all VMs together can't be kept by VMs that each know of themselves only.

Change: TargetLimits. All VMs find the same few senders of a limited target, by rendezvous hashing among the VMs that are registered and not known to have left: one VM for each request a second, three of four in the target's region. Each sender holds an even share of the limit in a bucket of 1.5 requests; the others don't send there. Reports tell which targets are limited, and which no longer are; the newest response counts. A limit that nobody has confirmed for 6 s is tried again by one VM after the other. Sent once more or for the first time, every request counts. Ways weighed: an account with an owner costs a message for each request; even shares of all VMs are too small to use.

--- a/bluebellshift/core/vmreport.h
+++ b/bluebellshift/core/vmreport.h
@@ -40,6 +40,16 @@
     int inFlight = 0;
 };
 
+// What a target's response to the VM named as its limit: the requests a second that it takes
+// from all VMs together.
+struct TargetLimitReport
+{
+    std::uint32_t target = 0;          // a hash of its id
+    bool isLimited = false;            // false: it names no limit any more
+    std::uint32_t millisPerSecond = 0; // thousandths of a request a second
+    std::uint32_t ageMillis = 0;       // since that response
+};
+
 struct VmReport
 {
     std::uint64_t sequence = 0; // increases with each report of one incarnation
@@ -56,6 +66,7 @@
     std::vector<TeamAdmission> admissions; // for the teams whose accounts it keeps
     // If it reads the store: the evacuated failure domains at the last change of that registry.
     std::vector<FailureDomainId> evacuated;
+    std::vector<TargetLimitReport> targetLimits; // that its own responses named of late
 };
 
 // A report that another VM passes on.
--- a/bluebellshift/gateway/fleet.cpp
+++ b/bluebellshift/gateway/fleet.cpp
@@ -243,6 +243,25 @@
     return before;
 }
 
+SenderRank Fleet::senderRank(std::uint32_t target, const RegionId &region, Instant now) const
+{
+    SenderRank rank;
+    rank.isInRegion = options_.vm.region == region;
+    ++(rank.isInRegion ? rank.inRegion : rank.elsewhere);
+    const std::uint64_t own = mixHashes(hashText(options_.vm.id.text()), target);
+    const bool partitioned = isPartitioned(now);
+    for (const auto &[id, peer] : entries_) {
+        const bool isSilent = now - std::max(peer.reportedAt, peer.listedAt) >= senderTimeout;
+        if (peer.report.isLeaving || (isSilent && !partitioned))
+            continue;
+        const bool isInRegion = peer.entry.region == region;
+        ++(isInRegion ? rank.inRegion : rank.elsewhere);
+        if (isInRegion == rank.isInRegion && mixHashes(peer.hash, target) < own)
+            ++rank.position;
+    }
+    return rank;
+}
+
 std::optional<VmId> Fleet::accountOwner(std::uint32_t team, bool isSelfLeaving, Instant now) const
 {
     std::optional<VmId> owner;
--- a/bluebellshift/gateway/fleet.h
+++ b/bluebellshift/gateway/fleet.h
@@ -22,6 +22,7 @@
 #include "bluebellshift/core/logevent.h"
 #include "bluebellshift/core/vmreport.h"
 #include "bluebellshift/gateway/options.h"
+#include "bluebellshift/gateway/targetlimits.h"
 
 namespace bluebellshift::gateway {
 
@@ -33,6 +34,7 @@
     static constexpr Duration reconnectTime = Duration::millis(1500);
     // Fraction of the other VMs. While fewer are live, this VM counts as partitioned.
     static constexpr double minLiveFraction = 0.34;
+    static constexpr Duration senderTimeout = Duration::seconds(6);
     static constexpr std::size_t maxAddresses = 64;
     static constexpr std::size_t minAddressesInDomain = 2; // otherwise those of the region are used
 
@@ -83,6 +85,9 @@
     double regionShare() const;
     // This VM's rank, from 0, among the live VMs by rendezvous hashing with the target.
     std::size_t rankFor(std::uint64_t target, Instant now) const;
+    // The VMs that may share a target's limit. A registered VM that is not live still counts for
+    // senderTimeout, as it may still be sending.
+    SenderRank senderRank(std::uint32_t target, const RegionId &region, Instant now) const;
     // The VM that owns a team's account: the first by rendezvous hashing among the live VMs
     // that are not leaving. Empty: this VM, unless it is leaving and another can take over.
     std::optional<VmId> accountOwner(std::uint32_t team, bool isSelfLeaving, Instant now) const;
--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -168,6 +168,9 @@
     , pool_(options_,
             { [this](std::uint32_t target, Instant) { return fleet_.othersInFlight(target); },
               [this](std::uint64_t target, Instant now) { return fleet_.rankFor(target, now); },
+              [this](TargetHash target, const RegionId &region, Instant now) {
+                  return fleet_.senderRank(target, region, now);
+              },
               [this](Instant now) { return fleet_.liveVmsInRegion(now); },
               [this] { return fleet_.regionShare(); },
               [this](core::LogRecord record) { log(std::move(record)); } })
@@ -613,6 +616,7 @@
     }
     report.isYoung = limits_.isYoung(now_);
     report.admissions = limits_.admissions(now_);
+    report.targetLimits = pool_.limitReports(now_);
     return report;
 }
 
@@ -621,6 +625,7 @@
     if (exchange_.onReport(event, now_) == Fleet::ReportResult::Ignored)
         return;
     limits_.onReport(event.from, event.report);
+    pool_.onLimitsReported(event.from, event.report.targetLimits, Duration(), now_);
     applyReportedEvacuations(event.report);
     applyReportedRevisions();
 }
@@ -629,6 +634,8 @@
 {
     for (const RelayedReport &one : exchange_.onRelayed(event, now_)) {
         limits_.onReport(one.vm, one.report);
+        pool_.onLimitsReported(one.vm, one.report.targetLimits, Duration::millis(one.ageMillis),
+                               now_);
         applyReportedEvacuations(one.report);
     }
     applyReportedRevisions();
@@ -777,6 +784,7 @@
     readings.vms = state_->fleet_.vmCount();
     readings.liveVms = state_->fleet_.livePeers(now).size() + 1;
     readings.targets = state_->pool_.targetIds().size();
+    readings.limitedTargets = state_->pool_.limitedTargets();
     readings.configVersion = state_->config_ ? state_->config_->version.number() : 0;
     readings.storeAge = now - state_->store_.lastResponseAt();
     readings.isStoreLost = state_->store_.isLost();
--- a/bluebellshift/gateway/reducer.h
+++ b/bluebellshift/gateway/reducer.h
@@ -56,6 +56,7 @@
         std::size_t vms = 0;
         std::size_t liveVms = 0;
         std::size_t targets = 0;
+        std::size_t limitedTargets = 0; // that name a limit on their requests
         std::uint64_t configVersion = 0;
         Duration storeAge; // since the store's last response
         bool isStoreLost = false;
--- a/bluebellshift/gateway/registry.h
+++ b/bluebellshift/gateway/registry.h
@@ -22,6 +22,7 @@
 using core::RelayedSpending;
 using core::Revision;
 using core::SpendingReport;
+using core::TargetLimitReport;
 using core::TargetUpdate;
 using core::TargetUse;
 using Target = core::TargetEntry;
--- a/bluebellshift/gateway/targetpool.cpp
+++ b/bluebellshift/gateway/targetpool.cpp
@@ -48,7 +48,7 @@
 TargetPool::TargetPool(const GatewayOptions &options, PoolHooks hooks)
     : options_(options)
     , hooks_(std::move(hooks))
-    , limits_(options.vm.id, hooks_.log)
+    , limits_(options.vm.id, { hooks_.senderRank, hooks_.log })
 {
 }
 
@@ -68,6 +68,7 @@
         state.hash = hashText(target.id.text());
         known = &states_.emplace(target.id, std::move(state)).first->second;
         byService_[target.service].push_back(known);
+        byHash_[hashOf(target.id)] = known;
     }
     const bool wasDraining = !isNew && known->target.isDraining;
     known->target = target;
@@ -98,6 +99,7 @@
         return;
     auto &siblings = byService_[found->second.target.service];
     siblings.erase(std::remove(siblings.begin(), siblings.end(), &found->second), siblings.end());
+    byHash_.erase(hashOf(target));
     states_.erase(found);
     limits_.forget(target);
     hooks_.log({ core::log::targetGone, { { "target", target.text() }, { "reason", reason } } });
@@ -148,7 +150,7 @@
                                    Instant now) const
 {
     TargetSelection best;
-    std::array<int, 7> counts {};
+    ExclusionCounts counts {};
     std::vector<Candidate> candidates = candidatesFor(criteria, &counts, now);
     if (criteria.object != 0)
         estimateWarmth(criteria, candidates, now);
@@ -186,14 +188,14 @@
         best.warmth = candidate.warmth;
     }
     best.exclusionCounts =
-        fmt::format("draining:{},evacuated:{},region:{},tried:{},avoided:{},cold:{}", counts[1],
-                    counts[2], counts[3], counts[4], counts[5], counts[6]);
+        fmt::format("draining:{},evacuated:{},region:{},tried:{},avoided:{},cold:{},limited:{}",
+                    counts[1], counts[2], counts[3], counts[4], counts[5], counts[6], counts[7]);
     return best;
 }
 
 // Targets that are excluded at most temporarily.
 std::vector<TargetPool::Candidate> TargetPool::candidatesFor(const TargetCriteria &criteria,
-                                                             std::array<int, 7> *counts,
+                                                             ExclusionCounts *counts,
                                                              Instant now) const
 {
     std::vector<Candidate> candidates;
@@ -277,6 +279,8 @@
         if (!maySend)
             return Exclusion::Cold;
     }
+    if (!limits_.mayConsider(state.target.id, now))
+        return Exclusion::Limited;
     return Exclusion::None;
 }
 
@@ -483,6 +487,7 @@
     if (!flow_.hasBegun())
         flow_.begin(expectedRegionShares(), now);
     flow_.record(state->region, now);
+    limits_.onSent(target, now);
     if (isCold(*state, now))
         state->coldSentAt = now;
     if (criteria.object == 0)
@@ -524,7 +529,7 @@
     }
     const bool isAnswered = ended.outcome == AttemptOutcome::Answered;
     if (ended.isAuthentic || ended.limitPerSecond)
-        limits_.onResponse(target, ended.limitPerSecond, now);
+        limits_.onResponse(target, state->region, ended.limitPerSecond, now);
     // Errors returned by a target are common and weigh less than rejections and aborted
     // connections.
     const bool isError = isAnswered && !ended.saysNotRun;
@@ -533,6 +538,15 @@
         learnServiceTime(*state, criteria, elapsed, now);
 }
 
+void TargetPool::onLimitsReported(const VmId &from, const std::vector<TargetLimitReport> &reported,
+                                  Duration age, Instant now)
+{
+    for (const TargetLimitReport &one : reported) {
+        if (const auto found = byHash_.find(one.target); found != byHash_.end())
+            limits_.onReport(found->second->target.id, found->second->region, one, age, from, now);
+    }
+}
+
 void TargetPool::onCancelled(const TargetId &target, Instant now)
 {
     if (State *state = findState(target))
--- a/bluebellshift/gateway/targetpool.h
+++ b/bluebellshift/gateway/targetpool.h
@@ -63,6 +63,8 @@
     // This VM's rank, from 0, among those that may send to a cold target. All VMs compute
     // the same ranks without exchanging messages.
     std::function<std::size_t(std::uint64_t target, Instant now)> rankForColdTarget;
+    // The VMs that may share a target's limit.
+    std::function<SenderRank(TargetHash target, const RegionId &region, Instant now)> senderRank;
     // Number of live VMs in this VM's region, including itself.
     std::function<std::size_t(Instant now)> vmsInRegion;
     // This region's share of all registered VMs, taken as its share of all requests.
@@ -146,6 +148,13 @@
                  Duration elapsed, Instant now);
     void onCancelled(const TargetId &target, Instant now);
 
+    // The limits that targets have named of late to this VM, and to another one, whose report is
+    // `age` old.
+    std::vector<TargetLimitReport> limitReports(Instant now) const { return limits_.reports(now); }
+    void onLimitsReported(const VmId &from, const std::vector<TargetLimitReport> &reported,
+                          Duration age, Instant now);
+    std::size_t limitedTargets() const { return limits_.limitedCount(); }
+
     std::vector<TargetUse> uses() const;
     // Number of the service's slots that are usable now.
     int usableSlots(const ServiceId &service, Instant now) const;
@@ -191,7 +200,9 @@
         std::map<RegionId, double> expectedOthers;
     };
 
-    enum class Exclusion { None, Draining, Evacuated, Region, Tried, Ejected, Cold };
+    enum class Exclusion { None, Draining, Evacuated, Region, Tried, Ejected, Cold, Limited };
+    static constexpr std::size_t exclusionCount = 8;
+    using ExclusionCounts = std::array<int, exclusionCount>;
 
     // Why a target must not be used, and why it must not be used at this moment.
     Exclusion lastingExclusion(const State &state, const TargetCriteria &criteria) const;
@@ -202,7 +213,7 @@
     double failureRateOf(const State &state, Instant now) const;
     static double slownessOf(const State &state);
     int othersAt(const State &state, const Congestion &congestion, Instant now) const;
-    std::vector<Candidate> candidatesFor(const TargetCriteria &criteria, std::array<int, 7> *counts,
+    std::vector<Candidate> candidatesFor(const TargetCriteria &criteria, ExclusionCounts *counts,
                                          Instant now) const;
     void estimateWarmth(const TargetCriteria &criteria, std::vector<Candidate> &candidates,
                         Instant now) const;
@@ -237,6 +248,7 @@
     TargetLimits limits_;
     std::unordered_map<TargetId, State> states_;
     std::unordered_map<ServiceId, std::vector<State *>> byService_; // into states_
+    std::unordered_map<TargetHash, State *> byHash_;                // into states_
     std::unordered_set<FailureDomainId> evacuated_;
     std::unordered_map<FailureDomainId, Duration> rtts_;     // measured round trip times
     std::unordered_map<std::string, double> serviceTimesMs_; // cold object, by route
--- a/bluebellshift/gateway/testing/partstest.cpp
+++ b/bluebellshift/gateway/testing/partstest.cpp
@@ -27,6 +27,7 @@
     TargetPool pool(options,
                     { [](std::uint32_t, Instant) { return 0; },
                       [](std::uint64_t, Instant) { return std::size_t { 0 }; },
+                      [](TargetHash, const RegionId &, Instant) { return SenderRank(); },
                       [vmsInRegion](Instant) { return vmsInRegion; },
                       [regionShare] { return regionShare; }, [](const core::LogRecord &) {} });
     pool.setConfig(sampleConfig());
--- a/bluebellshift/shell/messagefields.h
+++ b/bluebellshift/shell/messagefields.h
@@ -128,13 +128,19 @@
     static constexpr auto list =
         std::make_tuple(&core::TargetUse::target, &core::TargetUse::inFlight);
 };
+template<> struct Fields<core::TargetLimitReport>
+{
+    using T = core::TargetLimitReport;
+    static constexpr auto list =
+        std::make_tuple(&T::target, &T::isLimited, &T::millisPerSecond, &T::ageMillis);
+};
 template<> struct Fields<core::VmReport>
 {
     using T = core::VmReport;
-    static constexpr auto list =
-        std::make_tuple(&T::sequence, &T::isReady, &T::isLeaving, &T::configVersion, &T::uses,
-                        &T::readsStore, &T::storeAgeMillis, &T::registryRevisions, &T::isYoung,
-                        &T::admissions, &T::evacuated, &T::isUrgent, &T::wantsReports);
+    static constexpr auto list = std::make_tuple(
+        &T::sequence, &T::isReady, &T::isLeaving, &T::configVersion, &T::uses, &T::readsStore,
+        &T::storeAgeMillis, &T::registryRevisions, &T::isYoung, &T::admissions, &T::evacuated,
+        &T::isUrgent, &T::wantsReports, &T::targetLimits);
 };
 template<> struct Fields<core::RelayedReport>
 {
