Test that a named limit is used, ends, is lowered and outlives VMs that die

Four simulated patterns beside the bound: the VMs use at least 80 in 100 of a limit below their demand, from 1 to 60 VMs and from 0.4 to 24 a second; a target that names no limit any more gets as many requests as before within 8 s; a lowered limit binds within a second; and the limit holds, and is used again 8 s later, as four of twelve VMs die, noticed or silent, with four seeds. The bound is also checked with no other target, where the demand exceeds every limit.

--- a/bluebellshift/gateway/testing/limitwalktest.cpp
+++ b/bluebellshift/gateway/testing/limitwalktest.cpp
@@ -3,6 +3,7 @@
 #include "bluebellshift/gateway/testing/fleetwalk.h"
 
 #include <algorithm>
+#include <cmath>
 #include <deque>
 #include <map>
 
@@ -26,7 +27,8 @@
 class LimitWalk
 {
 public:
-    LimitWalk(std::size_t vmCount, std::uint64_t seed)
+    // Without other targets, the VMs ask for more than any limit.
+    LimitWalk(std::size_t vmCount, std::uint64_t seed, bool hasOtherTargets)
         : fleet_({ vmCount, domainCount, seed })
         , due_(vmCount)
         , toldAt_(vmCount, Instant::never())
@@ -38,7 +40,10 @@
                 targets[t].slots = targetSlots;
                 targets[t].failureDomain =
                     FailureDomainId("domain-" + std::to_string(t % domainCount));
-                fleet_.vm(i).putTarget(targets[t]);
+                if (t == 0 || hasOtherTargets)
+                    fleet_.vm(i).putTarget(targets[t]);
+                else
+                    fleet_.vm(i).removeTarget(targets[t].id);
             }
         }
         fleet_.run(Duration::seconds(4));
@@ -49,6 +54,8 @@
     // The VM gets no requests.
     void pause(std::size_t vm) { isPaused_[vm] = true; }
     FleetWalk &fleet() { return fleet_; }
+    // Counts only what arrives from now on.
+    void resetArrivals() { arrivals_.clear(); }
 
     // Each VM gets `perSecond` requests, evenly spaced.
     void run(Duration time, double perSecond)
@@ -167,6 +174,8 @@
 };
 
 constexpr double demandPerVm = 20; // a second
+// Fraction of a limit that the VMs have to use where they ask for more.
+constexpr double minUse = 0.8;
 
 } // namespace
 
@@ -176,10 +185,75 @@
 TEST(LimitWalk, ATargetGetsNoMoreThanTheLimitThatItNames)
 {
     for (const LimitCase &one : limitCases) {
-        LimitWalk walk(one.vms, 1);
-        walk.run(Duration::seconds(2), demandPerVm);
+        for (const bool hasOtherTargets : { true, false }) {
+            LimitWalk walk(one.vms, 1, hasOtherTargets);
+            walk.run(Duration::seconds(2), demandPerVm);
+            walk.setLimit(one.limit);
+            walk.run(Duration::seconds(15), demandPerVm);
+            CHECK_TEXT(static_cast<double>(walk.maxCounted()) <= boundOf(one.limit), one.name);
+        }
+    }
+}
+
+// Guards against a limit of which the VMs leave a large part unused.
+TEST(LimitWalk, TheVmsUseALimitThatIsBelowTheirDemand)
+{
+    for (const LimitCase &one : limitCases) {
+        LimitWalk walk(one.vms, 2, false);
         walk.setLimit(one.limit);
-        walk.run(Duration::seconds(15), demandPerVm);
-        CHECK_TEXT(static_cast<double>(walk.maxCounted()) <= boundOf(one.limit), one.name);
+        walk.run(Duration::seconds(4), demandPerVm);
+        walk.resetArrivals();
+        walk.run(Duration::seconds(20), demandPerVm);
+        const double arrived = static_cast<double>(walk.arrivedIn(Duration::seconds(20)));
+        CHECK_TEXT(arrived >= std::floor(minUse * one.limit * 20), one.name);
+    }
+}
+
+// Guards against a target that stays unused after it has ended its limit.
+TEST(LimitWalk, AllVmsUseATargetAgainThatNamesNoLimitAnyMore)
+{
+    LimitWalk walk(12, 3, false);
+    walk.run(Duration::seconds(4), demandPerVm);
+    const std::size_t before = walk.arrivedIn(Duration::seconds(3));
+    walk.setLimit(1.5);
+    walk.run(Duration::seconds(8), demandPerVm);
+    walk.setLimit(std::nullopt);
+    walk.run(Duration::seconds(8), demandPerVm);
+    CHECK(static_cast<double>(walk.arrivedIn(Duration::seconds(3)))
+          >= minUse * static_cast<double>(before));
+}
+
+// Guards against a lowered limit that some VMs don't follow.
+TEST(LimitWalk, ATargetGetsNoMoreThanALoweredLimit)
+{
+    LimitWalk walk(12, 4, false);
+    walk.setLimit(30);
+    walk.run(Duration::seconds(6), demandPerVm);
+    walk.setLimit(3);
+    walk.run(Duration::seconds(1), demandPerVm);
+    walk.resetArrivals();
+    walk.run(Duration::seconds(10), demandPerVm);
+    CHECK(static_cast<double>(walk.maxCounted()) <= boundOf(3));
+}
+
+// Guards against a limit that is exceeded, or lost, as VMs die: silent ones still hold their share
+// for a while, and the others take it over.
+TEST(LimitWalk, ALimitHoldsAndIsUsedAsVmsDie)
+{
+    for (const bool isNoticed : { true, false }) {
+        for (std::uint64_t seed = 5; seed < 9; ++seed) {
+            constexpr double limit = 6;
+            LimitWalk walk(12, seed, false);
+            walk.setLimit(limit);
+            walk.run(Duration::seconds(5), demandPerVm);
+            for (std::size_t vm = 0; vm < 4; ++vm) {
+                walk.fleet().kill(vm * 3, isNoticed);
+                walk.run(Duration::seconds(2), demandPerVm);
+            }
+            walk.run(Duration::seconds(8), demandPerVm);
+            const double arrived = static_cast<double>(walk.arrivedIn(Duration::seconds(5)));
+            CHECK(static_cast<double>(walk.maxCounted()) <= boundOf(limit));
+            CHECK(arrived >= minUse * limit * 5);
+        }
     }
 }
