Name no silent VM in look-ups while the store responds

Cause: a VM that hears fewer than a third of the others took itself for partitioned and named all registered VMs. After the loss of most VMs every survivor is in that state.

Change: it counts as partitioned for look-ups only while the store does not respond either. A VM that is cut off from the others but not from the store now names itself and those it hears.

--- a/bluebellshift/gateway/fleet.cpp
+++ b/bluebellshift/gateway/fleet.cpp
@@ -160,7 +160,7 @@
 }
 
 std::vector<Endpoint> Fleet::addressesFor(const RegionId &region, const FailureDomainId &domain,
-                                          bool isSelfReady, Instant now) const
+                                          bool isSelfReady, bool isStoreLost, Instant now) const
 {
     std::vector<Endpoint> inDomain;
     std::vector<Endpoint> inRegion;
@@ -172,7 +172,7 @@
     };
     if (isSelfReady)
         add(options_.vm);
-    const bool partitioned = isPartitioned(now);
+    const bool partitioned = isStoreLost && isPartitioned(now);
     for (const auto &[id, peer] : entries_) {
         const bool isNewVm = peer.reportedAt == Instant::never() && !peer.isDisconnected
             && now - peer.listedAt < newVmGrace;
--- a/bluebellshift/gateway/fleet.h
+++ b/bluebellshift/gateway/fleet.h
@@ -8,9 +8,9 @@
 //       ... // endpoints for callers in that region and failure domain
 //
 // A VM is live while its connection is open and its reports arrive. A VM that is not live
-// is left out of look-ups, unless this VM receives reports from almost no other: then this
-// VM is itself partitioned and can't judge. A registered VM that is not live still counts
-// in every team's limit, as it may still be serving callers.
+// is left out of look-ups, unless this VM receives reports from almost no other and no response
+// of the store: then this VM is itself partitioned and can't judge. A registered VM that is not
+// live still counts in every team's limit, as it may still be serving callers.
 #pragma once
 
 #include <functional>
@@ -71,7 +71,7 @@
     std::vector<std::pair<VmId, Revision>> staleEntries(Duration silence, Instant now) const;
 
     std::vector<Endpoint> addressesFor(const RegionId &region, const FailureDomainId &domain,
-                                       bool isSelfReady, Instant now) const;
+                                       bool isSelfReady, bool isStoreLost, Instant now) const;
 
     // Number of VMs that read the store for others and had its response within `maxAge`, and
     // the newest revision of a registry that any VM reported.
--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -769,7 +769,8 @@
 std::vector<Endpoint> Reducer::addressesFor(const RegionId &region, const FailureDomainId &domain,
                                             Instant now) const
 {
-    return state_->fleet_.addressesFor(region, domain, state_->isReady(), now);
+    return state_->fleet_.addressesFor(region, domain, state_->isReady(), state_->store_.isLost(),
+                                       now);
 }
 
 Duration Reducer::lookupTtl() const
--- a/bluebellshift/gateway/testing/disseminationtest.cpp
+++ b/bluebellshift/gateway/testing/disseminationtest.cpp
@@ -92,6 +92,26 @@
     }
 }
 
+// Guards against look-ups that name dead VMs where most VMs died at once: the survivors hear few
+// others, but the store answers them, so that it is not they who are cut off.
+TEST(Dissemination, TheSurvivorsOfALossOfMostVmsNameNoDeadVm)
+{
+    for (const bool isNoticed : { true, false }) {
+        for (const std::size_t killed : { std::size_t { 8 }, std::size_t { 11 } }) {
+            FleetWalk walk({ 12, 6, 8 });
+            walk.run(settling);
+            for (std::size_t vm = 0; vm < killed; ++vm)
+                walk.kill(vm, isNoticed);
+            walk.run(lookupBound);
+            for (std::size_t i = killed; i < walk.size(); ++i) {
+                for (std::size_t dead = 0; dead < killed; ++dead)
+                    CHECK(!walk.names(i, dead));
+                CHECK(walk.names(i, i));
+            }
+        }
+    }
+}
+
 // All relays of a domain at once: its VMs find the next ones.
 TEST(Dissemination, ADomainThatLostItsRelaysIsHeardAgain)
 {
