Count a limited target as the slots that its requests need

Cause: the congestion of a service and Retry-After counted all slots of a target that takes only a few requests a second. Change: a limit counts as limit times mean time at the service's targets, in slots.

Before: the new test of partstest fails, 8 slots for 2.

--- a/bluebellshift/gateway/targetpool.cpp
+++ b/bluebellshift/gateway/targetpool.cpp
@@ -310,6 +310,17 @@
     return isUsual ? 1 : state.slowness;
 }
 
+// The slots that the target's requests may fill: fewer than it has, if it names a limit.
+double TargetPool::slotsOf(const State &state) const
+{
+    const std::optional<double> limit = limits_.limitOf(state.target.id);
+    if (!limit)
+        return state.target.slots;
+    const auto mean = meanTimesMs_.find(state.target.service);
+    const double meanMs = mean == meanTimesMs_.end() ? millis(initialServiceTime) : mean->second;
+    return std::min<double>(state.target.slots, *limit * meanMs / 1000);
+}
+
 int TargetPool::othersAt(const State &state, const Congestion &congestion, Instant now) const
 {
     if (now - state.reportedAt < freshLoadReportAge)
@@ -351,8 +362,9 @@
     for (const State *state : targets->second) {
         if (state->target.isDraining || evacuated_.count(state->target.failureDomain) > 0)
             continue;
-        slots += state->target.slots;
-        used += std::min(state->target.slots, state->inFlight + othersAt(*state, congestion, now));
+        const double usable = slotsOf(*state);
+        slots += usable;
+        used += std::min<double>(usable, state->inFlight + othersAt(*state, congestion, now));
     }
     const double utilization = slots > 0 ? used / slots : 0;
     congestion.level = std::clamp((utilization - minCongestedUtilization)
@@ -534,8 +546,13 @@
     // connections.
     const bool isError = isAnswered && !ended.saysNotRun;
     recordOutcome(*state, !isError || ended.status >= 500, isError ? 0.1 : 0.3, now);
-    if (isAnswered && !ended.saysNotRun && ended.status < 400)
-        learnServiceTime(*state, criteria, elapsed, now);
+    if (!isAnswered || ended.saysNotRun || ended.status >= 400)
+        return;
+    learnServiceTime(*state, criteria, elapsed, now);
+    if (elapsed <= Duration())
+        return;
+    double &meanMs = meanTimesMs_.emplace(criteria.service, millis(elapsed)).first->second;
+    meanMs += learningRate / 10 * (millis(elapsed) - meanMs);
 }
 
 void TargetPool::onLimitsReported(const VmId &from, const std::vector<TargetLimitReport> &reported,
@@ -619,17 +636,17 @@
 
 int TargetPool::usableSlots(const ServiceId &service, Instant now) const
 {
-    int slots = 0;
+    double slots = 0;
     const auto targets = byService_.find(service);
     if (targets == byService_.end())
-        return slots;
+        return 0;
     for (const State *candidate : targets->second) {
         const State &state = *candidate;
         if (!state.target.isDraining && evacuated_.count(state.target.failureDomain) == 0
             && now >= state.ejectedUntil)
-            slots += state.target.slots;
+            slots += slotsOf(state);
     }
-    return slots;
+    return static_cast<int>(std::lround(slots));
 }
 
 Duration TargetPool::expectedServiceTime(const std::string &route) const
--- a/bluebellshift/gateway/targetpool.h
+++ b/bluebellshift/gateway/targetpool.h
@@ -156,7 +156,8 @@
     std::size_t limitedTargets() const { return limits_.limitedCount(); }
 
     std::vector<TargetUse> uses() const;
-    // Number of the service's slots that are usable now.
+    // Number of the service's slots that are usable now. A named limit counts as the slots that
+    // its requests need.
     int usableSlots(const ServiceId &service, Instant now) const;
     Duration expectedServiceTime(const std::string &route) const;
 
@@ -212,6 +213,7 @@
     Duration coldSpacing(const State &state) const;
     double failureRateOf(const State &state, Instant now) const;
     static double slownessOf(const State &state);
+    double slotsOf(const State &state) const;
     int othersAt(const State &state, const Congestion &congestion, Instant now) const;
     std::vector<Candidate> candidatesFor(const TargetCriteria &criteria, ExclusionCounts *counts,
                                          Instant now) const;
@@ -252,6 +254,7 @@
     std::unordered_set<FailureDomainId> evacuated_;
     std::unordered_map<FailureDomainId, Duration> rtts_;     // measured round trip times
     std::unordered_map<std::string, double> serviceTimesMs_; // cold object, by route
+    std::unordered_map<ServiceId, double> meanTimesMs_;      // of all requests, at the target
     std::unordered_map<ServiceId, ObjectStats> objects_;
     mutable std::unordered_map<ServiceId, Congestion> congestion_; // cached for congestionInterval
 };
--- a/bluebellshift/gateway/testing/partstest.cpp
+++ b/bluebellshift/gateway/testing/partstest.cpp
@@ -84,6 +84,27 @@
     }
 }
 
+// Guards against a Retry-After and a choice of targets that count on room which a limit takes away.
+TEST(GatewayParts, ALimitedTargetCountsAsTheSlotsThatItsRequestsNeed)
+{
+    const GatewayOptions options = sampleOptions();
+    TargetPool pool = makePool(options);
+    Target target = sampleTargets(1)[0];
+    target.slots = 8;
+    pool.put(target, begin);
+    CHECK_EQUAL(8, pool.usableSlots(target.service, begin));
+    AttemptEnded ended = success();
+    ended.isAuthentic = true;
+    ended.limitPerSecond = 4;
+    pool.onSent(target.id, criteriaFor(0), begin);
+    pool.onEnded(target.id, criteriaFor(0), ended, Duration::millis(500), begin);
+    CHECK_EQUAL(2, pool.usableSlots(target.service, begin));
+    ended.limitPerSecond.reset();
+    pool.onSent(target.id, criteriaFor(0), begin);
+    pool.onEnded(target.id, criteriaFor(0), ended, Duration::millis(500), begin);
+    CHECK_EQUAL(8, pool.usableSlots(target.service, begin));
+}
+
 // Guards against VMs that together exceed the retry bound: random requests and retries of
 // 12 VMs, checked for every sliding window.
 TEST(GatewayParts, RetriesOfAllVmsStayWithinTheBound)
