Admit a team's rate from the start of a large fleet

What callers saw: after the loss of all VMs of a fleet of 295, for ten seconds most requests were refused with 429 though their teams were far below their limits.

A VM that hears no other yet owns every account with a share of 1/295, and an account whose share is under one request admits none, ever: its admission rounds down to 0 requests. The even share, the way out, starts empty and needs 27 s for its first request.

Change: an account that can't hold a whole request gives no admission, so that the VM uses its even share; and that starts at a random phase between two requests, different for each VM and start. All VMs together then admit the rate from the first second on. The bound: at any phase a VM sends what its share of the rate allows.

Before: the new test of quotawalktest fails, 60 VMs that hear nobody serve under 40 in 100 of a team within its rate.

--- a/bluebellshift/gateway/teamaccounts.cpp
+++ b/bluebellshift/gateway/teamaccounts.cpp
@@ -93,6 +93,8 @@
     const Limit *limit = limitOf(team);
     if (found == accounts_.end() || limit == nullptr || now - found->second.openedAt < settlingTime)
         return std::nullopt;
+    if (capacityOf(*limit) < 1)
+        return std::nullopt;
     const Level level = levelAt(found->second, *limit, now);
     const double rate = limit->ratePerSecond * liveShare_;
     const double controlTokens = std::max(minControlTokens, rate * controlTime.toSeconds());
--- a/bluebellshift/gateway/teamaccounts.h
+++ b/bluebellshift/gateway/teamaccounts.h
@@ -63,7 +63,8 @@
     void onSpending(const VmId &vm, Incarnation incarnation, const TeamSpending &spending,
                     Instant now);
 
-    // Empty: this VM doesn't own the account, it has not settled, or the team has no limit.
+    // Empty: this VM doesn't own the account, it has not settled, the team has no limit, or so few
+    // VMs are live that their part of the account never holds a whole request.
     std::optional<TeamAdmission> admission(TeamHash team, Instant now) const;
     // The admissions of all accounts, to be sent to all VMs.
     std::vector<TeamAdmission> admissions(Instant now) const;
--- a/bluebellshift/gateway/teamlimits.cpp
+++ b/bluebellshift/gateway/teamlimits.cpp
@@ -2,13 +2,16 @@
 
 #include <cstdlib>
 
+#include "bluebellshift/gateway/hashing.h"
+
 namespace bluebellshift::gateway {
 
 TeamLimits::TeamLimits(const GatewayOptions &options, const Fleet &fleet, TeamLimitsHooks hooks)
     : options_(options)
     , fleet_(fleet)
     , hooks_(std::move(hooks))
-    , quotas_(options.bounds)
+    , quotas_(options.bounds,
+              mixHashes(hashText(options.vm.id.text()), options.vm.incarnation.number()))
     , accounts_(options.bounds)
 {
 }
@@ -92,8 +95,14 @@
 
 void TeamLimits::applyOwnAdmissions(Instant now)
 {
-    for (const TeamAdmission &admission : accounts_.admissions(now))
-        applyAdmission(admission.team, admission);
+    for (const auto &[team, owner] : owners_) {
+        if (owner.vm)
+            continue;
+        if (const auto admission = accounts_.admission(team, now))
+            applyAdmission(team, *admission);
+        else
+            quotas_.dropAdmission(team);
+    }
 }
 
 void TeamLimits::applyAdmission(TeamHash team, const TeamAdmission &admission)
--- a/bluebellshift/gateway/teamquotas.cpp
+++ b/bluebellshift/gateway/teamquotas.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 
+#include "bluebellshift/gateway/hashing.h"
+
 namespace bluebellshift::gateway {
 
 void TeamQuotas::setConfig(const TrafficConfig &config, Instant now)
@@ -26,7 +28,7 @@
         bucket.rate = team.ratePerSecond;
         bucket.burst = team.burst;
         if (known == buckets_.end())
-            bucket.tokens = vms_ > 0 ? slackOf(bucket) * initialSlackFraction : 0;
+            bucket.tokens = vms_ > 0 ? initialTokensOf(bucket) : 0;
         bucket.tokens = std::min(bucket.tokens, capacityOf(bucket));
         next.emplace(hash, bucket);
     }
@@ -44,7 +46,7 @@
     for (auto &[team, bucket] : buckets_) {
         bucket.filledAt = now;
         if (isFirst)
-            bucket.tokens = slackOf(bucket) * initialSlackFraction;
+            bucket.tokens = initialTokensOf(bucket);
         bucket.tokens = std::min(bucket.tokens, capacityOf(bucket));
     }
 }
@@ -176,6 +178,14 @@
     return slack / static_cast<double>(vms_);
 }
 
+// With a random phase in [0, 1), the first requests of all VMs are spread over the time in which
+// each may send one: together they admit no more than the rate.
+double TeamQuotas::initialTokensOf(const Bucket &bucket) const
+{
+    const double phase = toFraction(mixHashes(phaseSeed_, hashOf(bucket.team)));
+    return std::max(slackOf(bucket) * initialSlackFraction, phase);
+}
+
 void TeamQuotas::fill(Bucket &bucket, Instant now) const
 {
     const double seconds = (now - bucket.filledAt).toSeconds();
--- a/bluebellshift/gateway/teamquotas.h
+++ b/bluebellshift/gateway/teamquotas.h
@@ -1,6 +1,6 @@
 // Enforces each team's rate and burst over all VMs together: the part that runs on every VM.
 //
-//   TeamQuotas quotas(bounds);
+//   TeamQuotas quotas(bounds, phaseSeed);
 //   quotas.setConfig(*config, now);
 //   quotas.setAdmission(admission);          // from the VM that owns the team's account
 //   if (!quotas.take(team, now))
@@ -11,7 +11,9 @@
 // Of the arriving requests, the VM admits the fraction that the account's owner allows and
 // reports the admitted ones to it soon after. Until an owner has sent an admission, the VM
 // limits the team to an even share of its rate, burst and slack: then all VMs together stay
-// within the bound without messages.
+// within the bound without messages. In a large fleet that share is a fraction of a request:
+// each VM starts at a random phase between two requests, so that all VMs together admit the
+// team's rate from the start.
 #pragma once
 
 #include <array>
@@ -34,8 +36,10 @@
     // Retry-After for teams whose requests are admitted in part.
     static constexpr Duration throttledRetryAfter = Duration::seconds(1);
 
-    explicit TeamQuotas(const FleetBounds &bounds)
+    // `phaseSeed` differs between VMs and between the starts of one.
+    TeamQuotas(const FleetBounds &bounds, std::uint64_t phaseSeed)
         : bounds_(bounds)
+        , phaseSeed_(phaseSeed)
     {
     }
 
@@ -90,11 +94,13 @@
     static bool admit(Bucket &bucket);
     double capacityOf(const Bucket &bucket) const;
     double slackOf(const Bucket &bucket) const;
+    double initialTokensOf(const Bucket &bucket) const;
     void fill(Bucket &bucket, Instant now) const;
     std::int64_t slotNumber(Instant now) const;
     Bucket *findLimited(TeamHash team);
 
     const FleetBounds &bounds_;
+    const std::uint64_t phaseSeed_;
     std::size_t vms_ = 0;                          // 0: not known yet
     std::unordered_map<TeamHash, Bucket> buckets_; // of teams with a limit
     std::vector<TeamHash> changed_;
--- a/bluebellshift/gateway/testing/partstest.cpp
+++ b/bluebellshift/gateway/testing/partstest.cpp
@@ -158,7 +158,7 @@
     const TeamId team("a");
     std::mt19937 random(11);
     for (std::size_t i = 0; i < vms; ++i) {
-        quotas.push_back(std::make_unique<TeamQuotas>(bounds));
+        quotas.push_back(std::make_unique<TeamQuotas>(bounds, i));
         quotas.back()->setVmCount(vms, begin);
         quotas.back()->setConfig(*config, begin);
     }
--- a/bluebellshift/gateway/testing/quotawalktest.cpp
+++ b/bluebellshift/gateway/testing/quotawalktest.cpp
@@ -86,6 +86,9 @@
         }
     }
 
+    // No message arrives from now on, so that no VM knows another to be live.
+    void cutAll() { isCut_ = true; }
+
     int maxInWindow() const
     {
         const std::size_t window = 500; // 5 s
@@ -153,8 +156,10 @@
 
     void send(std::size_t from, Instant at)
     {
-        for (Outgoing &message : vms_[from]->takeOutgoing())
-            inTransit_.push_back({ at, indexOf(message.to), std::move(message.event) });
+        for (Outgoing &message : vms_[from]->takeOutgoing()) {
+            if (!isCut_)
+                inTransit_.push_back({ at, indexOf(message.to), std::move(message.event) });
+        }
     }
 
     std::vector<std::unique_ptr<GatewayBench>> vms_;
@@ -162,6 +167,7 @@
     std::deque<MessageInTransit> inTransit_;
     std::vector<double> due_;
     std::vector<bool> isDead_;
+    bool isCut_ = false;
     std::vector<int> sent_;
     std::uint64_t lastRequest_ = 0;
 };
@@ -236,3 +242,18 @@
         CHECK(walk.maxInWindow() <= maxAllowed(100));
     }
 }
+
+// Guards against refusing nearly all requests of a large fleet that has just started: each VM
+// knows no other to be live, and its even share of the rate is one request in 12 s.
+TEST(QuotaWalk, ALargeFleetThatHasJustStartedServesATeamInPart)
+{
+    constexpr double rate = 5;
+    for (const double demand : { 0.8 * rate, 10 * rate }) {
+        QuotaWalk walk(largeFleet, rate);
+        walk.cutAll();
+        std::mt19937 random(11);
+        walk.runByChance(Duration::seconds(15), demand, random);
+        CHECK(walk.totalSent() >= 0.4 * std::min(demand, rate) * 15);
+        CHECK(walk.maxInWindow() <= maxAllowed(rate));
+    }
+}
