Follow the readers of the store while one of them is fresh

Cause: of the four VMs that read the store for a large fleet, two had to be fresh, else every VM watched the store itself. A second reader adds no knowledge: how old it is depends on the freshest.

Change: one fresh reader is enough.

Before: the new test of disseminationtest fails.

--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -28,12 +28,12 @@
 constexpr std::int64_t maxSlowdown = 3;
 constexpr Duration relayedReportInterval = Duration::seconds(1); // if relays pass it on
 // In a fleet of at least minVmsToFollow VMs, a few VMs read the store for all. A VM follows
-// them if at least requiredReaders of them had a response of the store within maxReaderAge:
-// that age plus the delay of a report is less than the time within which a configuration
-// must take effect.
+// them while one of them had a response of the store within maxReaderAge: that age plus the delay
+// of a report is less than the time within which a configuration must take effect. The others are
+// there so that one is left.
 constexpr std::size_t minVmsToFollow = 20;
 constexpr std::size_t desiredReaders = 4;
-constexpr std::size_t requiredReaders = 2;
+constexpr std::size_t requiredReaders = 1;
 constexpr Duration maxReaderAge = Duration::millis(1700);
 constexpr Duration maxRelayedReaderAge = Duration::millis(2400); // if relays delay the reports
 constexpr Duration followCheckInterval = Duration::millis(250);
--- a/bluebellshift/gateway/testing/disseminationtest.cpp
+++ b/bluebellshift/gateway/testing/disseminationtest.cpp
@@ -177,6 +177,36 @@
     }
 }
 
+// Guards against a fleet that turns to the store as a whole when some of its readers are lost,
+// though what one reader knows is as new as what two know.
+TEST(Dissemination, TheFleetFollowsTheOneReaderThatIsLeft)
+{
+    constexpr std::size_t readers = 4;
+    const auto callersOf = [](FleetWalk &walk, Duration time) {
+        std::vector<int> before;
+        for (std::size_t i = 0; i < walk.size(); ++i)
+            before.push_back(walk.vm(i).storeCalls());
+        walk.run(time);
+        std::set<std::size_t> callers;
+        for (std::size_t i = 0; i < walk.size(); ++i) {
+            if (walk.isAlive(i) && walk.vm(i).storeCalls() > before[i])
+                callers.insert(i);
+        }
+        return callers;
+    };
+    FleetWalk walk({ 45, domains, 9 });
+    walk.run(settling + settling);
+    const std::set<std::size_t> before = callersOf(walk, Duration::seconds(3));
+    CHECK_EQUAL(readers, before.size());
+    std::size_t killed = 0;
+    for (const std::size_t reader : before) {
+        if (++killed < readers)
+            walk.kill(reader, false);
+    }
+    // The reader that is left and those that take the place of the others, some for a moment.
+    CHECK(callersOf(walk, Duration::seconds(8)).size() <= 2 * readers);
+}
+
 // A VM that is silent for a while is known again within two reports, and only once.
 TEST(Dissemination, AVmThatWasSilentIsKnownAgain)
 {
