Let the first reader that has the store send the changes to the others

Cause: of the VMs that read the store for a large fleet, the first by rank sends what has changed to all others.

Change: the first reader whose last response of the store is fresh sends the changes.

Before: the new test of disseminationtest fails, VMs that are no readers call.

--- a/bluebellshift/gateway/fleet.cpp
+++ b/bluebellshift/gateway/fleet.cpp
@@ -192,13 +192,19 @@
 std::size_t Fleet::freshReaders(Duration maxAge, Instant now) const
 {
     std::size_t fresh = 0;
-    for (const auto &[id, peer] : entries_) {
-        const Duration age = Duration::millis(peer.report.storeAgeMillis) + (now - peer.reportedAt);
-        fresh += isLive(peer, now) && peer.report.readsStore && age <= maxAge ? 1 : 0;
-    }
+    for (const auto &[id, peer] : entries_)
+        fresh += isFreshReader(peer, maxAge, now) ? 1 : 0;
     return fresh;
 }
 
+bool Fleet::isFirstReader(std::uint64_t seed, Duration maxAge, Instant now) const
+{
+    const std::uint64_t own = mixHashes(hashText(options_.vm.id.text()), seed);
+    return std::none_of(entries_.begin(), entries_.end(), [&](const auto &entry) {
+        return mixHashes(entry.second.hash, seed) < own && isFreshReader(entry.second, maxAge, now);
+    });
+}
+
 std::uint64_t Fleet::changeRevision(std::size_t registry, Instant now) const
 {
     std::uint64_t newest = 0;
@@ -326,6 +332,12 @@
     return !peer.isDisconnected && now - peer.reportedAt < livenessTimeout;
 }
 
+bool Fleet::isFreshReader(const Peer &peer, Duration maxAge, Instant now) const
+{
+    const Duration age = Duration::millis(peer.report.storeAgeMillis) + (now - peer.reportedAt);
+    return isLive(peer, now) && peer.report.readsStore && age <= maxAge;
+}
+
 bool Fleet::isPartitioned(Instant now) const
 {
     std::size_t known = 0;
--- a/bluebellshift/gateway/fleet.h
+++ b/bluebellshift/gateway/fleet.h
@@ -76,6 +76,8 @@
     // Number of VMs that read the store for others and had its response within `maxAge`, and
     // the newest revision of a registry that any VM reported.
     std::size_t freshReaders(Duration maxAge, Instant now) const;
+    // Whether no such VM comes before this one in the order of readers by `seed`.
+    bool isFirstReader(std::uint64_t seed, Duration maxAge, Instant now) const;
     std::uint64_t changeRevision(std::size_t registry, Instant now) const;
 
     int othersInFlight(std::uint32_t target) const;
@@ -117,6 +119,7 @@
         bool wasLive = false;        // liveness as last logged
     };
     bool isLive(const Peer &peer, Instant now) const;
+    bool isFreshReader(const Peer &peer, Duration maxAge, Instant now) const;
     bool isPartitioned(Instant now) const;
     void replaceUses(Peer &peer, const std::vector<TargetUse> &uses);
     void setLive(Peer &peer, bool isLive, const char *reason);
--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -125,6 +125,10 @@
     void sendTargetUpdate(const RegistryChanged &changed, Revision after);
     void sendVmUpdate(const RegistryChanged &changed, Revision after);
     bool isFirstReader() const;
+    Duration maxReaderAgeNow() const
+    {
+        return exchange_.usesRelays() ? maxRelayedReaderAge : maxReaderAge;
+    }
     void applyReportedRevisions();
     void applyReportedEvacuations(const VmReport &report);
     void removeLapsed();
@@ -435,7 +439,7 @@
 {
     const bool isLarge = fleet_.vmCount() >= minVmsToFollow;
     const bool isJoining = now_ - startedAt_ < (isLarge ? joinTime : joinTimeInSmallFleet);
-    const Duration maxAge = exchange_.usesRelays() ? maxRelayedReaderAge : maxReaderAge;
+    const Duration maxAge = maxReaderAgeNow();
     StoreMode mode = isJoining ? StoreMode::Follows : StoreMode::Watches;
     if (isLarge && !isStopping_) {
         const auto rank = exchange_.readerRank(readerRankSeed, now_);
@@ -475,8 +479,8 @@
     expediteReport(hasChanges);
 }
 
-// The first of the reading VMs sends changes of targets to the other VMs, before the report
-// that announces the new revision.
+// The first of the reading VMs that has the store sends changes of targets to the other VMs, before
+// the report that announces the new revision.
 void Reducer::State::sendTargetUpdate(const RegistryChanged &changed, Revision after)
 {
     if (!isFirstReader())
@@ -501,7 +505,7 @@
 bool Reducer::State::isFirstReader() const
 {
     return store_.mode() == StoreMode::Reads
-        && exchange_.readerRank(readerRankSeed, now_) == std::size_t { 0 };
+        && fleet_.isFirstReader(readerRankSeed, maxReaderAgeNow(), now_);
 }
 
 void Reducer::State::sendVmUpdate(const RegistryChanged &changed, Revision after)
--- a/bluebellshift/gateway/testing/disseminationtest.cpp
+++ b/bluebellshift/gateway/testing/disseminationtest.cpp
@@ -31,6 +31,21 @@
     return walk.size();
 }
 
+// Runs the fleet for `time` and returns the VMs that call the store meanwhile.
+std::set<std::size_t> callersOf(FleetWalk &walk, Duration time)
+{
+    std::vector<int> before;
+    for (std::size_t i = 0; i < walk.size(); ++i)
+        before.push_back(walk.vm(i).storeCalls());
+    walk.run(time);
+    std::set<std::size_t> callers;
+    for (std::size_t i = 0; i < walk.size(); ++i) {
+        if (walk.isAlive(i) && walk.vm(i).storeCalls() > before[i])
+            callers.insert(i);
+    }
+    return callers;
+}
+
 } // namespace
 
 TEST_GROUP(Dissemination) {};
@@ -182,18 +197,6 @@
 TEST(Dissemination, TheFleetFollowsTheOneReaderThatIsLeft)
 {
     constexpr std::size_t readers = 4;
-    const auto callersOf = [](FleetWalk &walk, Duration time) {
-        std::vector<int> before;
-        for (std::size_t i = 0; i < walk.size(); ++i)
-            before.push_back(walk.vm(i).storeCalls());
-        walk.run(time);
-        std::set<std::size_t> callers;
-        for (std::size_t i = 0; i < walk.size(); ++i) {
-            if (walk.isAlive(i) && walk.vm(i).storeCalls() > before[i])
-                callers.insert(i);
-        }
-        return callers;
-    };
     FleetWalk walk({ 45, domains, 9 });
     walk.run(settling + settling);
     const std::set<std::size_t> before = callersOf(walk, Duration::seconds(3));
@@ -207,6 +210,27 @@
     CHECK(callersOf(walk, Duration::seconds(8)).size() <= 2 * readers);
 }
 
+// Guards against followers that all ask the store for each change of a target, because the reader
+// that is to send the changes has lost the store.
+TEST(Dissemination, AnotherReaderSendsTheChangesOfOneThatLostTheStore)
+{
+    FleetWalk walk({ 45, domains, 10 });
+    walk.run(settling + settling);
+    const std::set<std::size_t> readers = callersOf(walk, Duration::seconds(3));
+    std::vector<Target> targets = sampleTargets(2);
+    for (const std::size_t lost : readers) {
+        walk.vm(lost).setStoreDown(true);
+        walk.run(Duration::seconds(4));
+        targets[0].slots += 1;
+        for (std::size_t i = 0; i < walk.size(); ++i)
+            walk.vm(i).putTarget(targets[0]);
+        for (const std::size_t caller : callersOf(walk, Duration::seconds(3)))
+            CHECK_EQUAL(1U, readers.count(caller));
+        walk.vm(lost).setStoreDown(false);
+        walk.run(Duration::seconds(3));
+    }
+}
+
 // A VM that is silent for a while is known again within two reports, and only once.
 TEST(Dissemination, AVmThatWasSilentIsKnownAgain)
 {
