Refuse a request at once that can't expect its turn in the queue

What callers saw: under overload a request without room waited for half of its objective and was then refused; the queue was as long as that wait allows, so that those that were sent had waited as long too.

Change: a new request waits only if the requests ahead of it, at the rate at which the VM's queue for the service has been served within a second or so, take at most half of the time for which it may wait, or if fewer than three are ahead. Only those of its priority and more urgent ones count.

Before: the new reducer test fails, 20 requests beyond the room are all queued.

--- a/bluebellshift/gateway/dispatcher.cpp
+++ b/bluebellshift/gateway/dispatcher.cpp
@@ -2,10 +2,12 @@
 // latency objective despite queueing at the target. Otherwise it waits here for a fraction
 // of its objective, ordered by priority, and is sent to whichever target becomes free
 // first. After that it is refused with a Retry-After: sending it anyway would fill the
-// queues of the targets and make all later requests late as well.
+// queues of the targets and make all later requests late as well. A request that can't
+// expect its turn in time is refused at once, so that those ahead of it wait less.
 #include "bluebellshift/gateway/dispatcher.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include <fmt/format.h>
 
@@ -103,9 +105,47 @@
         refuse(pending, 503, "queue-full", retryAfterFor(pending, now), now);
         return;
     }
+    if (!mayWait(pending, now)) {
+        refuse(pending, 503, "no-room", retryAfterFor(pending, now), now);
+        return;
+    }
     enqueue(pending);
 }
 
+bool Dispatcher::mayWait(const Pending &pending, Instant now) const
+{
+    const auto waiting = waiting_.find(pending.service);
+    if (waiting == waiting_.end() || waiting->second.size() < minQueue)
+        return true;
+    const auto flow = queueFlows_.find(pending.service);
+    const double rate = flow == queueFlows_.end() ? 0 : flow->second.ratePerSecond(now);
+    const Duration maxWait = scaled(pending.route->latencyObjective, maxQueueFraction);
+    const double servedInTime = rate * maxWait.toSeconds() * maxExpectedWaitFraction;
+    const auto limit = std::max<std::size_t>(minQueue, static_cast<std::size_t>(servedInTime));
+    std::size_t ahead = 0;
+    for (const auto &[key, request] : waiting->second) {
+        if (key.first > pending.priority)
+            break;
+        if (++ahead >= limit)
+            return false;
+    }
+    return true;
+}
+
+double Dispatcher::QueueFlow::ratePerSecond(Instant now) const
+{
+    if (at == Instant::never())
+        return 0;
+    return sent * std::exp(-(now - at).toSeconds() / queueRateTime.toSeconds())
+        / queueRateTime.toSeconds();
+}
+
+void Dispatcher::QueueFlow::record(Instant now)
+{
+    sent = ratePerSecond(now) * queueRateTime.toSeconds() + 1;
+    at = now;
+}
+
 // Finds the request's route, team and service. Returns false if the request was refused.
 bool Dispatcher::admit(Pending &pending, Instant now)
 {
@@ -196,8 +236,10 @@
 
 void Dispatcher::send(Pending &pending, const TargetSelection &selection, Instant now)
 {
-    if (pending.isWaiting)
+    if (pending.isWaiting) {
         dequeue(pending);
+        queueFlows_[pending.service].record(now);
+    }
     const Target &target = *selection.target;
     pending.target = target.id;
     pending.sentAt = now;
--- a/bluebellshift/gateway/dispatcher.h
+++ b/bluebellshift/gateway/dispatcher.h
@@ -54,6 +54,11 @@
     // After that it is sent only if it is expected to end within this fraction of the time
     // left until its deadline.
     static constexpr double maxLateFraction = 0.7;
+    // A new request is refused at once if those ahead of it, at the rate at which the queue is
+    // served, are expected to take more than this fraction of the time for which it may wait.
+    static constexpr double maxExpectedWaitFraction = 0.5;
+    static constexpr std::size_t minQueue = 3; // requests that wait whatever the rate
+    static constexpr Duration queueRateTime = Duration::seconds(1);  // time constant of the rate
     static constexpr Duration minRetryAfter = Duration::millis(100); // limits of Retry-After
     static constexpr Duration maxRetryAfter = Duration::millis(1500);
     static constexpr std::size_t maxScannedRequests = 24; // of one queue, for each run
@@ -104,6 +109,15 @@
         bool mayHaveRun = false; // an attempt ended in an unknown state
         bool hasAnswer = false;  // the last attempt returned one that may be forwarded
     };
+    // Requests that left the queue for a target, decaying with queueRateTime.
+    struct QueueFlow
+    {
+        double sent = 0;
+        Instant at = Instant::never();
+
+        double ratePerSecond(Instant now) const;
+        void record(Instant now);
+    };
     using WaitKey = std::pair<int, std::uint64_t>; // priority, order of arrival
     using Waiting = std::map<WaitKey, RequestId>;
 
@@ -115,6 +129,8 @@
     TargetCriteria criteriaFor(const Pending &pending) const;
     Placement place(Pending &pending, std::uint64_t random, Instant now);
     void send(Pending &pending, const TargetSelection &selection, Instant now);
+    // Whether the request is expected to find room in the time for which it may wait.
+    bool mayWait(const Pending &pending, Instant now) const;
     void enqueue(Pending &pending);
     void dequeue(Pending &pending);
     void dispatchQueue(const ServiceId &service, std::uint64_t random, Instant now);
@@ -139,6 +155,7 @@
     std::unordered_map<ServiceId, RetryBudget> retryBudgets_;
     std::unordered_map<RequestId, Pending> pending_;
     std::map<ServiceId, Waiting> waiting_;
+    std::unordered_map<ServiceId, QueueFlow> queueFlows_;
     std::size_t waitingCount_ = 0;
     std::set<std::pair<Instant, RequestId>> deadlines_;
     std::vector<RequestId> arrivedBeforeReady_;
--- a/bluebellshift/gateway/testing/reducertest.cpp
+++ b/bluebellshift/gateway/testing/reducertest.cpp
@@ -1,4 +1,5 @@
 // Tests the gateway's guarantees through the whole reducer.
+#include "bluebellshift/gateway/dispatcher.h"
 #include "bluebellshift/gateway/storelink.h"
 #include "bluebellshift/gateway/testing/gatewaybench.h"
 
@@ -496,3 +497,31 @@
     bench.advance(Duration::millis(60));
     CHECK_EQUAL(0U, targetsOf(bench.takeSent()).count(brief.id.text()));
 }
+
+// Pattern: sustained overload of a service. A request that can't expect its turn in the queue is
+// told at once when to come back, so that those ahead of it wait less; a more urgent one still
+// waits.
+TEST(Reducer, RefusesAtOnceWhatCannotExpectItsTurnUnderOverload)
+{
+    bench.begin(sampleConfig(), sampleTargets(1));
+    std::uint64_t id = 0;
+    do
+        bench.request(++id);
+    while (!bench.takeSent().empty());
+    bench.takeEnded();
+    constexpr std::size_t more = 20;
+    for (std::size_t i = 0; i < more; ++i)
+        bench.request(++id);
+    const std::vector<Ended> refused = bench.takeEnded();
+    CHECK(refused.size() >= more - Dispatcher::minQueue);
+    for (const Ended &one : refused) {
+        CHECK_EQUAL(503, one.status);
+        CHECK(one.retryAfter > Duration());
+    }
+    bench.request(++id, swapPath);
+    CHECK_EQUAL(0U, bench.takeEnded().size());
+    bench.answer(1, 200);
+    const auto sent = bench.takeSent();
+    CHECK_EQUAL(1U, sent.size());
+    CHECK(sent[0].request == RequestId(id));
+}
