Expect the load of the other VMs at targets without a limit

Cause: a VM expects the others to have as many requests in flight as itself, evenly over the targets of a region. With most of them limited, and hardly used, the load at the others was taken for a third of what it was: 'inFlight=0+1/3' at targets that were full.

Change: the expected load is spread over targets without a limit only; at limited ones their limit bounds it.

--- a/bluebellshift/gateway/targetpool.cpp
+++ b/bluebellshift/gateway/targetpool.cpp
@@ -327,7 +327,7 @@
         return state.reportedOthersInFlight;
     int reported = hooks_.othersInFlight(static_cast<std::uint32_t>(state.hash), now);
     if (const auto expected = congestion.expectedOthers.find(state.region);
-        expected != congestion.expectedOthers.end())
+        expected != congestion.expectedOthers.end() && !limits_.limitOf(state.target.id))
         reported = std::max(reported, static_cast<int>(expected->second));
     if (now - state.reportedAt > maxLoadReportAge)
         return reported;
@@ -383,7 +383,8 @@
     };
     std::map<RegionId, Use> uses;
     for (const State *state : targets) {
-        if (state->target.isDraining || evacuated_.count(state->target.failureDomain) > 0)
+        if (state->target.isDraining || evacuated_.count(state->target.failureDomain) > 0
+            || limits_.limitOf(state->target.id))
             continue;
         Use &use = uses[state->region];
         ++use.targets;
--- a/bluebellshift/gateway/targetpool.h
+++ b/bluebellshift/gateway/targetpool.h
@@ -196,8 +196,8 @@
         Instant at = Instant::never();
         double level = 0; // weight of the additional service time, 0 to 1
         // Requests that the other VMs of this region have in flight at each target of a
-        // region, assuming that they behave like this VM. In a large fleet their reports
-        // are too old to rely on alone.
+        // region that names no limit, assuming that they behave like this VM. In a large fleet
+        // their reports are too old to rely on alone.
         std::map<RegionId, double> expectedOthers;
     };
 
--- a/bluebellshift/gateway/testing/partstest.cpp
+++ b/bluebellshift/gateway/testing/partstest.cpp
@@ -105,6 +105,36 @@
     CHECK_EQUAL(8, pool.usableSlots(target.service, begin));
 }
 
+// Guards against targets without a limit that are overloaded because the load of the other VMs is
+// taken to be spread over the limited ones too.
+TEST(GatewayParts, TheOthersAreExpectedAtTargetsWithoutALimit)
+{
+    const GatewayOptions options = sampleOptions();
+    TargetPool pool = makePool(options, 5);
+    std::vector<Target> targets;
+    for (int i = 0; i < 6; ++i) {
+        targets.push_back(sampleTargets(6)[static_cast<std::size_t>(i)]);
+        targets.back().failureDomain = FailureDomainId("near-1");
+        targets.back().slots = 8;
+        pool.put(targets.back(), begin);
+    }
+    AttemptEnded limited = success();
+    limited.limitPerSecond = 0;
+    for (int i = 2; i < 6; ++i) {
+        pool.onSent(targets[static_cast<std::size_t>(i)].id, criteriaFor(0), begin);
+        pool.onEnded(targets[static_cast<std::size_t>(i)].id, criteriaFor(0), limited, Duration(),
+                     begin);
+    }
+    pool.onSent(targets[0].id, criteriaFor(0), begin);
+    pool.onSent(targets[1].id, criteriaFor(0), begin);
+    TargetSelection selection;
+    for (int tick = 10; tick < 60; ++tick) // until the smoothed load has settled
+        selection = pool.select(criteriaFor(0), 7, begin + Duration::millis(100 * tick));
+    CHECK(selection.target != nullptr);
+    CHECK_EQUAL(1, selection.ownInFlight);
+    CHECK(selection.othersInFlight >= 3); // four VMs with one request at each, less rounding
+}
+
 // Guards against VMs that together exceed the retry bound: random requests and retries of
 // 12 VMs, checked for every sliding window.
 TEST(GatewayParts, RetriesOfAllVmsStayWithinTheBound)
