Bound the number of senders of a limit by the number of VMs

Found by reading: a target that names a limit beyond any count, such as 1e300, made a conversion to an integer overflow. The wanted number of senders is now bounded by the VMs first; for other limits the senders are the same.

--- a/bluebellshift/gateway/targetlimits.cpp
+++ b/bluebellshift/gateway/targetlimits.cpp
@@ -136,7 +136,9 @@
 double TargetLimits::shareOf(const Entry &entry, Instant now) const
 {
     const SenderRank &rank = rankOf(entry, now);
-    const double wanted = std::max(1.0, std::floor(*entry.perSecond / minSenderRate));
+    const double vms = static_cast<double>(rank.inRegion + rank.elsewhere);
+    const double wanted =
+        std::max(1.0, std::min(std::floor(*entry.perSecond / minSenderRate), vms));
     const double outside = std::round(wanted * outsideFraction);
     const auto inRegion =
         static_cast<std::size_t>(std::min(wanted - outside, static_cast<double>(rank.inRegion)));
--- a/bluebellshift/gateway/testing/limitwalktest.cpp
+++ b/bluebellshift/gateway/testing/limitwalktest.cpp
@@ -257,3 +257,12 @@
         }
     }
 }
+
+// Guards against a number of senders that overflows.
+TEST(LimitWalk, ALimitBeyondAnyRateIsServed)
+{
+    LimitWalk walk(12, 10, false);
+    walk.setLimit(1e300);
+    walk.run(Duration::seconds(6), demandPerVm);
+    CHECK(walk.arrivedIn(Duration::seconds(1)) > 0);
+}
