--- a/bluebellshift/gateway/testing/limitwalktest.cpp
+++ b/bluebellshift/gateway/testing/limitwalktest.cpp
@@ -32,7 +32,6 @@
         : fleet_({ vmCount, domainCount, seed })
         , due_(vmCount)
         , toldAt_(vmCount, Instant::never())
-        , isPaused_(vmCount)
     {
         std::vector<Target> targets = sampleTargets(targetCount);
         for (std::size_t i = 0; i < vmCount; ++i) {
@@ -51,8 +50,6 @@
     }
 
     void setLimit(std::optional<double> perSecond) { limit_ = perSecond; }
-    // The VM gets no requests.
-    void pause(std::size_t vm) { isPaused_[vm] = true; }
     FleetWalk &fleet() { return fleet_; }
     // Counts only what arrives from now on.
     void resetArrivals() { arrivals_.clear(); }
@@ -63,7 +60,7 @@
         for (Duration passed; passed < time; passed = passed + FleetWalk::step) {
             answerDue();
             for (std::size_t i = 0; i < fleet_.size(); ++i) {
-                if (!fleet_.isAlive(i) || isPaused_[i])
+                if (!fleet_.isAlive(i))
                     continue;
                 due_[i] += perSecond * FleetWalk::step.toSeconds();
                 for (; due_[i] >= 1; due_[i] -= 1)
@@ -141,7 +138,6 @@
     FleetWalk fleet_;
     std::vector<double> due_;
     std::vector<Instant> toldAt_;
-    std::vector<bool> isPaused_;
     std::optional<double> limit_;
     std::map<Instant, std::vector<Running>> running_; // by when they end
     std::vector<Arrival> arrivals_;
