--- a/review/standin/coldrush.cpp
+++ b/review/standin/coldrush.cpp
@@ -20,10 +20,10 @@
 constexpr double workSeconds = 0.15;
 constexpr double killAfterSeconds = 0.8;    // after the instances have come back
 constexpr double restartDelaySeconds = 0.2; // of a killed process
-constexpr double pauseSeconds = 0.12;       // of a caller between two requests
+constexpr double pauseSeconds = 0.06;       // of a caller between two requests
 constexpr int deadlineMillis = 2000;
 constexpr int gatewayCount = 12;
-constexpr int callersPerGateway = 2;
+constexpr int callersPerGateway = 3;
 
 // A caller of one gateway: one request after the other, each on a new connection.
 void callAlways(World &world, const Gateway &gateway, const std::string &name)
