--- a/bluebellshift/gateway/event.h
+++ b/bluebellshift/gateway/event.h
@@ -91,6 +91,8 @@
     int running = 0;
     int waiting = 0;
     int slots = 0;
+    // How long work takes on the target's machine at this moment; 100: as usual. Few targets tell.
+    std::optional<int> workPercent;
 };
 
 struct AttemptEnded
@@ -107,6 +109,9 @@
     std::optional<LoadReport> load;
     // The requests a second that the target takes from all VMs together; nothing: it named none.
     std::optional<double> limitPerSecond;
+    bool saysLeaving = false; // the target is about to stop
+    // The time for which the target, which rejected the request, wants none from this VM.
+    std::optional<Duration> pause;
 };
 
 struct PeerReportReceived
--- a/bluebellshift/gatewayd/settings.cpp
+++ b/bluebellshift/gatewayd/settings.cpp
@@ -2,6 +2,8 @@
 
 #include <cstdlib>
 
+#include "platform/contracts.h"
+
 namespace bluebellshift::gatewayd {
 namespace {
 
@@ -84,6 +86,7 @@
         readListen(root.table("listen"), &settings);
         shell::TomlTable platform = root.table("platform");
         settings.storeEndpoint = endpoint(platform, "store");
+        settings.gateway.features = ::platform::readContracts(platform.optionalText("contracts"));
         for (shell::TomlTable &domain : root.tables("failure_domain")) {
             const core::FailureDomainId id(domain.text("name"));
             settings.gateway.regionOf[id] = core::RegionId(domain.text("region"));
