Move the placement of objects to a class of its own

Cause: TargetPool has over 600 lines and decides both where objects are warm and which target is chosen.

Change: Placement (gateway/targets) holds the number of requested and of warm objects and computes the preferred targets. Nothing else changes.

--- a/bluebellshift/gateway/targetpool.cpp
+++ b/bluebellshift/gateway/targetpool.cpp
@@ -1,12 +1,5 @@
 // Each selection examines every target of the service. With 450 targets that takes some
 // 20 microseconds, less than the rest of a request costs.
-//
-// Objects are assigned to targets by rendezvous hashing, without messages: a hash of
-// target and object orders the targets, separately for the VM's own region and the
-// others, and the first of each are the object's preferred targets. Their number is such
-// that all objects together fill what the targets keep warm. All VMs of a region compute
-// the same preferred targets, independent of what each has observed, and use the first
-// ones first, so that few targets have to load a rarely requested object.
 #include "bluebellshift/gateway/targetpool.h"
 
 #include <algorithm>
@@ -151,9 +144,8 @@
 {
     TargetSelection best;
     ExclusionCounts counts {};
-    std::vector<Candidate> candidates = candidatesFor(criteria, &counts, now);
-    if (criteria.object != 0)
-        estimateWarmth(criteria, candidates, now);
+    const std::vector<const State *> candidates = candidatesFor(criteria, &counts);
+    const std::vector<double> warmth = warmthAt(criteria, candidates, now);
     double bestScore = 0;
     const Congestion &congestion = congestionOf(criteria.service, now);
     std::map<RegionId, double> penaltiesMs;
@@ -161,14 +153,14 @@
         penaltiesMs.emplace(region, 0);
     for (auto &[region, penaltyMs] : penaltiesMs)
         penaltyMs = flow_.penaltyMs(region, now);
-    for (const Candidate &candidate : candidates) {
-        const State &state = *candidate.state;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const State &state = *candidates[i];
         const Exclusion exclusion = currentExclusion(state, criteria, now);
         ++counts[static_cast<std::size_t>(exclusion)];
         if (exclusion != Exclusion::None)
             continue;
         const int others = othersAt(state, congestion, now);
-        const double serviceTimeMs = serviceTimeMsAt(state, criteria, candidate.warmth, now);
+        const double serviceTimeMs = serviceTimeMsAt(state, criteria, warmth[i], now);
         const Duration timeToFinish = timeToFinishAt(state, criteria, others, serviceTimeMs, now);
         double score = millis(timeToFinish) + congestion.level * serviceTimeMs
             + failureRateOf(state, now) * millis(failureCost);
@@ -185,7 +177,7 @@
         best.timeToFinish = timeToFinish;
         best.ownInFlight = state.inFlight;
         best.othersInFlight = others;
-        best.warmth = candidate.warmth;
+        best.warmth = warmth[i];
     }
     best.exclusionCounts =
         fmt::format("draining:{},evacuated:{},region:{},tried:{},avoided:{},cold:{},limited:{}",
@@ -194,11 +186,10 @@
 }
 
 // Targets that are excluded at most temporarily.
-std::vector<TargetPool::Candidate> TargetPool::candidatesFor(const TargetCriteria &criteria,
-                                                             ExclusionCounts *counts,
-                                                             Instant now) const
+std::vector<const TargetPool::State *> TargetPool::candidatesFor(const TargetCriteria &criteria,
+                                                                 ExclusionCounts *counts) const
 {
-    std::vector<Candidate> candidates;
+    std::vector<const State *> candidates;
     const auto targets = byService_.find(criteria.service);
     if (targets == byService_.end())
         return candidates;
@@ -208,46 +199,29 @@
         if (exclusion != Exclusion::None)
             ++(*counts)[static_cast<std::size_t>(exclusion)];
         else
-            candidates.push_back({ state, mixHashes(state->hash, criteria.object), 0 });
+            candidates.push_back(state);
     }
     return candidates;
 }
 
-// Sets the probability that the requested object is warm at each candidate.
-void TargetPool::estimateWarmth(const TargetCriteria &criteria, std::vector<Candidate> &candidates,
-                                Instant now) const
+std::vector<double> TargetPool::warmthAt(const TargetCriteria &criteria,
+                                         const std::vector<const State *> &candidates,
+                                         Instant now) const
 {
-    std::vector<Candidate *> inRegion;
-    std::vector<Candidate *> elsewhere;
-    for (Candidate &candidate : candidates) {
-        const bool isLocal = candidate.state->region == options_.vm.region;
-        (isLocal ? inRegion : elsewhere).push_back(&candidate);
-    }
-    const double share =
-        warmObjectsPerTarget(criteria.service) / requestedObjects(criteria.service);
-    setPreferredWarmth(inRegion, share * localRegionShare);
-    setPreferredWarmth(elsewhere, share * (1 - localRegionShare));
-    for (Candidate &candidate : candidates) {
-        if (wasSentRecently(*candidate.state, criteria.object, now))
-            candidate.warmth = warmthWhereSentRecently;
-    }
-}
-
-// Sets the warmth of the object's preferred targets: the first of the group by rank.
-void TargetPool::setPreferredWarmth(std::vector<Candidate *> &group, double share)
-{
-    if (group.empty())
-        return;
-    const auto wanted = static_cast<std::size_t>(
-        std::lround(std::min(1.0, share) * static_cast<double>(group.size())));
-    const std::size_t preferred = std::clamp<std::size_t>(wanted, 1, group.size());
-    std::partial_sort(group.begin(), group.begin() + static_cast<std::ptrdiff_t>(preferred),
-                      group.end(),
-                      [](const Candidate *a, const Candidate *b) { return a->rank < b->rank; });
-    for (std::size_t i = 0; i < preferred; ++i) {
-        const double lost = warmthDropPerRank * static_cast<double>(i);
-        group[i]->warmth = std::max(0.0, warmthAtFirstPreferred - lost);
+    std::vector<double> warmth(candidates.size(), 0);
+    if (criteria.object == 0)
+        return warmth;
+    std::vector<targets::PlacedTarget> placed;
+    placed.reserve(candidates.size());
+    for (const State *state : candidates) {
+        placed.push_back({ mixHashes(state->hash, criteria.object),
+                           state->region == options_.vm.region,
+                           wasSentRecently(*state, criteria.object, now) });
     }
+    placement_.estimateWarmth(criteria.service, placed);
+    for (std::size_t i = 0; i < placed.size(); ++i)
+        warmth[i] = placed[i].warmth;
+    return warmth;
 }
 
 TargetPool::Exclusion TargetPool::lastingExclusion(const State &state,
@@ -334,18 +308,6 @@
     return std::max(reported, state.reportedOthersInFlight);
 }
 
-double TargetPool::requestedObjects(const ServiceId &service) const
-{
-    const auto found = objects_.find(service);
-    return found == objects_.end() ? 1 : found->second.requested.estimate();
-}
-
-double TargetPool::warmObjectsPerTarget(const ServiceId &service) const
-{
-    const auto found = objects_.find(service);
-    return found == objects_.end() ? initialWarmObjects : found->second.warmObjects;
-}
-
 // Utilization of the service's targets, recomputed at most every congestionInterval: the
 // weight of service time that delays waiting requests, which is zero while many slots are
 // free, and the load expected from other VMs.
@@ -414,8 +376,8 @@
                               [&](const auto &entry) { return entry.first == criteria.object; }),
                sent.end());
     sent.emplace_back(criteria.object, now);
-    const auto remembered =
-        static_cast<std::size_t>(ownObjectShare * warmObjectsPerTarget(criteria.service));
+    const auto remembered = static_cast<std::size_t>(
+        ownObjectShare * placement_.warmObjectsPerTarget(criteria.service));
     while (sent.size() > std::max<std::size_t>(1, remembered))
         sent.erase(sent.begin());
 }
@@ -505,7 +467,7 @@
         state->coldSentAt = now;
     if (criteria.object == 0)
         return;
-    objects_[criteria.service].requested.record(criteria.object, now);
+    placement_.recordRequest(criteria.service, criteria.object, now);
 }
 
 void TargetPool::onEnded(const TargetId &target, const TargetCriteria &criteria,
@@ -607,11 +569,8 @@
         return;
     const bool isWarm =
         criteria.object != 0 && measuredMs < warmResponseFraction * usualMs * slownessOf(state);
-    if (wasExpectedWarm) {
-        double &warmObjects = objects_[criteria.service].warmObjects;
-        warmObjects = std::clamp(warmObjects * (isWarm ? warmObjectsGrowth : warmObjectsDecay),
-                                 minWarmObjects, maxWarmObjects);
-    }
+    if (wasExpectedWarm)
+        placement_.recordOutcome(criteria.service, isWarm);
     const double coldMs = isWarm ? measuredMs / warmServiceTimeFactor : measuredMs;
     // A VM that joins late sees warm responses first and underestimates the cold service time,
     // so that larger samples are learned faster.
--- a/bluebellshift/gateway/targetpool.h
+++ b/bluebellshift/gateway/targetpool.h
@@ -25,11 +25,11 @@
 
 #include "bluebellshift/core/logevent.h"
 #include "bluebellshift/gateway/event.h"
-#include "bluebellshift/gateway/objectcount.h"
 #include "bluebellshift/gateway/options.h"
 #include "bluebellshift/gateway/regionflow.h"
 #include "bluebellshift/gateway/registry.h"
 #include "bluebellshift/gateway/targetlimits.h"
+#include "bluebellshift/gateway/targets/placement.h"
 
 namespace bluebellshift::gateway {
 
@@ -77,24 +77,10 @@
 public:
     // Number of VMs that may send to one cold target. Its rate bound is divided among them.
     static constexpr std::size_t maxColdSenders = 3;
-    static constexpr double coldBoundFraction = 0.75;  // the rest: VMs whose ranks differ
-    static constexpr double coldServiceTimeFactor = 2; // cold target against a warm one
-    // Estimated number of objects that a target keeps warm; localRegionShare of them are
-    // reserved for callers of its own region. The estimate is learned: where a warm
-    // response was expected, a warm one raises it slightly and a cold one lowers it more.
-    static constexpr double initialWarmObjects = 15;
-    static constexpr double minWarmObjects = 8;
-    static constexpr double maxWarmObjects = 120;
-    static constexpr double warmObjectsGrowth = 1.004;
-    static constexpr double warmObjectsDecay = 0.93;
-    static constexpr double localRegionShare = 0.67;
+    static constexpr double coldBoundFraction = 0.75;    // the rest: VMs whose ranks differ
+    static constexpr double coldServiceTimeFactor = 2;   // cold target against a warm one
     static constexpr double ownObjectShare = 0.6;        // that this VM remembers sending
     static constexpr double warmServiceTimeFactor = 0.3; // against a cold object
-    // Probability that an object is warm at its first preferred target, the decrease for
-    // each following one, and the probability where this VM sent it recently.
-    static constexpr double warmthAtFirstPreferred = 0.85;
-    static constexpr double warmthDropPerRank = 0.15;
-    static constexpr double warmthWhereSentRecently = 0.95;
     static constexpr Duration recentObjectAge = Duration::seconds(15);
     static constexpr Duration initialServiceTime = Duration::millis(600); // until measured
     // Slowness within these limits is treated as 1, since service times vary by themselves.
@@ -179,18 +165,6 @@
         Instant reportedAt = Instant::never();
         std::vector<std::pair<std::uint64_t, Instant>> objects; // sent by this VM, latest last
     };
-    // A target that is considered during one selection.
-    struct Candidate
-    {
-        const State *state = nullptr;
-        std::uint64_t rank = 0; // rendezvous hash for the object: lower is preferred
-        double warmth = 0;
-    };
-    struct ObjectStats
-    {
-        ObjectCount requested;                   // distinct objects that the service is asked for
-        double warmObjects = initialWarmObjects; // number that one target keeps warm
-    };
     struct Congestion
     {
         Instant at = Instant::never();
@@ -215,13 +189,11 @@
     static double slownessOf(const State &state);
     double slotsOf(const State &state) const;
     int othersAt(const State &state, const Congestion &congestion, Instant now) const;
-    std::vector<Candidate> candidatesFor(const TargetCriteria &criteria, ExclusionCounts *counts,
-                                         Instant now) const;
-    void estimateWarmth(const TargetCriteria &criteria, std::vector<Candidate> &candidates,
-                        Instant now) const;
-    static void setPreferredWarmth(std::vector<Candidate *> &group, double share);
-    double requestedObjects(const ServiceId &service) const;
-    double warmObjectsPerTarget(const ServiceId &service) const;
+    std::vector<const State *> candidatesFor(const TargetCriteria &criteria,
+                                             ExclusionCounts *counts) const;
+    // The probability that the requested object is warm at each candidate.
+    std::vector<double> warmthAt(const TargetCriteria &criteria,
+                                 const std::vector<const State *> &candidates, Instant now) const;
     const Congestion &congestionOf(const ServiceId &service, Instant now) const;
     void updateExpectedOthers(const std::vector<State *> &targets, Congestion &congestion,
                               Instant now) const;
@@ -255,7 +227,7 @@
     std::unordered_map<FailureDomainId, Duration> rtts_;     // measured round trip times
     std::unordered_map<std::string, double> serviceTimesMs_; // cold object, by route
     std::unordered_map<ServiceId, double> meanTimesMs_;      // of all requests, at the target
-    std::unordered_map<ServiceId, ObjectStats> objects_;
+    targets::Placement placement_;
     mutable std::unordered_map<ServiceId, Congestion> congestion_; // cached for congestionInterval
 };
 
