Place objects by failure domain where traffic between domains has to be saved

Cause: an object's preferred targets were chosen from the whole region, so that about half of the requests that stay in their region left their failure domain.

Change: where the settings say that callers contend for room, the preferred targets of a region are chosen from each of its domains in proportion to its targets. The region keeps as many copies of an object as before; a region too small for one in each domain shares one copy. The usual size of a route's responses counts in the cost of another domain.

--- a/bluebellshift/gateway/targetpool.h
+++ b/bluebellshift/gateway/targetpool.h
@@ -107,7 +107,6 @@
     static constexpr Duration defaultRttBetweenRegions = Duration::millis(90);
     // Bytes of a request that a connection carries in one round trip.
     static constexpr double bytesPerRoundTrip = 16 * 1024;
-    static constexpr double crossDomainMillisPerKilobyte = 2; // cost of billed traffic in the score
 
     TargetPool(const GatewayOptions &options, PoolHooks hooks);
 
@@ -152,6 +151,7 @@
     {
         Target target;
         std::uint64_t hash = 0;
+        std::uint64_t domainHash = 0;
         RegionId region;
         int inFlight = 0;
         Instant coldUntil = Instant::never();
@@ -219,15 +219,15 @@
     const PoolHooks hooks_;
     TrafficConfigPointer config_;
     RegionFlow flow_;
+    targets::Placement placement_;
     TargetLimits limits_;
     std::unordered_map<TargetId, State> states_;
     std::unordered_map<ServiceId, std::vector<State *>> byService_; // into states_
     std::unordered_map<TargetHash, State *> byHash_;                // into states_
     std::unordered_set<FailureDomainId> evacuated_;
-    std::unordered_map<FailureDomainId, Duration> rtts_;     // measured round trip times
-    std::unordered_map<std::string, double> serviceTimesMs_; // cold object, by route
-    std::unordered_map<ServiceId, double> meanTimesMs_;      // of all requests, at the target
-    targets::Placement placement_;
+    std::unordered_map<FailureDomainId, Duration> rtts_;           // measured round trip times
+    std::unordered_map<std::string, double> serviceTimesMs_;       // cold object, by route
+    std::unordered_map<ServiceId, double> meanTimesMs_;            // of all requests, at the target
     mutable std::unordered_map<ServiceId, Congestion> congestion_; // cached for congestionInterval
 };
 
--- a/bluebellshift/gateway/targets/placement.cpp
+++ b/bluebellshift/gateway/targets/placement.cpp
@@ -3,12 +3,24 @@
 // that all objects together fill what the targets keep warm. All VMs of a region compute
 // the same preferred targets, independent of what each has observed, and use the first
 // ones first, so that few targets have to load a rarely requested object.
+//
+// By failure domain, the preferred targets of a region are chosen from each of its domains in
+// proportion to the domain's targets, as long as each gets one. The region as a whole then keeps as
+// many copies of an object as before, but each domain's VMs find one next to them. Where a region
+// is too small for a copy in each domain, its domains share one: a copy more would drive other
+// objects out of the targets' caches.
 #include "bluebellshift/gateway/targets/placement.h"
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 
 namespace bluebellshift::gateway::targets {
+namespace {
+
+constexpr double responseSizeRate = 0.05; // weight of one sample
+
+} // namespace
 
 using core::Instant;
 using core::ServiceId;
@@ -25,6 +37,22 @@
                              minWarmObjects, maxWarmObjects);
 }
 
+void Placement::recordResponse(const std::string &route, std::size_t bytes)
+{
+    const auto size = static_cast<double>(bytes);
+    double &usual = responseBytes_.emplace(route, size).first->second;
+    usual += responseSizeRate * (size - usual);
+}
+
+double Placement::crossDomainMillis(const std::string &route, std::size_t requestBytes) const
+{
+    double bytes = static_cast<double>(requestBytes);
+    const auto response = responseBytes_.find(route);
+    if (byFailureDomain_ && response != responseBytes_.end())
+        bytes += response->second;
+    return crossDomainMillisPerKilobyte * (1 + bytes / 1000);
+}
+
 double Placement::requestedObjects(const ServiceId &service) const
 {
     const auto found = objects_.find(service);
@@ -41,12 +69,15 @@
 void Placement::estimateWarmth(const ServiceId &service,
                                std::vector<PlacedTarget> &candidates) const
 {
-    std::vector<PlacedTarget *> inRegion;
-    std::vector<PlacedTarget *> elsewhere;
+    Group inRegion;
+    Group elsewhere;
     for (PlacedTarget &candidate : candidates)
         (candidate.isLocal ? inRegion : elsewhere).push_back(&candidate);
     const double share = warmObjectsPerTarget(service) / requestedObjects(service);
-    setPreferredWarmth(inRegion, share * localRegionShare);
+    if (byFailureDomain_)
+        setPreferredWarmthByDomain(inRegion, share * localRegionShare);
+    else
+        setPreferredWarmth(inRegion, share * localRegionShare);
     setPreferredWarmth(elsewhere, share * (1 - localRegionShare));
     for (PlacedTarget &candidate : candidates) {
         if (candidate.wasSentRecently)
@@ -54,14 +85,33 @@
     }
 }
 
+void Placement::setPreferredWarmthByDomain(Group &group, double share)
+{
+    std::map<std::uint64_t, Group> domains;
+    for (PlacedTarget *target : group)
+        domains[target->domain].push_back(target);
+    if (preferredCount(group.size(), share) < domains.size()) {
+        setPreferredWarmth(group, share);
+        return;
+    }
+    for (auto &[domain, targets] : domains)
+        setPreferredWarmth(targets, share);
+}
+
+// Number of an object's preferred targets in a group that keeps a share of all objects warm.
+std::size_t Placement::preferredCount(std::size_t targets, double share)
+{
+    const auto wanted =
+        static_cast<std::size_t>(std::lround(std::min(1.0, share) * static_cast<double>(targets)));
+    return std::clamp<std::size_t>(wanted, 1, std::max<std::size_t>(1, targets));
+}
+
 // Sets the warmth of the object's preferred targets: the first of the group by rank.
-void Placement::setPreferredWarmth(std::vector<PlacedTarget *> &group, double share)
+void Placement::setPreferredWarmth(Group &group, double share)
 {
     if (group.empty())
         return;
-    const auto wanted = static_cast<std::size_t>(
-        std::lround(std::min(1.0, share) * static_cast<double>(group.size())));
-    const std::size_t preferred = std::clamp<std::size_t>(wanted, 1, group.size());
+    const std::size_t preferred = preferredCount(group.size(), share);
     std::partial_sort(
         group.begin(), group.begin() + static_cast<std::ptrdiff_t>(preferred), group.end(),
         [](const PlacedTarget *a, const PlacedTarget *b) { return a->rank < b->rank; });
--- a/bluebellshift/gateway/targets/placement.h
+++ b/bluebellshift/gateway/targets/placement.h
@@ -1,18 +1,20 @@
 // Estimates where an object is warm, so that requests for it go to few targets.
 //
-//   Placement placement;
-//   std::vector<PlacedTarget> candidates = ...; // with rank, locality and wasSentRecently
+//   Placement placement(/*byFailureDomain=*/true);
+//   std::vector<PlacedTarget> candidates = ...; // all fields but `warmth`
 //   placement.estimateWarmth(service, candidates);  // sets `warmth`
 //   placement.recordRequest(service, object, now);  // for each request sent
 //   placement.recordOutcome(service, isWarm);       // of a response expected to be warm
 //
 // Objects are assigned to targets by rendezvous hashing, without messages: the targets with
 // the lowest ranks are the object's preferred ones. All VMs of a region compute the same
-// preferred targets.
+// preferred targets. By failure domain, each domain of the region that has room for all objects
+// of the service gets preferred targets of its own, so that few requests leave their domain.
 #pragma once
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -25,6 +27,7 @@
 struct PlacedTarget
 {
     std::uint64_t rank = 0;       // rendezvous hash for the object: lower is preferred
+    std::uint64_t domain = 0;     // identifies its failure domain
     bool isLocal = false;         // in this VM's region
     bool wasSentRecently = false; // this VM sent the object there
     double warmth = 0;            // probability that the object is warm there, 0 to 1
@@ -48,10 +51,22 @@
     static constexpr double warmthDropPerRank = 0.15;
     static constexpr double warmthWhereSentRecently = 0.95;
 
+    // The cost of a kilobyte that leaves the failure domain, in expected completion time.
+    static constexpr double crossDomainMillisPerKilobyte = 2;
+
+    explicit Placement(bool byFailureDomain)
+        : byFailureDomain_(byFailureDomain)
+    {
+    }
+
     // `object`: a hash that is not 0.
     void recordRequest(const core::ServiceId &service, std::uint64_t object, core::Instant now);
     void recordOutcome(const core::ServiceId &service, bool isWarm);
 
+    void recordResponse(const std::string &route, std::size_t bytes);
+    // The cost, in milliseconds, of sending a request to another failure domain.
+    double crossDomainMillis(const std::string &route, std::size_t requestBytes) const;
+
     // The number of objects that one target of the service keeps warm.
     double warmObjectsPerTarget(const core::ServiceId &service) const;
     void estimateWarmth(const core::ServiceId &service,
@@ -64,10 +79,16 @@
         double warmObjects = initialWarmObjects; // number that one target keeps warm
     };
 
+    using Group = std::vector<PlacedTarget *>;
+
     double requestedObjects(const core::ServiceId &service) const;
-    static void setPreferredWarmth(std::vector<PlacedTarget *> &group, double share);
+    static std::size_t preferredCount(std::size_t targets, double share);
+    static void setPreferredWarmth(Group &group, double share);
+    static void setPreferredWarmthByDomain(Group &group, double share);
 
+    const bool byFailureDomain_;
     std::unordered_map<core::ServiceId, ObjectStats> objects_;
+    std::unordered_map<std::string, double> responseBytes_; // usual size, by route
 };
 
 } // namespace bluebellshift::gateway::targets
