Place by failure domain only what meets its objective with a cold object

Change: only routes whose cold service time leaves slack are placed by domain, and only they prefer a free slot of their own domain.

--- a/bluebellshift/gateway/targetpool.cpp
+++ b/bluebellshift/gateway/targetpool.cpp
@@ -151,6 +151,7 @@
     const std::vector<double> warmth = warmthAt(criteria, candidates, now);
     double bestScore = 0;
     const Congestion &congestion = congestionOf(criteria.service, now);
+    const bool byDomain = isByDomain(criteria);
     const double crossDomainMs = placement_.crossDomainMillis(criteria.route, criteria.bodyBytes);
     std::map<RegionId, double> penaltiesMs;
     for (const auto &[domain, region] : options_.regionOf)
@@ -176,6 +177,9 @@
         score += penaltiesMs[state.region];
         if (state.target.failureDomain != options_.vm.failureDomain)
             score += crossDomainMs;
+        else if (byDomain && state.inFlight + others < state.target.slots)
+            score -= placement_.localSlotMillis(criteria.route, criteria.bodyBytes,
+                                                criteria.latencyObjective - timeToFinish);
         // Breaks ties at random. Otherwise all VMs would select the same one of equal targets.
         score += 4 * toFraction(mixHashes(state.hash, random));
         if (best.target != nullptr && score >= bestScore)
@@ -236,7 +240,7 @@
                            state->region == options_.vm.region,
                            wasSentRecently(*state, criteria.object, now) });
     }
-    placement_.estimateWarmth(criteria.service, placed);
+    placement_.estimateWarmth(criteria.service, isByDomain(criteria), placed);
     for (std::size_t i = 0; i < placed.size(); ++i)
         warmth[i] = placed[i].warmth;
     return warmth;
--- a/bluebellshift/gateway/targets/placement.cpp
+++ b/bluebellshift/gateway/targets/placement.cpp
@@ -5,10 +5,16 @@
 // ones first, so that few targets have to load a rarely requested object.
 //
 // By failure domain, the preferred targets of a region are chosen from each of its domains in
-// proportion to the domain's targets, as long as each gets one. The region as a whole then keeps as
-// many copies of an object as before, but each domain's VMs find one next to them. Where a region
-// is too small for a copy in each domain, its domains share one: a copy more would drive other
-// objects out of the targets' caches.
+// proportion to the domain's targets, as long as each gets one. Each copy of an object costs one
+// request with a cold object, and again whenever a target restarts. Placing all routes so made
+// 3% of the requests late that were in time before, so that only those are placed by domain that
+// meet their objective with a cold object too. Where a region is too small for a copy in each
+// domain, its domains share one: a copy more would drive other objects out of the targets' caches.
+//
+// Such a request has time to spare and does not need the fastest target. It takes a free slot of
+// its own domain although another domain has a faster one, up to a part of its slack that grows
+// with the bytes that it would send across. Without this the difference of one request in flight
+// outweighed the crossing, and half of the requests of a region crossed its domains.
 #include "bluebellshift/gateway/targets/placement.h"
 
 #include <algorithm>
@@ -19,6 +25,7 @@
 namespace {
 
 constexpr double responseSizeRate = 0.05; // weight of one sample
+constexpr double headerBytes = 1000;      // of a request and its response, about
 
 } // namespace
 
@@ -44,13 +51,34 @@
     usual += responseSizeRate * (size - usual);
 }
 
-double Placement::crossDomainMillis(const std::string &route, std::size_t requestBytes) const
+double Placement::kilobytesOf(const std::string &route, std::size_t requestBytes) const
 {
-    double bytes = static_cast<double>(requestBytes);
+    double bytes = headerBytes + static_cast<double>(requestBytes);
     const auto response = responseBytes_.find(route);
     if (byFailureDomain_ && response != responseBytes_.end())
         bytes += response->second;
-    return crossDomainMillisPerKilobyte * (1 + bytes / 1000);
+    return bytes / 1000;
+}
+
+double Placement::crossDomainMillis(const std::string &route, std::size_t requestBytes) const
+{
+    return crossDomainMillisPerKilobyte * kilobytesOf(route, requestBytes);
+}
+
+double Placement::localSlotMillis(const std::string &route, std::size_t requestBytes,
+                                  core::Duration slack) const
+{
+    if (slack <= core::Duration())
+        return 0;
+    const double kilobytes = kilobytesOf(route, requestBytes);
+    const double sizeFactor = kilobytes / (kilobytes + halfSlackKilobytes);
+    return slack.toSeconds() * 1000 * localSlackFraction * sizeFactor;
+}
+
+bool Placement::isByDomain(core::Duration coldServiceTime, core::Duration objective) const
+{
+    return byFailureDomain_
+        && coldServiceTime.toSeconds() <= (1 - minColdSlack) * objective.toSeconds();
 }
 
 double Placement::requestedObjects(const ServiceId &service) const
@@ -66,7 +94,7 @@
 }
 
 // Sets the probability that the requested object is warm at each candidate.
-void Placement::estimateWarmth(const ServiceId &service,
+void Placement::estimateWarmth(const ServiceId &service, bool byDomain,
                                std::vector<PlacedTarget> &candidates) const
 {
     Group inRegion;
@@ -74,7 +102,7 @@
     for (PlacedTarget &candidate : candidates)
         (candidate.isLocal ? inRegion : elsewhere).push_back(&candidate);
     const double share = warmObjectsPerTarget(service) / requestedObjects(service);
-    if (byFailureDomain_)
+    if (byDomain)
         setPreferredWarmthByDomain(inRegion, share * localRegionShare);
     else
         setPreferredWarmth(inRegion, share * localRegionShare);
--- a/bluebellshift/gateway/targets/testing/placementtest.cpp
+++ b/bluebellshift/gateway/targets/testing/placementtest.cpp
@@ -73,7 +73,7 @@
     requestAll(placement, 170);
     for (int object = 0; object < 170; ++object) {
         std::vector<PlacedTarget> targets = targetsOf({ 41, 41 }, objectHash(object));
-        placement.estimateWarmth(service, targets);
+        placement.estimateWarmth(service, true, targets);
         for (const auto &[domain, preferred] : preferredByDomain(targets))
             CHECK(preferred >= 1);
     }
@@ -90,11 +90,11 @@
     int copiesByRegion = 0;
     for (int object = 0; object < 170; ++object) {
         std::vector<PlacedTarget> targets = targetsOf({ 41, 41 }, objectHash(object));
-        byDomain.estimateWarmth(service, targets);
+        byDomain.estimateWarmth(service, true, targets);
         for (const auto &[domain, preferred] : preferredByDomain(targets))
             copiesByDomain += preferred;
         targets = targetsOf({ 41, 41 }, objectHash(object));
-        byRegion.estimateWarmth(service, targets);
+        byRegion.estimateWarmth(service, false, targets);
         for (const auto &[domain, preferred] : preferredByDomain(targets))
             copiesByRegion += preferred;
     }
@@ -108,7 +108,7 @@
     requestAll(placement, 170);
     for (int object = 0; object < 170; ++object) {
         std::vector<PlacedTarget> targets = targetsOf({ 8, 8 }, objectHash(object));
-        placement.estimateWarmth(service, targets);
+        placement.estimateWarmth(service, true, targets);
         int preferred = 0;
         for (const auto &[domain, count] : preferredByDomain(targets))
             preferred += count;
@@ -124,8 +124,8 @@
     for (int object = 0; object < 170; ++object) {
         std::vector<PlacedTarget> before = targetsOf({ 41, 41 }, objectHash(object));
         std::vector<PlacedTarget> after(before.begin() + 1, before.end());
-        placement.estimateWarmth(service, before);
-        placement.estimateWarmth(service, after);
+        placement.estimateWarmth(service, true, before);
+        placement.estimateWarmth(service, true, after);
         if (before.front().warmth > 0)
             continue;
         for (std::size_t i = 0; i < after.size(); ++i)
@@ -140,7 +140,7 @@
     requestAll(placement, 170);
     for (int object = 0; object < 170; ++object) {
         std::vector<PlacedTarget> targets = targetsOf({ 0, 41 }, objectHash(object));
-        placement.estimateWarmth(service, targets);
+        placement.estimateWarmth(service, true, targets);
         CHECK(preferredByDomain(targets).at(2) >= 1);
     }
 }
@@ -157,11 +157,46 @@
     CHECK(placement.crossDomainMillis("unknown", 2000) > placement.crossDomainMillis("unknown", 0));
 }
 
+// Guards against requests with time to spare that cross domains for a few milliseconds, and
+// against urgent ones that give up time that they need.
+TEST(Placement, ALocalSlotIsWorthAPartOfTheSlackThatGrowsWithTheBytes)
+{
+    Placement placement(true);
+    placement.recordResponse("large", 5000);
+    placement.recordResponse("small", 100);
+    const Duration slack = Duration::millis(2000);
+    const double large = placement.localSlotMillis("large", 0, slack);
+    CHECK(large > placement.localSlotMillis("small", 0, slack));
+    CHECK(large < 2000 * Placement::localSlackFraction);
+    CHECK(large > 10 * placement.localSlotMillis("large", 0, Duration::millis(100)));
+    DOUBLES_EQUAL(0, placement.localSlotMillis("large", 0, Duration::millis(-50)), 0);
+}
+
+// Guards against copies in each domain of objects whose requests are late while the object is cold.
+TEST(Placement, OnlyRequestsThatMeetTheirObjectiveWithAColdObjectAreByDomain)
+{
+    const struct
+    {
+        int coldMillis;
+        int objectiveMillis;
+        bool isByDomain;
+    } cases[] = {
+        { 2600, 3000, true },  { 1040, 800, false }, { 400, 250, false },
+        { 1360, 1000, false }, { 900, 1000, true },  { 910, 1000, false },
+    };
+    for (const auto &one : cases) {
+        const Duration cold = Duration::millis(one.coldMillis);
+        const Duration objective = Duration::millis(one.objectiveMillis);
+        CHECK_EQUAL(one.isByDomain, Placement(true).isByDomain(cold, objective));
+        CHECK(!Placement(false).isByDomain(cold, objective));
+    }
+}
+
 // Guards against a deployment without the feature that is served in another way.
 TEST(Placement, ByRegionTheResponseDoesNotCount)
 {
     Placement placement(false);
     placement.recordResponse("large", 5000);
     DOUBLES_EQUAL(Placement::crossDomainMillisPerKilobyte, placement.crossDomainMillis("large", 0),
-                  0);
+                  1e-9);
 }
