--- a/bluebellshift/gateway/dispatcher.cpp
+++ b/bluebellshift/gateway/dispatcher.cpp
@@ -200,7 +200,6 @@
     criteria.object = pending.object;
     criteria.tried = &pending.tried;
     criteria.route = pending.route->name;
-    criteria.latencyObjective = pending.route->latencyObjective;
     criteria.bodyBytes = pending.arrived.bodyBytes;
     criteria.foundFreeSlot = pending.foundFreeSlot;
     criteria.targetStart = pending.targetStart;
--- a/bluebellshift/gateway/event.h
+++ b/bluebellshift/gateway/event.h
@@ -106,7 +106,6 @@
         false;              // it carries the target's stamp and no content encoding added by others
     bool wasReused = false; // the connection had been used before
     Duration connectTime;   // one round trip; zero: no new connection was made
-    std::size_t responseBytes = 0; // of its body
     std::optional<LoadReport> load;
     // The requests a second that the target takes from all VMs together; nothing: it named none.
     std::optional<double> limitPerSecond;
--- a/bluebellshift/gateway/targetpool.cpp
+++ b/bluebellshift/gateway/targetpool.cpp
@@ -41,7 +41,6 @@
 TargetPool::TargetPool(const GatewayOptions &options, PoolHooks hooks)
     : options_(options)
     , hooks_(std::move(hooks))
-    , placement_(options.features.isRoomContended)
     , limits_(options.vm.id, { hooks_.senderRank, hooks_.log })
     , signals_(hooks_.log)
 {
@@ -67,7 +66,6 @@
     }
     const bool wasDraining = !isNew && known->target.isDraining;
     known->target = target;
-    known->domainHash = hashText(target.failureDomain.text());
     const auto region = options_.regionOf.find(target.failureDomain);
     known->region = region == options_.regionOf.end() ? RegionId() : region->second;
     if (target.warmupLeft > Duration())
@@ -151,8 +149,6 @@
     const std::vector<double> warmth = warmthAt(criteria, candidates, now);
     double bestScore = 0;
     const Congestion &congestion = congestionOf(criteria.service, now);
-    const bool byDomain = isByDomain(criteria);
-    const double crossDomainMs = placement_.crossDomainMillis(criteria.route, criteria.bodyBytes);
     std::map<RegionId, double> penaltiesMs;
     for (const auto &[domain, region] : options_.regionOf)
         penaltiesMs.emplace(region, 0);
@@ -176,10 +172,8 @@
             + failureRateOf(state, now) * millis(failureCost);
         score += penaltiesMs[state.region];
         if (state.target.failureDomain != options_.vm.failureDomain)
-            score += crossDomainMs;
-        else if (byDomain && state.inFlight + others < state.target.slots)
-            score -= placement_.localSlotMillis(criteria.route, criteria.bodyBytes,
-                                                criteria.latencyObjective - timeToFinish);
+            score +=
+                crossDomainMillisPerKilobyte * (1 + static_cast<double>(criteria.bodyBytes) / 1000);
         // Breaks ties at random. Otherwise all VMs would select the same one of equal targets.
         score += 4 * toFraction(mixHashes(state.hash, random));
         if (best.target != nullptr && score >= bestScore)
@@ -236,11 +230,11 @@
     std::vector<targets::PlacedTarget> placed;
     placed.reserve(candidates.size());
     for (const State *state : candidates) {
-        placed.push_back({ mixHashes(state->hash, criteria.object), state->domainHash,
+        placed.push_back({ mixHashes(state->hash, criteria.object),
                            state->region == options_.vm.region,
                            wasSentRecently(*state, criteria.object, now) });
     }
-    placement_.estimateWarmth(criteria.service, isByDomain(criteria), placed);
+    placement_.estimateWarmth(criteria.service, placed);
     for (std::size_t i = 0; i < placed.size(); ++i)
         warmth[i] = placed[i].warmth;
     return warmth;
@@ -541,7 +535,6 @@
     if (!isAnswered || ended.saysNotRun || ended.status >= 400)
         return;
     learnServiceTime(*state, criteria, elapsed, now);
-    placement_.recordResponse(criteria.route, ended.responseBytes);
     if (elapsed <= Duration())
         return;
     double &meanMs = meanTimesMs_.emplace(criteria.service, millis(elapsed)).first->second;
--- a/bluebellshift/gateway/targetpool.h
+++ b/bluebellshift/gateway/targetpool.h
@@ -42,8 +42,7 @@
     const std::vector<RegionId> *teamRegions = nullptr;
     std::uint64_t object = 0; // hash of the route and affinity key; 0: none
     const std::vector<TargetId> *tried = nullptr;
-    std::string route;         // name of the route, by which service times are learned
-    Duration latencyObjective; // of the route
+    std::string route; // name of the route, by which service times are learned
     std::size_t bodyBytes = 0;
     bool foundFreeSlot = false;   // when it was sent: its duration contains no queueing
     std::int64_t targetStart = 0; // start time, in Unix milliseconds, of the target it was sent to
@@ -113,6 +112,7 @@
     static constexpr Duration defaultRttBetweenRegions = Duration::millis(90);
     // Bytes of a request that a connection carries in one round trip.
     static constexpr double bytesPerRoundTrip = 16 * 1024;
+    static constexpr double crossDomainMillisPerKilobyte = 2; // cost of billed traffic in the score
 
     TargetPool(const GatewayOptions &options, PoolHooks hooks);
 
@@ -164,7 +164,6 @@
     {
         Target target;
         std::uint64_t hash = 0;
-        std::uint64_t domainHash = 0;
         RegionId region;
         int inFlight = 0;
         Instant coldUntil = Instant::never();
@@ -220,11 +219,6 @@
     int othersAt(const State &state, const Congestion &congestion, Instant now) const;
     std::vector<const State *> candidatesFor(const TargetCriteria &criteria,
                                              ExclusionCounts *counts, Instant now) const;
-    bool isByDomain(const TargetCriteria &criteria) const
-    {
-        return placement_.isByDomain(expectedServiceTime(criteria.route),
-                                     criteria.latencyObjective);
-    }
     // The probability that the requested object is warm at each candidate.
     std::vector<double> warmthAt(const TargetCriteria &criteria,
                                  const std::vector<const State *> &candidates, Instant now) const;
