Skip objects of the store that can't be read, not their page

Cause: a reply of the store was parsed as a whole. One string with ill-formed UTF-8 or a lone surrogate, or one number beyond a double, made the list and every later watch of its kind unusable. A `has_more` or `deleted` that was no boolean threw out of the event loop and ended the process.

The class, and what was looked at: the next page follows the last name that can be read, and a list that can't go on keeps what is known, as an object without a name made it start again for ever (StoreLink::onListed); an object without a legible revision replaces the known one (StoreLink::apply); an object without a legible name replaces nothing, leads to a list, and is not sent to other VMs (StoreLink::onChanged, Reducer); the echo of a written object may contain what others wrote (StoreClient::write); empty names. An evacuation counts by its name alone, as before. Not affected: log lines (bytes are escaped), metrics (no label is a name of the store), CBOR messages (names are byte strings). bluebellshift/platform of the daemon parses as before.

--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -54,6 +54,13 @@
 constexpr Duration stopMargin = Duration::millis(300);         // before the process is killed
 constexpr Duration defaultLookupTtl = Duration::seconds(2);
 
+// An entry without a name can't be sent on: the VMs that follow call the store themselves.
+bool hasUnnamedEntry(const RegistryChanged &changed)
+{
+    return std::any_of(changed.entries.begin(), changed.entries.end(),
+                       [](const RegistryEntry &entry) { return !entry.isNamed; });
+}
+
 } // namespace
 
 class Reducer::State
@@ -271,6 +278,8 @@
 {
     if (!entry.isGone && std::holds_alternative<UnreadableEntry>(entry.value))
         logUnreadable(registry, entry);
+    if (!entry.isNamed)
+        return; // it can't replace an entry that is in use
     switch (registry) {
     case Registry::Traffic:
         onConfig(entry);
@@ -484,7 +493,7 @@
 // the report that announces the new revision.
 void Reducer::State::sendTargetUpdate(const RegistryChanged &changed, Revision after)
 {
-    if (!isFirstReader())
+    if (!isFirstReader() || hasUnnamedEntry(changed))
         return;
     TargetUpdate update;
     update.after = after;
@@ -512,7 +521,7 @@
 void Reducer::State::sendVmUpdate(const RegistryChanged &changed, Revision after)
 {
     expediteReport(true);
-    if (!isFirstReader())
+    if (!isFirstReader() || hasUnnamedEntry(changed))
         return;
     VmUpdate update;
     update.after = after;
@@ -799,6 +808,7 @@
     readings.configVersion = state_->config_ ? state_->config_->version.number() : 0;
     readings.storeAge = now - state_->store_.lastResponseAt();
     readings.isStoreLost = state_->store_.isLost();
+    readings.unreadableEntries = state_->store_.unreadableCount();
     return readings;
 }
 
--- a/bluebellshift/gateway/reducer.h
+++ b/bluebellshift/gateway/reducer.h
@@ -62,6 +62,7 @@
         std::uint64_t configVersion = 0;
         Duration storeAge; // since the store's last response
         bool isStoreLost = false;
+        std::size_t unreadableEntries = 0; // of the store
     };
     Readings readings(Instant now) const;
 
--- a/bluebellshift/gateway/registry.h
+++ b/bluebellshift/gateway/registry.h
@@ -69,6 +69,8 @@
     Revision revision; // of the entry's last change
     bool isGone = false;
     RegistryValue value; // invalid if isGone
+    // False if the name can't be read; `name` then holds its legible part, for log messages.
+    bool isNamed = true;
 };
 
 // Why a call to the store failed.
--- a/bluebellshift/gateway/storelink.cpp
+++ b/bluebellshift/gateway/storelink.cpp
@@ -14,6 +14,18 @@
 // The registry that is requested to probe a lost store: a small one.
 constexpr Registry probedRegistry = Registry::Evacuations;
 
+// The key of an entry in a registry. A legible part must not hide the entry that has it as its
+// name; 0xFF occurs in no UTF-8 text.
+std::string keyOf(const RegistryEntry &entry)
+{
+    return entry.isNamed ? entry.name : '\xff' + entry.name;
+}
+
+bool isUnreadable(const RegistryEntry &entry)
+{
+    return !entry.isGone && std::holds_alternative<UnreadableEntry>(entry.value);
+}
+
 } // namespace
 
 const char *toText(StoreMode mode)
@@ -117,25 +129,37 @@
         state.isFirstPage = false;
         state.listedAt = listed.at; // the watch then returns changes made during later pages
     }
+    const std::string pageBegin = state.listedUpTo;
     for (const RegistryEntry &entry : listed.entries) {
-        state.listedNames.insert(entry.name);
-        state.listedUpTo = entry.name;
+        if (entry.isNamed)
+            state.listedUpTo = entry.name;
         state.newestEntry = std::max(state.newestEntry, entry.revision);
-        apply(listed.registry, entry);
+        applyListed(listed.registry, entry, listed.at);
     }
-    if (!listed.hasMore || listed.entries.empty())
+    // Without a name to continue after, the next page would be this one again.
+    const bool isCutShort = listed.hasMore && state.listedUpTo == pageBegin;
+    if (isCutShort)
+        keepUnlisted(state);
+    if (!listed.hasMore || isCutShort)
         finishList(listed.registry, now);
     onTimer(now);
 }
 
+// Treats all known entries as listed, for a list whose further pages can't be requested.
+void StoreLink::keepUnlisted(State &state)
+{
+    for (const auto &[key, known] : state.known)
+        state.listedNames.insert(key);
+}
+
 // Reports the known entries that the list no longer contains as gone.
 void StoreLink::removeUnlisted(Registry registry)
 {
     State &state = stateOf(registry);
     std::vector<std::string> gone;
-    for (const auto &[name, revision] : state.known) {
+    for (const auto &[name, known] : state.known) {
         // A list that may be stale lacks entries that are newer than it.
-        if (state.listedNames.count(name) == 0 && revision <= state.listedAt)
+        if (state.listedNames.count(name) == 0 && known.revision <= state.listedAt)
             gone.push_back(name);
     }
     for (const std::string &name : gone) {
@@ -203,8 +227,14 @@
     state.dueAt = changed.entries.empty() ? now : now + changeBatchTime;
     if (mode_ == StoreMode::Follows)
         state.dueAt = Instant::never(); // until a newer revision is reported
-    for (const RegistryEntry &entry : changed.entries)
-        apply(changed.registry, entry);
+    for (const RegistryEntry &entry : changed.entries) {
+        apply(changed.registry, entry, changed.at);
+        if (entry.isNamed || changed.at <= state.revision)
+            continue;
+        // It may replace a known entry: the list shows which one is missing.
+        state.mustList = true;
+        state.dueAt = now + changeBatchTime;
+    }
     state.revision = std::max(state.revision, changed.at);
     if (!changed.entries.empty())
         state.lastChange = state.revision;
@@ -250,7 +280,7 @@
     if (state.mustList || !isNext)
         return; // the store is called for the missed changes
     for (const RegistryEntry &entry : changed.entries)
-        apply(changed.registry, entry);
+        apply(changed.registry, entry, changed.at);
     state.listedChanges.clear();
     state.revision = changed.at;
     state.lastChange = changed.at;
@@ -267,10 +297,8 @@
     if (state.mustList || revision <= state.revision)
         return;
     state.listedAt = revision;
-    for (const RegistryEntry &entry : entries) {
-        state.listedNames.insert(entry.name);
-        apply(registry, entry);
-    }
+    for (const RegistryEntry &entry : entries)
+        applyListed(registry, entry, revision);
     removeUnlisted(registry);
     state.listedChanges.clear();
     state.revision = revision;
@@ -305,25 +333,49 @@
     return oldest;
 }
 
+std::size_t StoreLink::unreadableCount() const
+{
+    std::size_t count = 0;
+    for (const State &state : states_) {
+        for (const auto &[key, known] : state.known)
+            count += known.isUnreadable ? 1 : 0;
+    }
+    return count;
+}
+
 // Passes on an entry if it is newer than the known one. A watch starts from a list's first
 // page, so that its events may be older than the last page.
-void StoreLink::apply(Registry registry, const RegistryEntry &entry)
+void StoreLink::apply(Registry registry, RegistryEntry entry, Revision at)
 {
     State &state = stateOf(registry);
-    const auto known = state.known.find(entry.name);
+    const std::string key = keyOf(entry);
+    const auto known = state.known.find(key);
+    if (isUnreadable(entry) && entry.revision == Revision()) {
+        // Its revision can't be read either. It replaces what is known, once.
+        if (known != state.known.end() && known->second.isUnreadable)
+            return;
+        entry.revision = at;
+    }
     if (known != state.known.end()
-        && (entry.isGone ? entry.revision < known->second : entry.revision <= known->second))
+        && (entry.isGone ? entry.revision < known->second.revision
+                         : entry.revision <= known->second.revision))
         return;
     if (entry.isGone) {
         if (known == state.known.end())
             return;
         state.known.erase(known);
     } else {
-        state.known[entry.name] = entry.revision;
+        state.known[key] = { entry.revision, isUnreadable(entry) };
     }
     hooks_.onEntry(registry, entry);
     if (!isWatched(registry))
-        state.listedChanges.push_back(entry);
+        state.listedChanges.push_back(std::move(entry));
+}
+
+void StoreLink::applyListed(Registry registry, const RegistryEntry &entry, Revision at)
+{
+    stateOf(registry).listedNames.insert(keyOf(entry));
+    apply(registry, entry, at);
 }
 
 void StoreLink::onFailed(const RegistryFailed &failed, std::uint64_t random, Instant now)
--- a/bluebellshift/gateway/storelink.h
+++ b/bluebellshift/gateway/storelink.h
@@ -104,6 +104,9 @@
     // The earliest of the times at which the store last confirmed each watched registry.
     Instant confirmedAt() const;
 
+    // The number of entries that exist but can't be read.
+    std::size_t unreadableCount() const;
+
     // Lists a registry that isn't watched again as soon as possible.
     void refresh(Registry registry, Instant now);
 
@@ -115,22 +118,27 @@
     Instant lastResponseAt() const { return lastResponseAt_; }
 
 private:
+    struct Known
+    {
+        Revision revision;
+        bool isUnreadable = false;
+    };
     struct State
     {
         bool isListed = false;
         bool isBusy = false;              // a call is in progress
         Instant dueAt = Instant::never(); // time of the next call, if not busy; never(): none
         bool mustList = true;
-        std::string listedUpTo; // last name of the pages received so far
+        std::string listedUpTo; // last legible name of the pages received so far
         bool isFirstPage = true;
         Revision listedAt;    // of the first page
         Revision newestEntry; // of the entries listed so far
         Revision revision;    // to watch from
         Revision lastChange;  // revision of the last change
         Instant confirmedAt = Instant::never();
-        std::unordered_set<std::string> listedNames; // names in the current list
+        std::unordered_set<std::string> listedNames; // keys in the current list
         std::vector<RegistryEntry> listedChanges;    // of the current list, against the known
-        std::unordered_map<std::string, Revision> known;
+        std::unordered_map<std::string, Known> known; // by keyOf
     };
 
     State &stateOf(Registry registry) { return states_[static_cast<std::size_t>(registry)]; }
@@ -141,8 +149,11 @@
     static bool isWatched(Registry registry);
 
     void call(Registry registry, Instant now);
-    void apply(Registry registry, const RegistryEntry &entry);
+    // `at` is the revision of the response that contains the entry.
+    void apply(Registry registry, RegistryEntry entry, Revision at);
+    void applyListed(Registry registry, const RegistryEntry &entry, Revision at);
     void finishList(Registry registry, Instant now);
+    static void keepUnlisted(State &state);
     void removeUnlisted(Registry registry);
     Instant nextPoll(Registry registry, bool hasChanged, Instant now) const;
     static void readNewest(State &state);
--- a/bluebellshift/gatewayd/metrics.cpp
+++ b/bluebellshift/gatewayd/metrics.cpp
@@ -143,6 +143,8 @@
     families.setGauge("config_version", static_cast<double>(readings.gateway.configVersion));
     families.setGauge("store_age_seconds", readings.gateway.storeAge.toSeconds());
     families.setGauge("store_lost", readings.gateway.isStoreLost ? 1 : 0);
+    families.setGauge("entries_unreadable",
+                      static_cast<double>(readings.gateway.unreadableEntries));
     families.setGauge("target_connections_made",
                       static_cast<double>(readings.targetConnectionsMade));
     families.setGauge("caller_connections", static_cast<double>(readings.callerConnections));
