Refuse frames with strings of indefinite length

Cause: the CBOR reader of nlohmann/json calls itself for each string of indefinite length inside another one and tells its handler only at the end. A frame of 4 MB of 0x7f exhausted the stack and ended the process.

Change: parseCbor checks the heads of all items first, in one loop without recursion, and refuses indefinite lengths, which no VM writes.

Looked at: all users of parseCbor (messages, the hello of the handshake, recordings); arrays (limited by the handler, refused if indefinite); maps and tags (refused); JSON in platform/ (its reader and its destructor do not recurse).

--- a/bluebellshift/shell/cbor.cpp
+++ b/bluebellshift/shell/cbor.cpp
@@ -1,6 +1,7 @@
 // The tree builder of nlohmann/json throws for hostile lengths, and its reader
 // recurses for each nested array. The SAX handler below stops the reader before
-// either happens.
+// either happens. The reader also recurses for strings of indefinite length, of which
+// the handler is not told, so that the heads of all items are checked first.
 #include "bluebellshift/shell/cbor.h"
 
 #include <string>
@@ -15,6 +16,42 @@
 constexpr std::size_t maxArrayEntries = 4096;
 constexpr std::size_t maxValues = 262'144;
 
+constexpr unsigned typeShift = 5; // the major type is in the upper three bits of a head
+constexpr unsigned infoMask = 0x1f;
+constexpr unsigned byteString = 2;
+constexpr unsigned textString = 3;
+constexpr unsigned firstLongInfo = 24; // a number of 1, 2, 4 or 8 bytes follows the head
+constexpr unsigned lastLongInfo = 27;
+
+// Returns whether the bytes are a sequence of items of definite length. Nesting needs no
+// attention: the entries of an array follow its head.
+bool hasDefiniteLengths(std::string_view bytes)
+{
+    std::size_t at = 0;
+    while (at < bytes.size()) {
+        const auto head = static_cast<unsigned char>(bytes[at++]);
+        const unsigned info = head & infoMask;
+        if (info > lastLongInfo)
+            return false;
+        std::uint64_t number = info;
+        if (info >= firstLongInfo) {
+            const std::size_t length = std::size_t { 1 } << (info - firstLongInfo);
+            if (bytes.size() - at < length)
+                return false;
+            number = 0;
+            for (std::size_t i = 0; i < length; ++i)
+                number = number << 8 | static_cast<unsigned char>(bytes[at++]);
+        }
+        const unsigned type = head >> typeShift;
+        if (type != byteString && type != textString)
+            continue;
+        if (bytes.size() - at < number)
+            return false;
+        at += number;
+    }
+    return true;
+}
+
 // Builds the tree of a document; stops at the first value that exceeds a limit.
 class TreeBuilder
 {
@@ -90,7 +127,8 @@
 absl::StatusOr<json> parseCbor(std::string_view bytes)
 {
     TreeBuilder builder;
-    if (!json::sax_parse(bytes.begin(), bytes.end(), &builder, json::input_format_t::cbor))
+    if (!hasDefiniteLengths(bytes)
+        || !json::sax_parse(bytes.begin(), bytes.end(), &builder, json::input_format_t::cbor))
         return absl::InvalidArgumentError("CBOR is malformed or exceeds a limit");
     return builder.takeTree();
 }
--- a/bluebellshift/shell/cbor.h
+++ b/bluebellshift/shell/cbor.h
@@ -10,7 +10,7 @@
 namespace bluebellshift::shell {
 
 // Accepts arrays of numbers, booleans, nulls and byte strings; text strings are read
-// as byte strings. Maps, tags, arrays of indefinite length, nesting deeper than 8
+// as byte strings. Maps, tags, items of indefinite length, nesting deeper than 8
 // levels, arrays of more than 4,096 entries and more than 262,144 values are
 // InvalidArgument.
 absl::StatusOr<nlohmann::json> parseCbor(std::string_view bytes);
