Hold back signals until their handlers are installed

Cause: between its start and the installation of its handlers, SIGHUP ended the gateway, and SIGTERM cut off callers that had connected since the ports were open.

Change: main blocks SIGHUP, SIGTERM and SIGINT first and unblocks them when the handlers are installed, so that a signal from that time is handled then. The modification time of the settings is taken before they are read: a file that changed between reading and watching was noticed only when it changed again. Before main (loading of libraries) the default action still applies.

Looked at: threads of the process (none before the handlers; the mesh runs on the loop); the daemon's main has the same window and stays as it is in this work.

--- a/bluebellshift/gatewayd/main.cpp
+++ b/bluebellshift/gatewayd/main.cpp
@@ -70,22 +70,44 @@
     return code;
 }
 
+// Holds back the signals that the process handles (SIG_BLOCK), or lets them through again
+// (SIG_UNBLOCK).
+void changeSignalMask(int how)
+{
+    sigset_t handled;
+    sigemptyset(&handled);
+    for (const int signal : { SIGTERM, SIGINT, SIGHUP })
+        sigaddset(&handled, signal);
+    pthread_sigmask(how, &handled, nullptr);
+}
+
+std::int64_t modificationTime(const std::string &path)
+{
+    struct stat status = {};
+    if (stat(path.c_str(), &status) != 0)
+        return 0;
+    return static_cast<std::int64_t>(status.st_mtim.tv_sec) * 1'000'000'000
+        + status.st_mtim.tv_nsec;
+}
+
 // Reloads the settings file on SIGHUP or when its modification time changes.
 class SettingsWatch
 {
 public:
-    SettingsWatch(boost::asio::io_context &loop, std::string path, gatewayd::Gateway &gateway)
+    // `changedAt` is the file's modification time before the settings in use were read.
+    SettingsWatch(boost::asio::io_context &loop, std::string path, std::int64_t changedAt,
+                  gatewayd::Gateway &gateway)
         : path_(std::move(path))
         , gateway_(gateway)
         , timer_(loop)
-        , changedAt_(modificationTime())
+        , changedAt_(changedAt)
     {
         scheduleCheck();
     }
 
     void reload()
     {
-        changedAt_ = modificationTime();
+        changedAt_ = modificationTime(path_);
         const auto settings = gatewayd::loadGatewaySettings(path_);
         if (settings.ok())
             gateway_.applySettings(*settings);
@@ -95,22 +117,13 @@
     }
 
 private:
-    std::int64_t modificationTime() const
-    {
-        struct stat status = {};
-        if (stat(path_.c_str(), &status) != 0)
-            return 0;
-        return static_cast<std::int64_t>(status.st_mtim.tv_sec) * 1'000'000'000
-            + status.st_mtim.tv_nsec;
-    }
-
     void scheduleCheck()
     {
         timer_.expires_after(settingsCheckInterval);
         timer_.async_wait([this](const boost::system::error_code &error) {
             if (error)
                 return;
-            if (modificationTime() != changedAt_)
+            if (modificationTime(path_) != changedAt_)
                 reload();
             scheduleCheck();
         });
@@ -136,7 +149,7 @@
     });
 }
 
-int run(gatewayd::GatewaySettings settings, const std::string &path)
+int run(gatewayd::GatewaySettings settings, const std::string &path, std::int64_t changedAt)
 {
     const base::Clock clock = base::systemClock();
     settings.gateway.vm.incarnation = core::Incarnation(clock.random() >> 1 | 1);
@@ -147,9 +160,10 @@
         fmt::print(stderr, "bluebellshift-gateway: {}\n", std::string(status.message()));
         return exitListen;
     }
-    SettingsWatch watch(loop, path, gateway);
+    SettingsWatch watch(loop, path, changedAt, gateway);
     boost::asio::signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
     serveSignals(signals, gateway, watch);
+    changeSignalMask(SIG_UNBLOCK);
     loop.run();
     return exitOk;
 }
@@ -158,10 +172,14 @@
 
 int main(int argc, const char **argv)
 {
+    // Until the handlers are installed, SIGHUP would end the process, and SIGTERM would cut off
+    // the callers that have connected.
+    changeSignalMask(SIG_BLOCK);
     std::signal(SIGPIPE, SIG_IGN);
     Arguments arguments;
     if (const int code = parseArguments(argc, argv, &arguments); code >= 0)
         return code;
+    const std::int64_t changedAt = modificationTime(arguments.settingsFile);
     const auto settings = gatewayd::loadGatewaySettings(arguments.settingsFile);
     if (!settings.ok()) {
         fmt::print(stderr, "{}\n", std::string(settings.status().message()));
@@ -171,5 +189,5 @@
         fmt::print("{}: no faults\n", arguments.settingsFile);
         return exitOk;
     }
-    return run(*settings, arguments.settingsFile);
+    return run(*settings, arguments.settingsFile, changedAt);
 }
