Remember removed entries, so that late responses don't bring them back

Cause: StoreLink kept no record of an entry that was gone. A late response of a watch, or an older update of a reader, contained it as unknown and therefore new.

Change: each registry remembers its last 1,024 removals. A change of an entry that is not newer than its removal is dropped. A list that is newer than the removal decides, so that a target that was missing from one faulty list is used again.

Looked at: all calls of StoreLink::apply (lists, watches, updates of readers, evacuations in reports); VmExchange forwards updates by their revision only upwards; Fleet ignores reports of VMs without an entry; configurations are ordered by their version; the key of the peers is never removed.

--- a/bluebellshift/gateway/storelink.cpp
+++ b/bluebellshift/gateway/storelink.cpp
@@ -164,6 +164,7 @@
     }
     for (const std::string &name : gone) {
         state.known.erase(name);
+        rememberGone(state, name, state.listedAt, state.listedAt);
         RegistryEntry entry;
         entry.name = name;
         entry.isGone = true;
@@ -343,9 +344,25 @@
     return count;
 }
 
+void StoreLink::rememberGone(State &state, const std::string &key, Revision revision, Revision at)
+{
+    Gone &gone = state.gone[key];
+    gone.revision = std::max(gone.revision, revision);
+    gone.at = std::max(gone.at, at);
+    gone.number = ++state.goneNumber;
+    state.goneKeys.emplace_back(gone.number, key);
+    while (state.goneKeys.size() > maxGoneEntries) {
+        const auto &[number, oldest] = state.goneKeys.front();
+        const auto found = state.gone.find(oldest);
+        if (found != state.gone.end() && found->second.number == number)
+            state.gone.erase(found);
+        state.goneKeys.pop_front();
+    }
+}
+
 // Passes on an entry if it is newer than the known one. A watch starts from a list's first
 // page, so that its events may be older than the last page.
-void StoreLink::apply(Registry registry, RegistryEntry entry, Revision at)
+void StoreLink::apply(Registry registry, RegistryEntry entry, Revision at, bool isFromList)
 {
     State &state = stateOf(registry);
     const std::string key = keyOf(entry);
@@ -361,10 +378,18 @@
                          : entry.revision <= known->second.revision))
         return;
     if (entry.isGone) {
+        rememberGone(state, key, entry.revision, at);
         if (known == state.known.end())
             return;
         state.known.erase(known);
     } else {
+        // A late response of a watch or an older update of a reader must not bring back an entry.
+        // A list that is newer than the removal decides.
+        const auto gone = state.gone.find(key);
+        if (gone != state.gone.end() && entry.revision <= gone->second.revision
+            && (!isFromList || at <= gone->second.at))
+            return;
+        state.gone.erase(key);
         state.known[key] = { entry.revision, isUnreadable(entry) };
     }
     hooks_.onEntry(registry, entry);
@@ -375,7 +400,7 @@
 void StoreLink::applyListed(Registry registry, const RegistryEntry &entry, Revision at)
 {
     stateOf(registry).listedNames.insert(keyOf(entry));
-    apply(registry, entry, at);
+    apply(registry, entry, at, true);
 }
 
 void StoreLink::onFailed(const RegistryFailed &failed, std::uint64_t random, Instant now)
--- a/bluebellshift/gateway/storelink.h
+++ b/bluebellshift/gateway/storelink.h
@@ -18,6 +18,7 @@
 #pragma once
 
 #include <array>
+#include <deque>
 #include <functional>
 #include <string>
 #include <unordered_map>
@@ -76,6 +77,9 @@
     // Delay of the next watch after a change, since changes come in groups.
     static constexpr Duration changeBatchTime = Duration::millis(300);
     static constexpr int maxConsecutiveFailures = 2; // then the store counts as lost
+    // The number of removed entries of a registry that are remembered: more than the targets of
+    // a large deployment, of which all may be replaced at once.
+    static constexpr std::size_t maxGoneEntries = 1024;
 
     explicit StoreLink(StoreLinkHooks hooks);
 
@@ -107,6 +111,9 @@
     // The number of entries that exist but can't be read.
     std::size_t unreadableCount() const;
 
+    // The number of removed entries of a registry that are remembered.
+    std::size_t goneCount(Registry registry) const { return stateOf(registry).gone.size(); }
+
     // Lists a registry that isn't watched again as soon as possible.
     void refresh(Registry registry, Instant now);
 
@@ -123,6 +130,12 @@
         Revision revision;
         bool isUnreadable = false;
     };
+    struct Gone
+    {
+        Revision revision; // of the removal, or of the entry's last change
+        Revision at;       // of the response that showed the removal
+        std::uint64_t number = 0;
+    };
     struct State
     {
         bool isListed = false;
@@ -136,9 +149,13 @@
         Revision revision;    // to watch from
         Revision lastChange;  // revision of the last change
         Instant confirmedAt = Instant::never();
-        std::unordered_set<std::string> listedNames; // keys in the current list
-        std::vector<RegistryEntry> listedChanges;    // of the current list, against the known
+        std::unordered_set<std::string> listedNames;  // keys in the current list
+        std::vector<RegistryEntry> listedChanges;     // of the current list, against the known
         std::unordered_map<std::string, Known> known; // by keyOf
+        // Removed entries, so that an outdated response does not bring them back.
+        std::unordered_map<std::string, Gone> gone;
+        std::deque<std::pair<std::uint64_t, std::string>> goneKeys; // the oldest first
+        std::uint64_t goneNumber = 0;
     };
 
     State &stateOf(Registry registry) { return states_[static_cast<std::size_t>(registry)]; }
@@ -150,13 +167,14 @@
 
     void call(Registry registry, Instant now);
     // `at` is the revision of the response that contains the entry.
-    void apply(Registry registry, RegistryEntry entry, Revision at);
+    void apply(Registry registry, RegistryEntry entry, Revision at, bool isFromList = false);
     void applyListed(Registry registry, const RegistryEntry &entry, Revision at);
     void finishList(Registry registry, Instant now);
     static void keepUnlisted(State &state);
     void removeUnlisted(Registry registry);
     Instant nextPoll(Registry registry, bool hasChanged, Instant now) const;
     static void readNewest(State &state);
+    static void rememberGone(State &state, const std::string &key, Revision revision, Revision at);
     void stopCalling(Registry registry);
     void recordResponse(Instant now);
 
