Keep the bound of a cold target while VMs don't know each other

Cause: a VM may send to a cold target if its rank among the live VMs is below three, and a VM whose registered peers have not reported counts none of them. A killed VM also forgets when it last sent, and a VM that becomes a sender sends at once.

Change: Fleet::coldSenderRank counts a registered VM for senderTimeout (6 s) after it was listed or last reported. Afterwards the VMs that remain use their part of the bound in proportion to the registered VMs, so that an isolated VM still uses a target that stays cold. The rule is a class of its own, targets/coldsenders. A new sender, and one that has just started, waits for one interval. A peer that restarts is no longer taken for leaving because its earlier run said so.

The class (what was looked at): senderRank of target limits already counts silent VMs for 6 s, and all while partitioned; the retry budget divides by the registered VMs; TeamQuotas divides by the registered VMs and has no tokens before they are listed; TeamAccounts uses liveShare and settledShare, which count this VM alone after a start; liveVmsInRegion (waits only), readerRank and removeStaleVms (store reads and removal of entries) use live ranks and share no bound.

--- a/bluebellshift/gateway/fleet.cpp
+++ b/bluebellshift/gateway/fleet.cpp
@@ -27,6 +27,7 @@
             peer.isDisconnected = false;
             peer.reportedAt = Instant::never();
             replaceUses(peer, {});
+            peer.report.isLeaving = false; // that was said by the run before
         }
     }
 }
@@ -238,17 +239,39 @@
     return static_cast<double>(others + 1) / static_cast<double>(vmCount());
 }
 
-std::size_t Fleet::rankFor(std::uint64_t target, Instant now) const
+std::size_t Fleet::rankFor(std::uint64_t seed, Instant now) const
 {
-    const std::uint64_t own = mixHashes(hashText(options_.vm.id.text()), target);
+    const std::uint64_t own = mixHashes(hashText(options_.vm.id.text()), seed);
     std::size_t before = 0;
     for (const auto &[id, peer] : entries_) {
-        if (isLive(peer, now) && mixHashes(peer.hash, target) < own)
+        if (isLive(peer, now) && mixHashes(peer.hash, seed) < own)
             ++before;
     }
     return before;
 }
 
+// Without the time in which silent VMs count, all VMs of a fleet that has just started would have
+// rank 0. Afterwards each side of a partition has a part of the bound in proportion to its VMs, so
+// that an isolated VM can still use targets that stay cold.
+ColdSenderRank Fleet::coldSenderRank(std::uint64_t target, Instant now) const
+{
+    ColdSenderRank rank;
+    const std::uint64_t own = mixHashes(hashText(options_.vm.id.text()), target);
+    std::size_t counted = 1;
+    for (const auto &[id, peer] : entries_) {
+        const Instant countedUntil = std::max(peer.reportedAt, peer.listedAt) + senderTimeout;
+        if (now >= countedUntil) {
+            rank.since = std::max(rank.since, countedUntil);
+            continue;
+        }
+        ++counted;
+        if (mixHashes(peer.hash, target) < own)
+            ++rank.position;
+    }
+    rank.fleetShare = static_cast<double>(counted) / static_cast<double>(vmCount());
+    return rank;
+}
+
 SenderRank Fleet::senderRank(std::uint32_t target, const RegionId &region, Instant now) const
 {
     SenderRank rank;
--- a/bluebellshift/gateway/fleet.h
+++ b/bluebellshift/gateway/fleet.h
@@ -85,8 +85,11 @@
     std::size_t liveVmsInRegion(Instant now) const;
     // Share of all registered VMs that are in this VM's region.
     double regionShare() const;
-    // This VM's rank, from 0, among the live VMs by rendezvous hashing with the target.
-    std::size_t rankFor(std::uint64_t target, Instant now) const;
+    // This VM's rank, from 0, among the live VMs by rendezvous hashing with the seed.
+    std::size_t rankFor(std::uint64_t seed, Instant now) const;
+    // The same among the VMs that may send to a cold target. A registered VM that is not live, or
+    // has not reported yet, still counts for senderTimeout, as it may be sending.
+    ColdSenderRank coldSenderRank(std::uint64_t target, Instant now) const;
     // The VMs that may share a target's limit. A registered VM that is not live still counts for
     // senderTimeout, as it may still be sending.
     SenderRank senderRank(std::uint32_t target, const RegionId &region, Instant now) const;
--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -171,7 +171,9 @@
                   [this](core::LogRecord record) { log(std::move(record)); } })
     , pool_(options_,
             { [this](std::uint32_t target, Instant) { return fleet_.othersInFlight(target); },
-              [this](std::uint64_t target, Instant now) { return fleet_.rankFor(target, now); },
+              [this](std::uint64_t target, Instant now) {
+                  return fleet_.coldSenderRank(target, now);
+              },
               [this](TargetHash target, const RegionId &region, Instant now) {
                   return fleet_.senderRank(target, region, now);
               },
--- a/bluebellshift/gateway/targetlimits.h
+++ b/bluebellshift/gateway/targetlimits.h
@@ -44,6 +44,16 @@
     std::size_t position = 0;  // its rank, from 0, among the VMs there
 };
 
+// This VM's place among those that may send to a cold target.
+struct ColdSenderRank
+{
+    std::size_t position = 0; // its rank, from 0, among the VMs that it counts
+    // Fraction of the registered VMs that it counts, including itself. The others may be serving
+    // callers behind a partition and keep their part of the bound.
+    double fleetShare = 1;
+    Instant since = Instant::never(); // when it stopped counting the latest of the others
+};
+
 struct TargetLimitHooks
 {
     // Ranks by a hash of target and VM: the same on all VMs.
--- a/bluebellshift/gateway/targetpool.cpp
+++ b/bluebellshift/gateway/targetpool.cpp
@@ -71,7 +71,7 @@
     const auto region = options_.regionOf.find(target.failureDomain);
     known->region = region == options_.regionOf.end() ? RegionId() : region->second;
     if (target.warmupLeft > Duration())
-        known->coldUntil = std::max(known->coldUntil, now + target.warmupLeft);
+        makeCold(*known, target.warmupLeft, now);
     else if (!isNew && !isCold(*known, now))
         known->coldUntil = Instant::never();
     if (isNew) {
@@ -118,7 +118,7 @@
         if (state.target.failureDomain != domain || !config_)
             continue;
         if (const ServicePolicy *policy = config_->findService(state.target.service))
-            state.coldUntil = std::max(state.coldUntil, now + policy->warmup);
+            makeCold(state, policy->warmup, now);
     }
 }
 
@@ -267,12 +267,8 @@
         return Exclusion::Tried;
     if (now < state.ejectedUntil || (state.consecutiveConnectFailures > 0 && state.inFlight > 0))
         return Exclusion::Ejected;
-    if (isCold(state, now)) {
-        const bool maySend = now - state.coldSentAt >= coldSpacing(state)
-            && hooks_.rankForColdTarget(state.hash, now) < maxColdSenders;
-        if (!maySend)
-            return Exclusion::Cold;
-    }
+    if (isCold(state, now) && !mayUseCold(state, now))
+        return Exclusion::Cold;
     if (!limits_.mayConsider(state.target.id, now))
         return Exclusion::Limited;
     if (signals_.stateOf(startOf(state.target), now) == targets::TargetSignals::State::Paused)
@@ -280,16 +276,24 @@
     return Exclusion::None;
 }
 
-// Minimum interval between two requests of this VM to a cold target. The bound holds as
-// long as at most maxColdSenders VMs send at this interval.
-Duration TargetPool::coldSpacing(const State &state) const
+void TargetPool::makeCold(State &state, Duration time, Instant now)
+{
+    if (!isCold(state, now))
+        state.coldUse.since = now;
+    state.coldUntil = std::max(state.coldUntil, now + time);
+}
+
+bool TargetPool::mayUseCold(const State &state, Instant now) const
 {
     const ServicePolicy *policy = config_ ? config_->findService(state.target.service) : nullptr;
-    if (policy == nullptr || policy->coldRequestsPerSecond <= 0)
-        return Duration();
-    const double perSecond =
-        policy->coldRequestsPerSecond * options_.bounds.coldRateFactor + options_.bounds.coldSlack;
-    return fromMillis(1000.0 * maxColdSenders / (perSecond * coldBoundFraction));
+    double perSecond = 0;
+    if (policy != nullptr && policy->coldRequestsPerSecond > 0) {
+        perSecond = policy->coldRequestsPerSecond * options_.bounds.coldRateFactor
+            + options_.bounds.coldSlack;
+    }
+    const double phase = toFraction(mixHashes(hashText(options_.vm.id.text()), state.hash));
+    return targets::ColdSenders::mayUse(state.coldUse, perSecond,
+                                        hooks_.coldSenderRank(state.hash, now), phase, now);
 }
 
 double TargetPool::failureRateOf(const State &state, Instant now) const
@@ -488,7 +492,7 @@
     limits_.onSent(target, now);
     signals_.onSent(startOf(state->target), now);
     if (isCold(*state, now))
-        state->coldSentAt = now;
+        state->coldUse.sentAt = now;
     if (criteria.object == 0)
         return;
     placement_.recordRequest(criteria.service, criteria.object, now);
--- a/bluebellshift/gateway/targetpool.h
+++ b/bluebellshift/gateway/targetpool.h
@@ -29,6 +29,7 @@
 #include "bluebellshift/gateway/regionflow.h"
 #include "bluebellshift/gateway/registry.h"
 #include "bluebellshift/gateway/targetlimits.h"
+#include "bluebellshift/gateway/targets/coldsenders.h"
 #include "bluebellshift/gateway/targets/placement.h"
 #include "bluebellshift/gateway/targets/targetsignals.h"
 
@@ -65,9 +66,9 @@
 {
     // Requests that the other VMs have in flight at a target, according to their latest reports.
     std::function<int(std::uint32_t target, Instant now)> othersInFlight;
-    // This VM's rank, from 0, among those that may send to a cold target. All VMs compute
-    // the same ranks without exchanging messages.
-    std::function<std::size_t(std::uint64_t target, Instant now)> rankForColdTarget;
+    // This VM's rank among those that may send to a cold target. All VMs compute the same ranks
+    // without exchanging messages.
+    std::function<ColdSenderRank(std::uint64_t target, Instant now)> coldSenderRank;
     // The VMs that may share a target's limit.
     std::function<SenderRank(TargetHash target, const RegionId &region, Instant now)> senderRank;
     // Number of live VMs in this VM's region, including itself.
@@ -80,9 +81,6 @@
 class TargetPool
 {
 public:
-    // Number of VMs that may send to one cold target. Its rate bound is divided among them.
-    static constexpr std::size_t maxColdSenders = 3;
-    static constexpr double coldBoundFraction = 0.75;    // the rest: VMs whose ranks differ
     static constexpr double coldServiceTimeFactor = 2;   // cold target against a warm one
     static constexpr double ownObjectShare = 0.6;        // that this VM remembers sending
     static constexpr double warmServiceTimeFactor = 0.3; // against a cold object
@@ -167,8 +165,8 @@
         RegionId region;
         int inFlight = 0;
         Instant coldUntil = Instant::never();
-        Instant coldSentAt = Instant::never(); // last request sent while it was cold
-        double failureRate = 0;                // decaying share of failed requests, 0 to 1
+        mutable targets::ColdUse coldUse;
+        double failureRate = 0; // decaying share of failed requests, 0 to 1
         Instant failureUpdatedAt = Instant::never();
         int consecutiveConnectFailures = 0;
         Instant ejectedUntil = Instant::never();
@@ -208,7 +206,8 @@
     Exclusion currentExclusion(const State &state, const TargetCriteria &criteria,
                                Instant now) const;
     bool isCold(const State &state, Instant now) const { return now < state.coldUntil; }
-    Duration coldSpacing(const State &state) const;
+    void makeCold(State &state, Duration time, Instant now);
+    bool mayUseCold(const State &state, Instant now) const;
     double failureRateOf(const State &state, Instant now) const;
     static double slownessOf(const State &state);
     static targets::TargetStart startOf(const Target &target)
--- a/bluebellshift/gateway/testing/partstest.cpp
+++ b/bluebellshift/gateway/testing/partstest.cpp
@@ -26,7 +26,7 @@
 {
     TargetPool pool(options,
                     { [](std::uint32_t, Instant) { return 0; },
-                      [](std::uint64_t, Instant) { return std::size_t { 0 }; },
+                      [](std::uint64_t, Instant) { return ColdSenderRank(); },
                       [](TargetHash, const RegionId &, Instant) { return SenderRank(); },
                       [vmsInRegion](Instant) { return vmsInRegion; },
                       [regionShare] { return regionShare; }, [](const core::LogRecord &) {} });
@@ -350,7 +350,7 @@
     }
     const double bound = 4 * options.bounds.coldRateFactor + options.bounds.coldSlack;
     CHECK(sent > 0);
-    CHECK(sent * TargetPool::maxColdSenders <= bound);
+    CHECK(sent * targets::ColdSenders::maxSenders <= bound);
 }
 
 TEST(GatewayParts, ARestartedTargetLosesItsEarlierState)
