Use less of the retries' slack in the first window of a run

Cause: a VM that is killed forgets the retries it spent, so that two runs in one window may spend 1.6 times its share of the slack.

Change: RetryBudget knows when the VM started and uses 0.1 of the share instead of 0.8 in the first window (and the one second more over which retries are counted). Retries in proportion to the VM's own requests stay as they were. One run and two more after kills spend at most the whole share.

Cost, not measured: in the first 11 s of a run a service with few requests gets fewer retries.

--- a/bluebellshift/gateway/dispatcher.cpp
+++ b/bluebellshift/gateway/dispatcher.cpp
@@ -164,7 +164,8 @@
     if (!admitTeam(pending, now))
         return false;
     pending.service = split_.next(*pending.route);
-    retryBudgets_.try_emplace(pending.service, options_.bounds).first->second.recordRequest(now);
+    retryBudgets_.try_emplace(pending.service, options_.bounds, startedAt_)
+        .first->second.recordRequest(now);
     if (!pending.arrived.affinityKey.empty() && pending.route->isSticky)
         pending.object =
             mixHashes(hashText(pending.route->name), hashText(pending.arrived.affinityKey)) | 1;
--- a/bluebellshift/gateway/dispatcher.h
+++ b/bluebellshift/gateway/dispatcher.h
@@ -67,6 +67,7 @@
     Dispatcher(const GatewayOptions &options, DispatcherHooks hooks, TargetPool &pool,
                TeamQuotas &quotas);
 
+    void start(Instant now) { startedAt_ = now; }
     void onArrived(const RequestArrived &arrived, std::uint64_t random, Instant now);
     void onCallerDisconnected(const CallerDisconnected &gone, Instant now);
     void onEnded(const AttemptEnded &ended, std::uint64_t random, Instant now);
@@ -155,6 +156,7 @@
     TeamQuotas &quotas_;
     ServiceSplit split_;
     std::unordered_map<ServiceId, RetryBudget> retryBudgets_;
+    Instant startedAt_;
     std::unordered_map<RequestId, Pending> pending_;
     std::map<ServiceId, Waiting> waiting_;
     std::unordered_map<ServiceId, QueueFlow> queueFlows_;
--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -204,6 +204,7 @@
     random_ = random;
     startedAt_ = now;
     limits_.start(now);
+    dispatcher_.start(now);
     reportAt_ = now;
     reportedAt_ = now;
     entryDueAt_ = now;
--- a/bluebellshift/gateway/retrybudget.cpp
+++ b/bluebellshift/gateway/retrybudget.cpp
@@ -29,7 +29,10 @@
             requests += second.requests;
     }
     const double slack = bounds_->retrySlack / static_cast<double>(std::max<std::size_t>(1, vms));
-    if (retries + 1 > boundFraction * (bounds_->retryRatio * requests + slack))
+    // Retries of an earlier run count for one more second, as above.
+    const bool isFirstWindow = now - startedAt_ < bounds_->retryWindow + Duration::seconds(1);
+    const double slackFraction = isFirstWindow ? firstWindowFraction : boundFraction;
+    if (retries + 1 > boundFraction * bounds_->retryRatio * requests + slackFraction * slack)
         return false;
     ++secondAt(now).retries;
     return true;
--- a/bluebellshift/gateway/testing/partstest.cpp
+++ b/bluebellshift/gateway/testing/partstest.cpp
@@ -141,7 +141,7 @@
 {
     const FleetBounds bounds;
     constexpr std::size_t vms = 12;
-    std::vector<RetryBudget> budgets(vms, RetryBudget(bounds));
+    std::vector<RetryBudget> budgets(vms, RetryBudget(bounds, begin));
     std::mt19937 random(7);
     std::vector<int> requests;
     std::vector<int> retries;
@@ -177,6 +177,35 @@
     }
 }
 
+// Guards against VMs that are killed and forget the retries that they spent: two or three runs of
+// each within one window.
+TEST(GatewayParts, RetriesOfVmsThatAreKilledAndStartAgainStayWithinTheBound)
+{
+    const FleetBounds bounds;
+    constexpr std::size_t vms = 12;
+    for (const int killCount : { 1, 2 }) {
+        int asked = 0;
+        int taken = 0;
+        for (std::size_t vm = 0; vm < vms; ++vm) {
+            // An hour before the window.
+            RetryBudget budget(bounds, begin - Duration::seconds(3600));
+            for (int tick = 0; tick < 100; ++tick) { // of 100 ms
+                const Instant now = begin + Duration::millis(100 * tick);
+                if (tick > 0 && tick % 30 == 0 && tick / 30 <= killCount)
+                    budget = RetryBudget(bounds, now);
+                if (tick % 10 == 0) {
+                    budget.recordRequest(now);
+                    ++asked;
+                }
+                for (int i = 0; i < 5; ++i)
+                    taken += budget.take(vms, now) ? 1 : 0;
+            }
+        }
+        CHECK(taken <= bounds.retryRatio * asked + bounds.retrySlack);
+        CHECK(taken >= 0.5 * bounds.retrySlack);
+    }
+}
+
 // Guards against VMs that together exceed a team's limit when no owner of its account is
 // known: random load, checked for every window.
 TEST(GatewayParts, EvenSharesOfAllVmsStayWithinTheBound)
