--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -178,7 +178,9 @@
                   [this](core::LogRecord record) { log(std::move(record)); } })
     , pool_(options_,
             { [this](std::uint32_t target, Instant) { return fleet_.othersInFlight(target); },
-              [this](std::uint64_t target, Instant now) { return fleet_.rankFor(target, now); },
+              [this](std::uint64_t target, Instant now) {
+                  return fleet_.coldSenderRank(target, now);
+              },
               [this](TargetHash target, const RegionId &region, Instant now) {
                   return fleet_.senderRank(target, region, now);
               },
@@ -209,6 +211,7 @@
     random_ = random;
     startedAt_ = now;
     limits_.start(now);
+    dispatcher_.start(now);
     reportAt_ = now;
     reportedAt_ = now;
     entryDueAt_ = now;
