Bound what callers make the gateway hold

Cause: trailers and the line before a chunk stayed in a buffer without a limit until they were complete; responses behind the one being written counted against no budget; requests were dispatched however much the caller had not read, so that metrics, look-ups and pipelined requests grew without end; heads were not counted; each pipelined request opened a connection to a target; the look-up, readiness and metrics addresses took 2000 connections each; idle connections kept new callers out.

Change: ResponseQueue counts what is unread until it is written. A connection with more than limits.unwritten_kb unread is neither read nor dispatched. limits.trailer_bytes (431), requests_in_progress (503, not run), service_connections and idle_target_connections are checked at the start. The longest idle connection makes room for a new one. When the budget is nearly full, the slowest and largest holders are ended: 503 if their request has not run, else closed. Each is counted (bluebellshift_caller_limits_total) and logged (518 caller-limited, at most 10 a second). Look-ups, readiness and metrics have budgets of their own.

Reading from a target is not paused, as the reducer decides on complete responses: the total is bounded instead.

--- a/bluebellshift/gatewayd/gateway.cpp
+++ b/bluebellshift/gatewayd/gateway.cpp
@@ -20,6 +20,11 @@
 constexpr Duration minLoggedLoopDelay = Duration::millis(250);
 // Share of the VM's memory for messages; they may take twice that, as buffers grow by doubling.
 constexpr double messageMemoryShare = 0.25;
+// For each of the other addresses that callers reach; they need no large messages.
+constexpr double serviceMemoryShare = 1.0 / 64;
+constexpr std::uint64_t maxServiceBodyBytes = 16 * 1024;
+constexpr std::size_t maxServiceUnwrittenBytes = 16 * 1024;
+constexpr int limitLinesPerSecond = 10;
 constexpr Duration responseMargin =
     Duration::millis(200); // for the target's own response at its deadline
 
@@ -28,6 +33,11 @@
     return { status, { { "Content-Type", "text/plain" } }, std::move(body) };
 }
 
+std::size_t memoryShare(const GatewaySettings &settings, double share)
+{
+    return static_cast<std::size_t>(static_cast<double>(settings.memoryBytes) * share);
+}
+
 core::Vm toPeer(const gateway::VmEntry &entry)
 {
     core::Vm vm;
@@ -58,17 +68,22 @@
           loggerOptions(settings), [this](const std::string &line) { logWriter_.append(line); },
           clock.wallTime)
     , reducer_(settings.gateway)
-    , budget_(
-          static_cast<std::size_t>(static_cast<double>(settings.memoryBytes) * messageMemoryShare))
-    , http_(loop, budget_)
+    , budget_(memoryShare(settings, messageMemoryShare))
+    , lookupBudget_(memoryShare(settings, serviceMemoryShare))
+    , readinessBudget_(memoryShare(settings, serviceMemoryShare))
+    , metricsBudget_(memoryShare(settings, serviceMemoryShare))
+    , http_(loop, budget_, settings.maxIdleTargetConnections)
     , store_(http_, settings.storeEndpoint,
              [this](gateway::EventBody &&event) { handle(std::move(event)); })
     , callerServer_(loop, budget_,
                     [this] {
                         const gateway::CallerLimits &limits = reducer_.callerLimits();
-                        return net::ServerLimits { limits.maxHeaderBytes, limits.maxBodyBytes,
-                                                   limits.headerTimeout, limits.idleTimeout,
-                                                   settings_.maxConnections };
+                        return net::ServerLimits {
+                            limits.maxHeaderBytes,       limits.maxBodyBytes,
+                            limits.headerTimeout,        limits.idleTimeout,
+                            settings_.maxConnections,    settings_.maxTrailerBytes,
+                            settings_.maxUnwrittenBytes, settings_.maxRequestsInProgress
+                        };
                     },
                     { [this](net::ExchangeId exchange, net::Request &&request) {
                          onRequest(exchange, std::move(request));
@@ -76,7 +91,8 @@
                       [this](net::ExchangeId exchange) {
                           handle(gateway::CallerDisconnected { core::RequestId(exchange) });
                       },
-                      [this](int status, std::size_t bytes) { logRejection(status, bytes); } })
+                      [this](int status, std::size_t bytes) { logRejection(status, bytes); },
+                      [this](const net::LimitReached &reached) { onLimitReached(reached); } })
     , timer_(loop)
     , random_(clock.random())
 {
@@ -87,10 +103,12 @@
 absl::Status Gateway::start()
 {
     using Exchange = net::ExchangeId;
-    lookupServer_ = makeServer([this](Exchange e, const net::Request &r) { serveLookup(e, r); });
-    readinessServer_ =
-        makeServer([this](Exchange e, const net::Request &r) { serveReadiness(e, r); });
-    metricsServer_ = makeServer([this](Exchange e, const net::Request &r) { serveMetrics(e, r); });
+    lookupServer_ =
+        makeServer(lookupBudget_, [this](Exchange e, const net::Request &r) { serveLookup(e, r); });
+    readinessServer_ = makeServer(
+        readinessBudget_, [this](Exchange e, const net::Request &r) { serveReadiness(e, r); });
+    metricsServer_ = makeServer(metricsBudget_,
+                                [this](Exchange e, const net::Request &r) { serveMetrics(e, r); });
     const std::pair<net::HttpServer *, core::Endpoint> servers[] = {
         { &callerServer_, settings_.gateway.vm.callers },
         { lookupServer_.get(), settings_.lookupEndpoint },
@@ -122,22 +140,56 @@
 void Gateway::applySettings(const GatewaySettings &settings)
 {
     settings_.maxConnections = settings.maxConnections;
+    settings_.maxServiceConnections = settings.maxServiceConnections;
+    settings_.maxRequestsInProgress = settings.maxRequestsInProgress;
+    settings_.maxTrailerBytes = settings.maxTrailerBytes;
+    settings_.maxUnwrittenBytes = settings.maxUnwrittenBytes;
     settings_.stopGrace = settings.stopGrace;
     reducer_.setBounds(settings.gateway.bounds);
     writeLog({ core::log::settingsReloaded, { { "vm", settings.gateway.vm.id.text() } } });
 }
 
 std::unique_ptr<net::HttpServer>
-Gateway::makeServer(std::function<void(net::ExchangeId, const net::Request &)> serve)
-{
+Gateway::makeServer(net::ByteBudget &budget,
+                    std::function<void(net::ExchangeId, const net::Request &)> serve)
+{
+    const auto limits = [this] {
+        net::ServerLimits limits;
+        limits.maxBodyBytes = maxServiceBodyBytes;
+        limits.maxConnections = settings_.maxServiceConnections;
+        limits.maxTrailerBytes = settings_.maxTrailerBytes;
+        limits.maxUnwrittenBytes = maxServiceUnwrittenBytes;
+        return limits;
+    };
     return std::make_unique<net::HttpServer>(
-        loop_, budget_, [] { return net::ServerLimits(); },
+        loop_, budget, limits,
         net::ServerHooks {
             [serve = std::move(serve)](net::ExchangeId exchange, net::Request &&request) {
                 serve(exchange, request);
             },
             [](net::ExchangeId) {},
-            {} });
+            {},
+            [this](const net::LimitReached &reached) { onLimitReached(reached); } });
+}
+
+void Gateway::onLimitReached(const net::LimitReached &reached)
+{
+    metrics_.countLimit(reached.limit);
+    const Instant now = clock_.now();
+    if (now - limitLinesSince_ >= Duration::seconds(1)) {
+        limitLinesSince_ = now;
+        limitLines_ = 0;
+    }
+    if (++limitLines_ > limitLinesPerSecond) {
+        ++limitLinesDropped_;
+        return;
+    }
+    writeLog({ core::log::callerLimited,
+               { { "caller", reached.caller },
+                 { "limit", reached.limit },
+                 { "action", reached.action },
+                 { "heldBytes", std::to_string(reached.heldBytes) },
+                 { "dropped", std::to_string(std::exchange(limitLinesDropped_, 0)) } } });
 }
 
 void Gateway::logRejection(int status, std::size_t bytes)
@@ -448,6 +500,8 @@
     readings.storeCallsUnanswered = store_.counts().unanswered;
     readings.targetConnectionsMade = http_.connectionsMade();
     readings.callerConnections = callerServer_.connectionCount();
+    readings.callerBytes = budget_.used();
+    readings.callerBytesBudget = budget_.limit();
     readings.logLinesDropped = logger_.droppedInTotal() + logWriter_.linesDropped();
     metricsServer_->respond(exchange, textResponse(200, metrics_.text(readings)), false);
 }
--- a/bluebellshift/gatewayd/gateway.h
+++ b/bluebellshift/gatewayd/gateway.h
@@ -91,13 +91,16 @@
     void onAttemptEnded(core::RequestId request, int attempt, net::CallResult &&result);
     // Ends the process once the callers' connections are idle, or at `until`.
     void exitWhenIdle(core::Instant until);
+    // Counts a limit that a caller has reached, and logs it a few times a second.
+    void onLimitReached(const net::LimitReached &reached);
     // Logs a request that the server rejected before it was dispatched.
     void logRejection(int status, std::size_t bytes);
     void serveLookup(net::ExchangeId exchange, const net::Request &request);
     void serveReadiness(net::ExchangeId exchange, const net::Request &request);
     void serveMetrics(net::ExchangeId exchange, const net::Request &request);
     std::unique_ptr<net::HttpServer>
-    makeServer(std::function<void(net::ExchangeId, const net::Request &)> serve);
+    makeServer(net::ByteBudget &budget,
+               std::function<void(net::ExchangeId, const net::Request &)> serve);
 
     boost::asio::io_context &loop_;
     GatewaySettings settings_;
@@ -106,7 +109,10 @@
     shell::Logger logger_;
     Metrics metrics_;
     gateway::Reducer reducer_;
-    net::ByteBudget budget_; // of all messages in memory
+    net::ByteBudget budget_; // of callers' requests and the responses to them
+    net::ByteBudget lookupBudget_;
+    net::ByteBudget readinessBudget_;
+    net::ByteBudget metricsBudget_;
     net::HttpClient http_;
     ::platform::StoreClient store_;
     net::HttpServer callerServer_;
@@ -119,6 +125,9 @@
     std::mt19937_64 random_; // for load spreading only, not for secrets
     std::unordered_map<net::ExchangeId, Request> requests_;
     std::deque<gateway::EventBody> events_; // queued, not yet handled
+    core::Instant limitLinesSince_;         // start of the second in which limitLines_ were logged
+    int limitLines_ = 0;
+    int limitLinesDropped_ = 0; // since the last line
     bool isHandling_ = false;
     bool hasStopped_ = false;
 };
--- a/bluebellshift/gatewayd/metrics.cpp
+++ b/bluebellshift/gatewayd/metrics.cpp
@@ -42,6 +42,10 @@
                        .Name("bluebellshift_failed_attempts_total")
                        .Help("Attempts at targets without success, by outcome.")
                        .Register(registry))
+        , limits(prometheus::BuildCounter()
+                     .Name("bluebellshift_caller_limits_total")
+                     .Help("Callers' requests and connections ended by a limit, by limit.")
+                     .Register(registry))
         , storeCalls(prometheus::BuildGauge()
                          .Name("bluebellshift_store_calls")
                          .Help("Calls to the platform's store since the start, by outcome.")
@@ -71,6 +75,7 @@
     prometheus::Family<prometheus::Counter> &events;
     prometheus::Family<prometheus::Counter> &refusals;
     prometheus::Family<prometheus::Counter> &attempts;
+    prometheus::Family<prometheus::Counter> &limits;
     prometheus::Family<prometheus::Gauge> &storeCalls;
     prometheus::Family<prometheus::Gauge> &gauges;
     prometheus::Family<prometheus::Histogram> &latencies;
@@ -103,6 +108,11 @@
         families_->attempts.Add({ { "outcome", fieldOf(record, "outcome") } }).Increment();
 }
 
+void Metrics::countLimit(const char *limit)
+{
+    families_->limits.Add({ { "limit", limit } }).Increment();
+}
+
 void Metrics::observeRequest(core::Duration total)
 {
     families_->total.Observe(total.toSeconds());
@@ -146,6 +156,8 @@
     families.setGauge("target_connections_made",
                       static_cast<double>(readings.targetConnectionsMade));
     families.setGauge("caller_connections", static_cast<double>(readings.callerConnections));
+    families.setGauge("caller_bytes", static_cast<double>(readings.callerBytes));
+    families.setGauge("caller_bytes_budget", static_cast<double>(readings.callerBytesBudget));
     families.setGauge("log_lines_dropped", static_cast<double>(readings.logLinesDropped));
     return prometheus::TextSerializer().Serialize(families.registry.Collect());
 }
--- a/bluebellshift/gatewayd/metrics.h
+++ b/bluebellshift/gatewayd/metrics.h
@@ -28,6 +28,8 @@
     std::uint64_t storeCallsUnanswered = 0;
     std::uint64_t targetConnectionsMade = 0;
     std::uint64_t callerConnections = 0;
+    std::uint64_t callerBytes = 0; // that messages of callers hold
+    std::uint64_t callerBytesBudget = 0;
     std::uint64_t logLinesDropped = 0;
 };
 
@@ -40,6 +42,8 @@
     Metrics &operator=(const Metrics &) = delete;
 
     void countLog(const core::LogRecord &record);
+    // A caller has reached a limit, named by its key in the settings.
+    void countLimit(const char *limit);
     void observeRequest(core::Duration total);
     void observeQueue(core::Duration queueTime);
     void observeTarget(core::Duration targetTime);
--- a/bluebellshift/gatewayd/settings.cpp
+++ b/bluebellshift/gatewayd/settings.cpp
@@ -17,6 +17,12 @@
 // peers; the rest is available to callers' connections.
 constexpr std::int64_t reservedDescriptors = 1200;
 constexpr std::int64_t minConnections = 200;
+constexpr std::int64_t otherDescriptors = 100; // of these: listeners, files, the store and peers
+constexpr std::size_t serviceAddresses = 3;    // look-ups, readiness and metrics
+
+constexpr std::int64_t maxCount = 100'000;
+constexpr std::int64_t maxTrailerBytes = 1024 * 1024;
+constexpr std::size_t bytesPerKilobyte = 1024;
 
 constexpr double minMemoryMegabytes = 64;
 constexpr double defaultMemoryMegabytes = 256;
@@ -58,6 +64,34 @@
     settings->metricsEndpoint = endpoint(table, "metrics");
 }
 
+// Bounds on what callers make the process hold; docs/design/caller-budget.md.
+void readCallerBounds(shell::TomlTable &limits, GatewaySettings *settings)
+{
+    const auto count = [&](const char *key, std::int64_t min, std::int64_t max, std::size_t value) {
+        return static_cast<std::size_t>(
+            limits.integer(key, min, max, static_cast<std::int64_t>(value)));
+    };
+    settings->maxServiceConnections =
+        count("service_connections", 8, maxCount, settings->maxServiceConnections);
+    settings->maxRequestsInProgress =
+        count("requests_in_progress", 50, maxCount, settings->maxRequestsInProgress);
+    settings->maxIdleTargetConnections =
+        count("idle_target_connections", 8, maxCount, settings->maxIdleTargetConnections);
+    settings->maxTrailerBytes = static_cast<std::uint32_t>(
+        count("trailer_bytes", 1024, maxTrailerBytes, settings->maxTrailerBytes));
+    settings->maxUnwrittenBytes = bytesPerKilobyte
+        * count("unwritten_kb", 16, maxCount, settings->maxUnwrittenBytes / bytesPerKilobyte);
+    const auto needed = static_cast<std::int64_t>(serviceAddresses * settings->maxServiceConnections
+                                                  + settings->maxRequestsInProgress
+                                                  + settings->maxIdleTargetConnections)
+        + otherDescriptors;
+    if (needed > reservedDescriptors)
+        limits.fault("requests_in_progress",
+                     "limits.requests_in_progress, idle_target_connections and three times "
+                     "service_connections exceed "
+                         + std::to_string(reservedDescriptors - otherDescriptors) + " descriptors");
+}
+
 void readBounds(shell::TomlTable table, gateway::FleetBounds *bounds)
 {
     bounds->retryRatio = table.number("repeat_ratio", 0, 1, bounds->retryRatio);
@@ -101,6 +135,7 @@
             const std::int64_t descriptors =
                 limits.integer("descriptors", reservedDescriptors + minConnections, 1 << 24, 4096);
             settings.maxConnections = static_cast<std::size_t>(descriptors - reservedDescriptors);
+            readCallerBounds(limits, &settings);
             const double megabytes = limits.number("memory_mb", minMemoryMegabytes,
                                                    maxMemoryMegabytes, defaultMemoryMegabytes);
             settings.memoryBytes = static_cast<std::size_t>(megabytes * 1024 * 1024);
--- a/bluebellshift/gatewayd/settings.h
+++ b/bluebellshift/gatewayd/settings.h
@@ -25,7 +25,12 @@
     core::Endpoint storeEndpoint;
     core::Duration stopGrace = core::Duration::seconds(6); // between SIGTERM and SIGKILL
     int logLinesPerSecond = 4000;
-    std::size_t maxConnections = 2000;           // from callers
+    std::size_t maxConnections = 2000;      // from callers
+    std::size_t maxServiceConnections = 64; // at each of the other three addresses
+    std::size_t maxRequestsInProgress = 700;
+    std::size_t maxIdleTargetConnections = 200;
+    std::uint32_t maxTrailerBytes = 16 * 1024;   // or of a chunk's size and extensions
+    std::size_t maxUnwrittenBytes = 256 * 1024;  // responses of one connection
     std::size_t memoryBytes = 256 * 1024 * 1024; // that the process may use
 };
 
--- a/bluebellshift/gatewayd/testing/settingstest.cpp
+++ b/bluebellshift/gatewayd/testing/settingstest.cpp
@@ -106,6 +106,12 @@
         { "quota_window_seconds = 5", "quota_window = 5", "quota_window" },
         { "descriptors = 4100", "descriptors = 300", "limits.descriptors" },
         { "name = \"near-1\"", "name = \"near-9\"", "vm.failure_domain \"near-1\"" },
+        { "descriptors = 4100", "trailer_bytes = 100", "limits.trailer_bytes" },
+        { "descriptors = 4100", "unwritten_kb = 0", "limits.unwritten_kb" },
+        { "descriptors = 4100", "service_connections = 1", "limits.service_connections" },
+        { "descriptors = 4100", "idle_target_connections = -1", "limits.idle_target_connections" },
+        { "descriptors = 4100", "requests_in_progress = 5", "limits.requests_in_progress" },
+        { "descriptors = 4100", "requests_in_progress = 900", "exceed 1100 descriptors" },
         { "[vm]", "[vm", "gateway.toml:" },
     };
     for (const auto &testCase : cases) {
--- a/bluebellshift/net/httpclient.cpp
+++ b/bluebellshift/net/httpclient.cpp
@@ -417,9 +417,10 @@
     bool isReusable_ = true;
 };
 
-HttpClient::HttpClient(asio::io_context &loop, ByteBudget &budget)
+HttpClient::HttpClient(asio::io_context &loop, ByteBudget &budget, std::size_t maxIdle)
     : loop_(loop)
     , budget_(budget)
+    , maxIdle_(maxIdle)
     , sweepTimer_(loop)
 {
 }
@@ -498,6 +499,8 @@
         pool.erase(pool.begin());
         oldest->close();
     }
+    if (idleCount() > maxIdle_)
+        closeOldestIdle();
     if (!isSweeping_) {
         isSweeping_ = true;
         sweep();
@@ -517,6 +520,17 @@
         idle_.erase(found);
 }
 
+void HttpClient::closeOldestIdle()
+{
+    ConnectionPointer oldest;
+    for (const auto &[pool, connections] : idle_) {
+        if (!oldest || connections.front()->idleSince() < oldest->idleSince())
+            oldest = connections.front();
+    }
+    removeIdle(oldest.get());
+    oldest->close();
+}
+
 // Closes expired idle connections; rescheduled as long as any connection is idle.
 void HttpClient::sweep()
 {
--- a/bluebellshift/net/httpclient.h
+++ b/bluebellshift/net/httpclient.h
@@ -79,7 +79,8 @@
 public:
     using Callback = std::function<void(CallResult &&)>;
 
-    HttpClient(boost::asio::io_context &loop, ByteBudget &budget);
+    // At most `maxIdle` connections of all pools are idle; the oldest is closed for another.
+    HttpClient(boost::asio::io_context &loop, ByteBudget &budget, std::size_t maxIdle = 1000);
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
@@ -104,10 +105,12 @@
     ConnectionPointer takeIdle(const std::string &pool, core::Duration idleMost);
     void putIdle(const ConnectionPointer &connection);
     void removeIdle(Connection *connection);
+    void closeOldestIdle();
     void sweep();
 
     boost::asio::io_context &loop_;
     ByteBudget &budget_;
+    const std::size_t maxIdle_;
     boost::asio::steady_timer sweepTimer_;
     bool isSweeping_ = false;
     std::unordered_map<std::string, std::vector<ConnectionPointer>> idle_; // newest last
--- a/bluebellshift/net/httpserver.h
+++ b/bluebellshift/net/httpserver.h
@@ -11,6 +11,11 @@
 // request for whose body the budget has no room is rejected with 503 and Retry-After
 // before its body is read, or as soon as the room is used up where no length is given.
 //
+// What callers make the server hold is bounded: requests and responses count against the
+// budget; requests of a connection are not dispatched while it has too much unread; and when
+// the budget is nearly full, the connections that hold the most for the longest are closed
+// (docs/design/caller-budget.md).
+//
 // Contracts:
 //  - Each exchange ends with exactly one respond() or one onAborted(); respond() for an
 //    exchange that has ended does nothing.
@@ -47,7 +52,24 @@
     core::Duration headerTimeout =
         core::Duration::seconds(3); // for the complete headers of a request
     core::Duration idleTimeout = core::Duration::seconds(15);
-    std::size_t maxConnections = 2000; // connections above the limit are closed unread
+    // Above the limit, the connection that has been idle for the longest is closed.
+    std::size_t maxConnections = 2000;
+    // Of trailers, or of one chunk's size and extensions.
+    std::uint32_t maxTrailerBytes = 16 * 1024;
+    // Responses of one connection; above it, no more of its requests are read or dispatched.
+    std::size_t maxUnwrittenBytes = 256 * 1024;
+    // Dispatched requests of all connections. Above it, the first request of a connection is
+    // refused with 503 and Retry-After, and the requests behind it wait.
+    std::size_t maxRequestsInProgress = 4000;
+};
+
+// A limit that a caller has reached.
+struct LimitReached
+{
+    const char *limit;     // the key of the settings
+    std::string caller;    // ADDRESS:PORT
+    std::size_t heldBytes; // for the caller's connection
+    const char *action;
 };
 
 // The Retry-After of a request for whose body there is no room.
@@ -61,6 +83,8 @@
     std::function<void(ExchangeId)> onAborted;
     // The server rejected a request with this status, after `bytes` of its body. Optional.
     std::function<void(int status, std::size_t bytes)> onRejected;
+    // A limit has ended a connection or a request. Optional.
+    std::function<void(const LimitReached &)> onLimitReached;
 };
 
 class HttpServer
@@ -101,6 +125,11 @@
 
     void accept();
     void sweep();
+    // Closes an idle connection, or one whose request head is late; false if there is none.
+    bool closeIdlest();
+    // Closes the slowest and largest connections if the budget is nearly full.
+    void relieveBudget();
+    void relieveBudgetSoon();
 
     boost::asio::io_context &loop_;
     ByteBudget &budget_;
@@ -108,10 +137,13 @@
     const ServerHooks hooks_;
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer sweepTimer_;
+    boost::asio::steady_timer reliefTimer_;
     std::unordered_set<std::shared_ptr<Connection>> connections_;
     std::unordered_map<ExchangeId, Connection *> exchanges_;
     ExchangeId lastExchange_ = 0;
+    std::size_t requestsInProgress_ = 0; // dispatched
     bool isDraining_ = false;
+    bool isReliefPending_ = false;
     bool isAcceptRetryPending_ = false;
 };
 
