--- a/bluebellshift/gatewayd/gateway.cpp
+++ b/bluebellshift/gatewayd/gateway.cpp
@@ -20,6 +20,8 @@
 constexpr Duration minLoggedLoopDelay = Duration::millis(250);
 // Share of the VM's memory for messages; they may take twice that, as buffers grow by doubling.
 constexpr double messageMemoryShare = 0.25;
+// Of the budget for the store's responses: a configuration may take most of it.
+constexpr double largestControlShare = 0.75;
 // For each of the other addresses that callers reach; they need no large messages.
 constexpr double serviceMemoryShare = 1.0 / 64;
 constexpr std::uint64_t maxServiceBodyBytes = 16 * 1024;
@@ -69,11 +71,13 @@
           clock.wallTime)
     , reducer_(settings.gateway)
     , budget_(memoryShare(settings, messageMemoryShare))
+    , controlBudget_(settings.controlMemoryBytes, largestControlShare)
     , lookupBudget_(memoryShare(settings, serviceMemoryShare))
     , readinessBudget_(memoryShare(settings, serviceMemoryShare))
     , metricsBudget_(memoryShare(settings, serviceMemoryShare))
     , http_(loop, budget_, settings.maxIdleTargetConnections)
-    , store_(http_, settings.storeEndpoint,
+    , storeHttp_(loop, controlBudget_)
+    , store_(storeHttp_, settings.storeEndpoint,
              [this](gateway::EventBody &&event) { handle(std::move(event)); })
     , callerServer_(loop, budget_,
                     [this] {
--- a/bluebellshift/gatewayd/gateway.h
+++ b/bluebellshift/gatewayd/gateway.h
@@ -109,11 +109,13 @@
     shell::Logger logger_;
     Metrics metrics_;
     gateway::Reducer reducer_;
-    net::ByteBudget budget_; // of callers' requests and the responses to them
+    net::ByteBudget budget_;        // of callers' requests and the responses to them
+    net::ByteBudget controlBudget_; // of the store's responses
     net::ByteBudget lookupBudget_;
     net::ByteBudget readinessBudget_;
     net::ByteBudget metricsBudget_;
-    net::HttpClient http_;
+    net::HttpClient http_;      // calls to targets
+    net::HttpClient storeHttp_; // calls to the store
     ::platform::StoreClient store_;
     net::HttpServer callerServer_;
     std::unique_ptr<net::HttpServer> lookupServer_;
--- a/bluebellshift/gatewayd/settings.cpp
+++ b/bluebellshift/gatewayd/settings.cpp
@@ -27,6 +27,13 @@
 constexpr double minMemoryMegabytes = 64;
 constexpr double defaultMemoryMegabytes = 256;
 constexpr double maxMemoryMegabytes = 1 << 20;
+constexpr double bytesPerMegabyte = 1024 * 1024;
+
+// Of the process's memory, for the store's responses. A configuration of 1,800 routes has about a
+// megabyte.
+constexpr double minControlMegabytes = 2;
+constexpr double defaultControlShare = 1.0 / 16;
+constexpr double maxControlShare = 0.25;
 
 core::Endpoint endpoint(shell::TomlTable &table, const char *key)
 {
@@ -138,7 +145,11 @@
             readCallerBounds(limits, &settings);
             const double megabytes = limits.number("memory_mb", minMemoryMegabytes,
                                                    maxMemoryMegabytes, defaultMemoryMegabytes);
-            settings.memoryBytes = static_cast<std::size_t>(megabytes * 1024 * 1024);
+            settings.memoryBytes = static_cast<std::size_t>(megabytes * bytesPerMegabyte);
+            const double control =
+                limits.number("control_memory_mb", minControlMegabytes, megabytes * maxControlShare,
+                              megabytes * defaultControlShare);
+            settings.controlMemoryBytes = static_cast<std::size_t>(control * bytesPerMegabyte);
         }
         const auto &vm = settings.gateway.vm;
         if (settings.gateway.regionOf.count(vm.failureDomain) == 0)
--- a/bluebellshift/gatewayd/settings.h
+++ b/bluebellshift/gatewayd/settings.h
@@ -29,9 +29,10 @@
     std::size_t maxServiceConnections = 64; // at each of the other three addresses
     std::size_t maxRequestsInProgress = 700;
     std::size_t maxIdleTargetConnections = 200;
-    std::uint32_t maxTrailerBytes = 16 * 1024;   // or of a chunk's size and extensions
-    std::size_t maxUnwrittenBytes = 256 * 1024;  // responses of one connection
-    std::size_t memoryBytes = 256 * 1024 * 1024; // that the process may use
+    std::uint32_t maxTrailerBytes = 16 * 1024;         // or of a chunk's size and extensions
+    std::size_t maxUnwrittenBytes = 256 * 1024;        // responses of one connection
+    std::size_t memoryBytes = 256 * 1024 * 1024;       // that the process may use
+    std::size_t controlMemoryBytes = 16 * 1024 * 1024; // for the store's responses
 };
 
 absl::StatusOr<GatewaySettings>
--- a/bluebellshift/gatewayd/testing/settingstest.cpp
+++ b/bluebellshift/gatewayd/testing/settingstest.cpp
@@ -112,6 +112,8 @@
         { "descriptors = 4100", "idle_target_connections = -1", "limits.idle_target_connections" },
         { "descriptors = 4100", "requests_in_progress = 5", "limits.requests_in_progress" },
         { "descriptors = 4100", "requests_in_progress = 900", "exceed 1100 descriptors" },
+        { "descriptors = 4100", "control_memory_mb = 1", "limits.control_memory_mb" },
+        { "descriptors = 4100", "control_memory_mb = 100", "limits.control_memory_mb" },
         { "[vm]", "[vm", "gateway.toml:" },
     };
     for (const auto &testCase : cases) {
--- a/bluebellshift/net/bytebudget.h
+++ b/bluebellshift/net/bytebudget.h
@@ -1,5 +1,6 @@
-// The bytes that all messages in memory may take together: bodies and heads of callers'
-// requests, copies on their way to a target, and responses of targets.
+// The bytes that messages in memory may take together: bodies and heads of callers' requests,
+// copies on their way to a target, and responses of targets. Messages of another kind, such as
+// the store's responses, have a budget of their own, so that callers can't use it up.
 //
 //   ByteBudget budget(40 * 1024 * 1024);
 //   ByteHolding holding(budget);
@@ -21,8 +22,10 @@
     static constexpr std::size_t smallHolding = 64 * 1024;
     static constexpr double largeHoldingsShare = 0.75; // of the budget
 
-    explicit ByteBudget(std::size_t limit)
+    // `largestShare` is the part of the budget that one message may take.
+    explicit ByteBudget(std::size_t limit, double largestShare = 0.25)
         : limit_(limit)
+        , largestHolding_(static_cast<std::size_t>(static_cast<double>(limit) * largestShare))
     {
     }
     ByteBudget(const ByteBudget &) = delete;
@@ -31,12 +34,13 @@
     std::size_t limit() const { return limit_; }
     std::size_t used() const { return used_; }
     // The largest message that is accepted at all.
-    std::size_t largestHolding() const { return limit_ / 4; }
+    std::size_t largestHolding() const { return largestHolding_; }
 
 private:
     friend class ByteHolding;
 
     const std::size_t limit_;
+    const std::size_t largestHolding_;
     std::size_t used_ = 0;
 };
 
