--- a/bluebellshift/gatewayd/gateway.cpp
+++ b/bluebellshift/gatewayd/gateway.cpp
@@ -16,7 +16,7 @@
 constexpr Duration peerTickInterval = Duration::millis(250);
 constexpr char peerKeyId[] = "store";
 constexpr Duration exitCheckInterval = Duration::millis(20);
-constexpr Duration maxExitDelay = Duration::millis(400);
+constexpr Duration exitMargin = Duration::millis(100); // before the process is killed
 constexpr Duration minLoggedLoopDelay = Duration::millis(250);
 // Share of the VM's memory for messages; they may take twice that, as buffers grow by doubling.
 constexpr double messageMemoryShare = 0.25;
@@ -138,6 +138,8 @@
 
 void Gateway::stop()
 {
+    if (exitBy_ == Instant())
+        exitBy_ = clock_.now() + settings_.stopGrace - exitMargin;
     handle(gateway::StopRequested { settings_.stopGrace });
 }
 
@@ -441,18 +443,18 @@
 void Gateway::perform(const gateway::Exit &)
 {
     hasStopped_ = true;
-    exitWhenIdle(clock_.now() + maxExitDelay);
+    exitWhenIdle();
 }
 
-// The reducer knows no request any more, but the last bytes of a response may still have to be
-// written, and a request may be arriving.
-void Gateway::exitWhenIdle(Instant until)
+// The reducer knows no request any more, but responses may still have to be written over slow
+// links, and requests may be arriving: these are refused once they are complete.
+void Gateway::exitWhenIdle()
 {
-    if (callerServer_.isBusy() && clock_.now() < until) {
+    if (callerServer_.isBusy() && clock_.now() < exitBy_) {
         timer_.expires_after(std::chrono::microseconds(exitCheckInterval.toMicros()));
-        timer_.async_wait([this, until](const boost::system::error_code &error) {
+        timer_.async_wait([this](const boost::system::error_code &error) {
             if (!error)
-                exitWhenIdle(until);
+                exitWhenIdle();
         });
         return;
     }
--- a/bluebellshift/gatewayd/gateway.h
+++ b/bluebellshift/gatewayd/gateway.h
@@ -89,8 +89,8 @@
 
     void onRequest(net::ExchangeId exchange, net::Request &&request);
     void onAttemptEnded(core::RequestId request, int attempt, net::CallResult &&result);
-    // Ends the process once the callers' connections are idle, or at `until`.
-    void exitWhenIdle(core::Instant until);
+    // Ends the process once the callers' connections are idle, or when the grace period ends.
+    void exitWhenIdle();
     // Counts a limit that a caller has reached, and logs it a few times a second.
     void onLimitReached(const net::LimitReached &reached);
     // Logs a request that the server rejected before it was dispatched.
@@ -127,6 +127,7 @@
     std::mt19937_64 random_; // for load spreading only, not for secrets
     std::unordered_map<net::ExchangeId, Request> requests_;
     std::deque<gateway::EventBody> events_; // queued, not yet handled
+    core::Instant exitBy_;                  // once a stop was requested
     core::Instant limitLinesSince_;         // start of the second in which limitLines_ were logged
     int limitLines_ = 0;
     int limitLinesDropped_ = 0; // since the last line
--- a/bluebellshift/gatewayd/testing/gatewayprocess.cpp
+++ b/bluebellshift/gatewayd/testing/gatewayprocess.cpp
@@ -34,9 +34,11 @@
 
 } // namespace
 
-GatewayProcess::GatewayProcess(boost::asio::io_context &loop, core::Endpoint store)
+GatewayProcess::GatewayProcess(boost::asio::io_context &loop, core::Endpoint store,
+                               int memoryMegabytes)
     : loop_(loop)
     , store_(std::move(store))
+    , memoryMegabytes_(memoryMegabytes)
 {
     char folder[] = "/tmp/bluebellshift-gateway-XXXXXX";
     folder_ = mkdtemp(folder);
@@ -78,7 +80,7 @@
     for (int i = 0; i < 5; ++i)
         file << names[i] << " = \"127.0.0.1:" << ports_[i] << "\"\n";
     file << "[platform]\nstore = \"127.0.0.1:" << store_.port << "\"\n[limits]\n"
-         << "stop_grace_seconds = 6\nlog_lines_per_second = 200\nmemory_mb = " << limitMegabytes
+         << "stop_grace_seconds = 6\nlog_lines_per_second = 200\nmemory_mb = " << memoryMegabytes_
          << "\ndescriptors = " << limitDescriptors
          << "\n[[failure_domain]]\nname = \"near-1\"\nregion = \"near\"\n";
     file.close();
--- a/bluebellshift/gatewayd/testing/gatewayprocess.h
+++ b/bluebellshift/gatewayd/testing/gatewayprocess.h
@@ -23,7 +23,8 @@
 class GatewayProcess
 {
 public:
-    GatewayProcess(boost::asio::io_context &loop, core::Endpoint store);
+    GatewayProcess(boost::asio::io_context &loop, core::Endpoint store,
+                   int memoryMegabytes = limitMegabytes);
     ~GatewayProcess(); // kills the process if it is still running
     GatewayProcess(const GatewayProcess &) = delete;
     GatewayProcess &operator=(const GatewayProcess &) = delete;
@@ -49,6 +50,7 @@
 
     boost::asio::io_context &loop_;
     const core::Endpoint store_;
+    const int memoryMegabytes_;
     std::string folder_;
     std::uint16_t ports_[5] = {};
     pid_t process_ = 0;
--- a/bluebellshift/gatewayd/testing/samplesite.h
+++ b/bluebellshift/gatewayd/testing/samplesite.h
@@ -19,7 +19,7 @@
 
 inline constexpr char loopback[] = "127.0.0.1";
 inline constexpr std::size_t megabyte = 1024 * 1024;
-inline constexpr std::size_t hugeBytes = 3 * megabyte;
+inline constexpr std::size_t hugeBytes = 15 * megabyte;
 inline constexpr std::chrono::milliseconds pauseBetweenTries { 200 };
 inline constexpr int ordinaryTries = 5; // a refused or closed request may be sent again
 inline constexpr std::chrono::seconds ordinaryWait { 5 };
@@ -66,7 +66,7 @@
     return head.substr(begin, head.find("\r\n", begin) - begin);
 }
 
-// Answers by path: /x two bytes, /long 60 KB, /large 1 MB, /huge 3 MB, /hang never, /after/N two
+// Answers by path: /x two bytes, /long 60 KB, /large 1 MB, /huge 15 MB, /hang never, /after/N two
 // bytes after N milliseconds; a request for /stuck is not read beyond its head.
 class Target
 {
--- a/bluebellshift/net/httpserver.h
+++ b/bluebellshift/net/httpserver.h
@@ -84,7 +84,7 @@
     // The server rejected a request with this status, after `bytes` of its body. Optional.
     std::function<void(int status, std::size_t bytes)> onRejected;
     // A limit has ended a connection or a request. Optional.
-    std::function<void(const LimitReached &)> onLimitReached;
+    std::function<void(const LimitReached &)> onLimitReached = {};
 };
 
 class HttpServer
@@ -110,7 +110,8 @@
     // Resets the exchange's connection without a response.
     void resetConnection(ExchangeId exchange);
 
-    // From now on each response closes its connection, and idle connections are closed.
+    // From now on idle connections are closed, and each response closes its connection, unless
+    // other requests of the connection have been read or are arriving: these are answered first.
     void beginDrain();
     // Stops accepting connections.
     void stopListening();
--- a/bluebellshift/net/httpserverconnection.cpp
+++ b/bluebellshift/net/httpserverconnection.cpp
@@ -85,8 +85,9 @@
     for (Exchange &exchange : exchanges_) {
         if (exchange.id != id)
             continue;
+        const bool isLast = &exchange == &exchanges_.back() && buffer_.size() == 0 && !parser_;
         exchange.closesConnection =
-            closesConnection || !exchange.isKeepAlive || server_.isDraining_;
+            closesConnection || !exchange.isKeepAlive || (server_.isDraining_ && isLast);
         exchange.bytes = serializeResponse(response, exchange.closesConnection, exchange.isHead);
         exchange.holding->set(exchange.bytes->size());
         waitingResponseBytes_ += exchange.bytes->size();
@@ -230,6 +231,11 @@
     abortPending();
 }
 
+bool HttpServer::Connection::hasLastResponse() const
+{
+    return !exchanges_.empty() && exchanges_.back().bytes && exchanges_.back().closesConnection;
+}
+
 void HttpServer::Connection::read()
 {
     if (isClosed_ || isReading_ || isPaused() || exchanges_.size() > maxPipelinedRequests)
@@ -252,7 +258,7 @@
     lastReadAt_ = Clock::now();
     // Bytes after the last response are read and discarded, so that closing does not
     // send a reset.
-    if (!isRejecting_ && !isClosing_) {
+    if (!isRejecting_ && !isClosing_ && !hasLastResponse()) {
         buffer_.commit(size);
         parse(); // isReading_ stays set: a response during parsing must not start another read
     }
@@ -262,7 +268,8 @@
 
 void HttpServer::Connection::parse()
 {
-    while (!isRejecting_ && !isClosing_ && !isClosed_ && !isPaused() && buffer_.size() > 0) {
+    while (!isRejecting_ && !isClosing_ && !isClosed_ && !isPaused() && !hasLastResponse()
+           && buffer_.size() > 0) {
         if (!parser_)
             resetParser();
         error_code error;
--- a/bluebellshift/net/httpserverconnection.h
+++ b/bluebellshift/net/httpserverconnection.h
@@ -82,6 +82,9 @@
     {
         return parser_ && (buffer_.size() > 0 || parser_->got_some());
     }
+    // Whether the last pending request has a response that closes the connection. Bytes behind it
+    // are not read as requests.
+    bool hasLastResponse() const;
     // Whether requests are neither read nor dispatched until the caller has read its responses.
     bool isPaused() const { return queue_.bytes() > limits_.maxUnwrittenBytes; }
 
