--- a/bluebellshift/gatewayd/gateway.h
+++ b/bluebellshift/gatewayd/gateway.h
@@ -89,15 +89,18 @@
 
     void onRequest(net::ExchangeId exchange, net::Request &&request);
     void onAttemptEnded(core::RequestId request, int attempt, net::CallResult &&result);
-    // Ends the process once the callers' connections are idle, or at `until`.
-    void exitWhenIdle(core::Instant until);
+    // Ends the process once the callers' connections are idle, or when the grace period ends.
+    void exitWhenIdle();
+    // Counts a limit that a caller has reached, and logs it a few times a second.
+    void onLimitReached(const net::LimitReached &reached);
     // Logs a request that the server rejected before it was dispatched.
     void logRejection(int status, std::size_t bytes);
     void serveLookup(net::ExchangeId exchange, const net::Request &request);
     void serveReadiness(net::ExchangeId exchange, const net::Request &request);
     void serveMetrics(net::ExchangeId exchange, const net::Request &request);
     std::unique_ptr<net::HttpServer>
-    makeServer(std::function<void(net::ExchangeId, const net::Request &)> serve);
+    makeServer(net::ByteBudget &budget,
+               std::function<void(net::ExchangeId, const net::Request &)> serve);
 
     boost::asio::io_context &loop_;
     GatewaySettings settings_;
@@ -106,8 +109,13 @@
     shell::Logger logger_;
     Metrics metrics_;
     gateway::Reducer reducer_;
-    net::ByteBudget budget_; // of all messages in memory
-    net::HttpClient http_;
+    net::ByteBudget budget_;        // of callers' requests and the responses to them
+    net::ByteBudget controlBudget_; // of the store's responses
+    net::ByteBudget lookupBudget_;
+    net::ByteBudget readinessBudget_;
+    net::ByteBudget metricsBudget_;
+    net::HttpClient http_;      // calls to targets
+    net::HttpClient storeHttp_; // calls to the store
     ::platform::StoreClient store_;
     net::HttpServer callerServer_;
     std::unique_ptr<net::HttpServer> lookupServer_;
@@ -119,6 +127,10 @@
     std::mt19937_64 random_; // for load spreading only, not for secrets
     std::unordered_map<net::ExchangeId, Request> requests_;
     std::deque<gateway::EventBody> events_; // queued, not yet handled
+    core::Instant exitBy_;                  // once a stop was requested
+    core::Instant limitLinesSince_;         // start of the second in which limitLines_ were logged
+    int limitLines_ = 0;
+    int limitLinesDropped_ = 0; // since the last line
     bool isHandling_ = false;
     bool hasStopped_ = false;
 };
