Search for the longest idle connection once in 20 ms

Cause: above its limit of connections, a VM examined all of them for each new one.

Change: at most one search in 20 ms; between them new connections are closed unread, as they were before there was a search.

--- a/bluebellshift/net/httpserver.cpp
+++ b/bluebellshift/net/httpserver.cpp
@@ -25,6 +25,9 @@
 constexpr double freedOfFull = 0.85;
 constexpr std::chrono::seconds stalledRead { 1 }; // without reading any byte of a response
 constexpr std::chrono::seconds stalledSend { 3 }; // without sending any byte of a request
+// Each search for the longest idle connection examines all of them. One for each new connection
+// took the processor of a VM that got thousands of connections a second above its limit.
+constexpr std::chrono::milliseconds idlestSearchInterval { 20 };
 
 } // namespace
 
@@ -158,6 +161,9 @@
 bool HttpServer::closeIdlest()
 {
     const auto now = Clock::now();
+    if (now - idlestSearchedAt_ < idlestSearchInterval)
+        return false;
+    idlestSearchedAt_ = now;
     std::shared_ptr<Connection> found;
     const auto isBefore = [](const Connection &a, const Connection &b) {
         return a.isIdle() != b.isIdle() ? a.isIdle() : a.lastActivityAt() < b.lastActivityAt();
--- a/bluebellshift/net/httpserver.h
+++ b/bluebellshift/net/httpserver.h
@@ -25,6 +25,7 @@
 //  - All methods and hooks run on the loop's thread.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -126,7 +127,8 @@
 
     void accept();
     void sweep();
-    // Closes an idle connection, or one whose request head is late; false if there is none.
+    // Closes an idle connection, or one whose request head is late; false if there is none, or if
+    // the last search was just before.
     bool closeIdlest();
     // Closes the slowest and largest connections if the budget is nearly full.
     void relieveBudget();
@@ -146,6 +148,7 @@
     bool isDraining_ = false;
     bool isReliefPending_ = false;
     bool isAcceptRetryPending_ = false;
+    std::chrono::steady_clock::time_point idlestSearchedAt_;
 };
 
 } // namespace bluebellshift::net
