--- a/bluebellshift/core/logevent.h
+++ b/bluebellshift/core/logevent.h
@@ -74,6 +74,7 @@
 inline constexpr LogEvent domainReturned { 515, LogLevel::Info, "domain-returned" };
 inline constexpr LogEvent targetLimited { 516, LogLevel::Warning, "target-limited" };
 inline constexpr LogEvent targetPaused { 517, LogLevel::Warning, "target-paused" };
+inline constexpr LogEvent targetCapacity { 518, LogLevel::Info, "target-capacity" };
 // 6xx: steering
 inline constexpr LogEvent snapshotPublished { 601, LogLevel::Info, "snapshot-published" };
 inline constexpr LogEvent shiftStepTaken { 602, LogLevel::Info, "shift-step-taken" };
--- a/bluebellshift/core/vmreport.h
+++ b/bluebellshift/core/vmreport.h
@@ -58,6 +58,22 @@
     std::uint32_t ageMillis = 0;      // since that response
 };
 
+// How one request to a target fared, relative to the usual service time of its route. The code
+// is that of gateway::targets::TargetCapacity.
+struct TargetSample
+{
+    std::uint32_t target = 0; // a hash of its id
+    std::uint32_t code = 0;
+};
+
+// The newest samples of a VM, which number `end - samples.size()` to `end - 1` of all since its
+// start.
+struct TargetSamples
+{
+    std::uint64_t end = 0;
+    std::vector<TargetSample> samples;
+};
+
 struct VmReport
 {
     std::uint64_t sequence = 0; // increases with each report of one incarnation
@@ -76,6 +92,7 @@
     std::vector<FailureDomainId> evacuated;
     std::vector<TargetLimitReport> targetLimits; // that its own responses named of late
     std::vector<LeavingTarget> leavingTargets;   // the same
+    TargetSamples targetSamples;                 // of its own requests
 };
 
 // A report that another VM passes on.
--- a/bluebellshift/shell/messagefields.h
+++ b/bluebellshift/shell/messagefields.h
@@ -139,13 +139,23 @@
     using T = core::LeavingTarget;
     static constexpr auto list = std::make_tuple(&T::target, &T::startUnixMillis, &T::ageMillis);
 };
+template<> struct Fields<core::TargetSample>
+{
+    using T = core::TargetSample;
+    static constexpr auto list = std::make_tuple(&T::target, &T::code);
+};
+template<> struct Fields<core::TargetSamples>
+{
+    using T = core::TargetSamples;
+    static constexpr auto list = std::make_tuple(&T::end, &T::samples);
+};
 template<> struct Fields<core::VmReport>
 {
     using T = core::VmReport;
     static constexpr auto list = std::make_tuple(
         &T::sequence, &T::isReady, &T::isLeaving, &T::configVersion, &T::uses, &T::readsStore,
         &T::storeAgeMillis, &T::registryRevisions, &T::isYoung, &T::admissions, &T::evacuated,
-        &T::isUrgent, &T::wantsReports, &T::targetLimits, &T::leavingTargets);
+        &T::isUrgent, &T::wantsReports, &T::targetLimits, &T::leavingTargets, &T::targetSamples);
 };
 template<> struct Fields<core::RelayedReport>
 {
