Choose targets by their learned pace and limit

Cause: a slow target, or one that slows down before its slots are full, kept its place in the choice until this VM's own responses had shown it.

Change: where TargetCapacity is active, its estimates replace `slowness` and the target's slots in TargetPool and in Dispatcher's checks for a free slot; reports carry the samples. Elsewhere nothing is learned, reported or changed. The usual service times move from TargetPool to targets::ServiceTimes, without another change. A sample computes each likelihood once.

--- a/bluebellshift/gateway/dispatcher.cpp
+++ b/bluebellshift/gateway/dispatcher.cpp
@@ -212,8 +212,7 @@
         pool_.select(criteriaFor(pending), mixHashes(random, pending.sequence), now);
     const Duration waited = now - pending.arrivedAt;
     if (selection.target != nullptr) {
-        const bool hasSlot =
-            selection.ownInFlight + selection.othersInFlight < selection.target->slots;
+        const bool hasSlot = selection.ownInFlight + selection.othersInFlight < selection.slots;
         if (hasSlot || waited + selection.timeToFinish <= pending.route->latencyObjective) {
             send(pending, selection, now);
             return Placement::Sent;
@@ -230,7 +229,7 @@
         return Placement::Waits;
     const Duration left = pending.deadline - now;
     if (selection.target != nullptr && selection.timeToFinish <= scaled(left, maxLateFraction)
-        && selection.ownInFlight + selection.othersInFlight < 2 * selection.target->slots) {
+        && selection.ownInFlight + selection.othersInFlight < 2 * selection.slots) {
         send(pending, selection, now);
         return Placement::Sent;
     }
@@ -263,7 +262,7 @@
     pending.sentAt = now;
     ++pending.attempts;
     pending.tried.push_back(target.id);
-    pending.foundFreeSlot = selection.ownInFlight + selection.othersInFlight < target.slots;
+    pending.foundFreeSlot = selection.ownInFlight + selection.othersInFlight < selection.slots;
     pool_.onSent(target.id, criteriaFor(pending), now);
     log(core::log::requestRouted, pending,
         { { "target", target.id.text() },
@@ -272,7 +271,7 @@
           { "finishMs", millisText(selection.timeToFinish) },
           { "inFlight",
             fmt::format("{}+{}/{}", selection.ownInFlight, selection.othersInFlight,
-                        target.slots) },
+                        selection.slots) },
           { "object", fmt::format("{:08x}", static_cast<std::uint32_t>(pending.object)) },
           { "warmth", fmt::format("{:.2f}", selection.warmth) },
           { "considered", selection.exclusionCounts },
@@ -337,7 +336,7 @@
     log(core::log::callerGone, *pending,
         { { "sent", isSent ? "yes" : "no" }, { "afterMs", millisText(now - pending->arrivedAt) } });
     if (isSent) {
-        pool_.onCancelled(pending->target, now);
+        pool_.onCancelled(pending->target, pending->sentAt, now);
         hooks_.perform(CancelAttempt { gone.request });
     }
     hooks_.perform(DropRequest { gone.request });
@@ -453,7 +452,7 @@
         refuse(pending, pending.mayHaveRun ? 504 : 503, "deadline-passed", minRetryAfter, now);
         return;
     }
-    pool_.onCancelled(pending.target, now);
+    pool_.onCancelled(pending.target, pending.sentAt, now);
     hooks_.perform(CancelAttempt { pending.arrived.request });
     pending.mayHaveRun = true;
     refuse(pending, 504, "deadline-passed", Duration(), now);
@@ -468,7 +467,7 @@
         Pending &pending = pending_.at(request);
         const bool isSent = !pending.isWaiting && !pending.isBeforeReady;
         if (isSent) {
-            pool_.onCancelled(pending.target, now);
+            pool_.onCancelled(pending.target, pending.sentAt, now);
             hooks_.perform(CancelAttempt { request });
         }
         if (isSent || pending.mayHaveRun)
--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -623,6 +623,7 @@
     report.admissions = limits_.admissions(now_);
     report.targetLimits = pool_.limitReports(now_);
     report.leavingTargets = pool_.leavingReports(now_);
+    report.targetSamples = pool_.capacity().reports(now_);
     return report;
 }
 
@@ -633,6 +634,7 @@
     limits_.onReport(event.from, event.report);
     pool_.onLimitsReported(event.from, event.report.targetLimits, Duration(), now_);
     pool_.onLeavingReported(event.from, event.report.leavingTargets, Duration(), now_);
+    pool_.capacity().onReport(event.from, event.report.targetSamples, now_);
     applyReportedEvacuations(event.report);
     applyReportedRevisions();
 }
@@ -644,6 +646,7 @@
         const Duration age = Duration::millis(one.ageMillis);
         pool_.onLimitsReported(one.vm, one.report.targetLimits, age, now_);
         pool_.onLeavingReported(one.vm, one.report.leavingTargets, age, now_);
+        pool_.capacity().onReport(one.vm, one.report.targetSamples, now_);
         applyReportedEvacuations(one.report);
     }
     applyReportedRevisions();
@@ -796,6 +799,8 @@
     readings.limitedTargets = state_->pool_.limitedTargets();
     readings.leavingTargets = state_->pool_.signals().leavingCount();
     readings.pausedTargets = state_->pool_.signals().pausedCount(now);
+    readings.slowTargets = state_->pool_.capacity().slowCount();
+    readings.reducedTargets = state_->pool_.capacity().limitedCount();
     readings.configVersion = state_->config_ ? state_->config_->version.number() : 0;
     readings.storeAge = now - state_->store_.lastResponseAt();
     readings.isStoreLost = state_->store_.isLost();
--- a/bluebellshift/gateway/reducer.h
+++ b/bluebellshift/gateway/reducer.h
@@ -59,6 +59,8 @@
         std::size_t limitedTargets = 0; // that name a limit on their requests
         std::size_t leavingTargets = 0; // that said that they are about to stop
         std::size_t pausedTargets = 0;  // that asked for no requests for a while
+        std::size_t slowTargets = 0;    // by their learned pace
+        std::size_t reducedTargets = 0; // that take fewer requests at a time than their slots
         std::uint64_t configVersion = 0;
         Duration storeAge; // since the store's last response
         bool isStoreLost = false;
--- a/bluebellshift/gateway/targetpool.cpp
+++ b/bluebellshift/gateway/targetpool.cpp
@@ -13,13 +13,6 @@
 namespace bluebellshift::gateway {
 namespace {
 
-constexpr double learningRate = 0.1; // weight of one sample
-constexpr double minSlowness = 0.3;
-constexpr double maxSlowness = 12;
-constexpr double warmResponseFraction =
-    0.6; // of the usual service time; a faster response had a warm object
-constexpr double maxSampleFactor = 3; // a sample counts for at most this multiple of the usual time
-
 double millis(Duration duration)
 {
     return duration.toSeconds() * 1000;
@@ -44,6 +37,7 @@
     , placement_(options.features.isRoomContended)
     , limits_(options.vm.id, { hooks_.senderRank, hooks_.log })
     , signals_(hooks_.log)
+    , capacity_(options.features.isRoomContended, hooks_.log)
 {
 }
 
@@ -67,6 +61,7 @@
     }
     const bool wasDraining = !isNew && known->target.isDraining;
     known->target = target;
+    known->capacity = capacity_.put(target);
     known->domainHash = hashText(target.failureDomain.text());
     const auto region = options_.regionOf.find(target.failureDomain);
     known->region = region == options_.regionOf.end() ? RegionId() : region->second;
@@ -97,6 +92,7 @@
     siblings.erase(std::remove(siblings.begin(), siblings.end(), &found->second), siblings.end());
     byHash_.erase(hashOf(target));
     states_.erase(found);
+    capacity_.remove(target, now);
     limits_.forget(target);
     hooks_.log({ core::log::targetGone, { { "target", target.text() }, { "reason", reason } } });
 }
@@ -183,6 +179,7 @@
         bestScore = score;
         best.target = &state.target;
         best.timeToFinish = timeToFinish;
+        best.slots = static_cast<int>(std::lround(capacityOf(state, now).limit));
         best.ownInFlight = state.inFlight;
         best.othersInFlight = others;
         best.warmth = warmth[i];
@@ -300,20 +297,21 @@
         * std::exp2(-(now - state.failureUpdatedAt).toSeconds() / failureHalfLife.toSeconds());
 }
 
-double TargetPool::slownessOf(const State &state)
+targets::CapacityEstimate TargetPool::capacityOf(const State &state, Instant now) const
 {
-    const bool isUsual = state.slowness > minUsualSlowness && state.slowness < maxUsualSlowness;
-    return isUsual ? 1 : state.slowness;
+    return capacity_.estimateOf(*state.capacity, now)
+        .value_or(
+            targets::CapacityEstimate { targets::ServiceTimes::effectiveSlowness(state.slowness),
+                                        static_cast<double>(state.target.slots) });
 }
 
 // The slots that the target's requests may fill: fewer than it has, if it names a limit.
-double TargetPool::slotsOf(const State &state) const
+double TargetPool::slotsOf(const State &state, Instant now) const
 {
     const std::optional<double> limit = limits_.limitOf(state.target.id);
     if (!limit)
-        return state.target.slots;
-    const auto mean = meanTimesMs_.find(state.target.service);
-    const double meanMs = mean == meanTimesMs_.end() ? millis(initialServiceTime) : mean->second;
+        return capacityOf(state, now).limit;
+    const double meanMs = times_.meanMillis(state.target.service);
     return std::min<double>(state.target.slots, *limit * meanMs / 1000);
 }
 
@@ -346,7 +344,7 @@
     for (const State *state : targets->second) {
         if (state->target.isDraining || evacuated_.count(state->target.failureDomain) > 0)
             continue;
-        const double usable = slotsOf(*state);
+        const double usable = slotsOf(*state, now);
         slots += usable;
         used += std::min<double>(usable, state->inFlight + othersAt(*state, congestion, now));
     }
@@ -448,7 +446,7 @@
 double TargetPool::coldObjectServiceTimeMs(const State &state, const TargetCriteria &criteria,
                                            Instant now) const
 {
-    const double usualMs = millis(expectedServiceTime(criteria.route)) * slownessOf(state)
+    const double usualMs = millis(expectedServiceTime(criteria.route)) * capacityOf(state, now).pace
         * signals_.workFactor(startOf(state.target), now);
     return isCold(state, now) ? usualMs * coldServiceTimeFactor : usualMs;
 }
@@ -457,7 +455,7 @@
                                    double warmth, Instant now) const
 {
     return coldObjectServiceTimeMs(state, criteria, now)
-        * (warmth * warmServiceTimeFactor + 1 - warmth);
+        * (warmth * targets::ServiceTimes::warmFactor + 1 - warmth);
 }
 
 Duration TargetPool::timeToFinishAt(const State &state, const TargetCriteria &criteria, int others,
@@ -465,10 +463,10 @@
 {
     const double usualMs = coldObjectServiceTimeMs(state, criteria, now);
     const int occupied = state.inFlight + others;
-    const int slots = std::max(1, state.target.slots);
+    const int slots = std::max(1, static_cast<int>(std::lround(capacityOf(state, now).limit)));
     // Requests queued ahead are assumed to have a warm object in half of the cases.
     const double queuedServiceTimeMs =
-        criteria.object != 0 ? usualMs * (warmServiceTimeFactor + 1) / 2 : usualMs;
+        criteria.object != 0 ? usualMs * (targets::ServiceTimes::warmFactor + 1) / 2 : usualMs;
     const double waitMs =
         occupied < slots ? 0 : queuedServiceTimeMs * (occupied - slots + 1) / slots;
     // A nearly full target is more likely to be full when the request arrives.
@@ -487,6 +485,8 @@
     flow_.record(state->region, now);
     limits_.onSent(target, now);
     signals_.onSent(startOf(state->target), now);
+    if (capacity_.isActive(*state->capacity))
+        capacity_.onSent(*state->capacity, sentRequest(*state, criteria, now));
     if (isCold(*state, now))
         state->coldSentAt = now;
     if (criteria.object == 0)
@@ -494,6 +494,19 @@
     placement_.recordRequest(criteria.service, criteria.object, now);
 }
 
+targets::SentRequest TargetPool::sentRequest(const State &state, const TargetCriteria &criteria,
+                                             Instant now) const
+{
+    targets::SentRequest sent;
+    sent.at = now;
+    sent.transfer = transferTime(state, criteria);
+    if (!isCold(state, now) && times_.isReliable(criteria.route))
+        sent.usual = expectedServiceTime(criteria.route);
+    sent.setObject(criteria.object, wasSentRecently(state, criteria.object, now));
+    sent.occupied = state.inFlight + othersAt(state, congestionOf(criteria.service, now), now);
+    return sent;
+}
+
 void TargetPool::onEnded(const TargetId &target, const TargetCriteria &criteria,
                          const AttemptEnded &ended, Duration elapsed, Instant now)
 {
@@ -502,6 +515,7 @@
     if (state == nullptr)
         return;
     state->inFlight = std::max(0, state->inFlight - 1);
+    capacity_.onEnded(*state->capacity, now - elapsed, ended, now);
     if (ended.load) {
         state->reportedOthersInFlight =
             std::max(0, ended.load->running + ended.load->waiting - state->inFlight);
@@ -538,10 +552,7 @@
         return;
     learnServiceTime(*state, criteria, elapsed, now);
     placement_.recordResponse(criteria.route, ended.responseBytes);
-    if (elapsed <= Duration())
-        return;
-    double &meanMs = meanTimesMs_.emplace(criteria.service, millis(elapsed)).first->second;
-    meanMs += learningRate / 10 * (millis(elapsed) - meanMs);
+    times_.recordMean(criteria.service, elapsed);
 }
 
 void TargetPool::onLimitsReported(const VmId &from, const std::vector<TargetLimitReport> &reported,
@@ -565,10 +576,13 @@
     }
 }
 
-void TargetPool::onCancelled(const TargetId &target, Instant now)
+void TargetPool::onCancelled(const TargetId &target, Instant sentAt, Instant now)
 {
-    if (State *state = findState(target))
-        state->inFlight = std::max(0, state->inFlight - 1);
+    State *state = findState(target);
+    if (state == nullptr)
+        return;
+    state->inFlight = std::max(0, state->inFlight - 1);
+    capacity_.onCancelled(*state->capacity, sentAt, now);
 }
 
 void TargetPool::recordOutcome(State &state, bool isFailed, double weight, Instant now)
@@ -590,8 +604,7 @@
 }
 
 // Updates the route's service time with a cold object, the target's slowness and the number
-// of objects that a target keeps warm. A response that is much faster than usual is taken
-// to have had a warm object.
+// of objects that a target keeps warm.
 void TargetPool::learnServiceTime(State &state, const TargetCriteria &criteria, Duration elapsed,
                                   Instant now)
 {
@@ -600,26 +613,17 @@
     recordObject(state, criteria, now);
     if (elapsed <= Duration() || isCold(state, now) || !criteria.foundFreeSlot)
         return;
-    const double measuredMs = std::max(1.0, millis(elapsed - transferTime(state, criteria)));
-    const auto [known, isNew] = serviceTimesMs_.emplace(criteria.route, measuredMs);
-    double &usualMs = known->second;
-    if (isNew)
-        return;
-    const bool isWarm =
-        criteria.object != 0 && measuredMs < warmResponseFraction * usualMs * slownessOf(state);
-    if (wasExpectedWarm)
-        placement_.recordOutcome(criteria.service, isWarm);
-    const double coldMs = isWarm ? measuredMs / warmServiceTimeFactor : measuredMs;
-    // A VM that joins late sees warm responses first and underestimates the cold service time,
-    // so that larger samples are learned faster.
-    const double rate = isWarm ? learningRate / 10
-        : coldMs > usualMs     ? learningRate * 2
-                               : learningRate / 2;
-    usualMs += rate
-        * (std::min(coldMs / std::max(1.0, state.slowness), maxSampleFactor * usualMs) - usualMs);
-    state.slowness =
-        std::clamp(state.slowness + 2 * learningRate * (coldMs / usualMs - state.slowness),
-                   minSlowness, maxSlowness);
+    double measuredMs = std::max(1.0, millis(elapsed - transferTime(state, criteria)));
+    double slowness = state.slowness;
+    if (const auto estimate = capacity_.estimateOf(*state.capacity, now)) {
+        slowness = estimate->pace;
+        measuredMs /= signals_.workFactor(startOf(state.target), now);
+    }
+    const targets::ServiceTimes::Learned learned =
+        times_.learn(criteria.route, measuredMs, criteria.object != 0, slowness);
+    state.slowness = slowness;
+    if (wasExpectedWarm && !learned.isFirst)
+        placement_.recordOutcome(criteria.service, learned.isWarm);
 }
 
 std::vector<TargetUse> TargetPool::uses() const
@@ -644,15 +648,9 @@
             && now >= state.ejectedUntil
             && signals_.stateOf(startOf(state.target), now)
                 == targets::TargetSignals::State::Usable)
-            slots += slotsOf(state);
+            slots += slotsOf(state, now);
     }
     return static_cast<int>(std::lround(slots));
 }
 
-Duration TargetPool::expectedServiceTime(const std::string &route) const
-{
-    const auto found = serviceTimesMs_.find(route);
-    return found == serviceTimesMs_.end() ? initialServiceTime : fromMillis(found->second);
-}
-
 } // namespace bluebellshift::gateway
--- a/bluebellshift/gateway/targetpool.h
+++ b/bluebellshift/gateway/targetpool.h
@@ -30,6 +30,8 @@
 #include "bluebellshift/gateway/registry.h"
 #include "bluebellshift/gateway/targetlimits.h"
 #include "bluebellshift/gateway/targets/placement.h"
+#include "bluebellshift/gateway/targets/servicetimes.h"
+#include "bluebellshift/gateway/targets/targetcapacity.h"
 #include "bluebellshift/gateway/targets/targetsignals.h"
 
 namespace bluebellshift::gateway {
@@ -52,6 +54,7 @@
 {
     const Target *target = nullptr; // null: no target is usable now
     Duration timeToFinish;          // expected time until the response, from now
+    int slots = 0;                  // requests that the target takes at a time
     int ownInFlight = 0;
     int othersInFlight = 0;
     double warmth = 0;           // probability that the object is warm there, 0 to 1
@@ -82,15 +85,10 @@
 public:
     // Number of VMs that may send to one cold target. Its rate bound is divided among them.
     static constexpr std::size_t maxColdSenders = 3;
-    static constexpr double coldBoundFraction = 0.75;    // the rest: VMs whose ranks differ
-    static constexpr double coldServiceTimeFactor = 2;   // cold target against a warm one
-    static constexpr double ownObjectShare = 0.6;        // that this VM remembers sending
-    static constexpr double warmServiceTimeFactor = 0.3; // against a cold object
+    static constexpr double coldBoundFraction = 0.75;  // the rest: VMs whose ranks differ
+    static constexpr double coldServiceTimeFactor = 2; // cold target against a warm one
+    static constexpr double ownObjectShare = 0.6;      // that this VM remembers sending
     static constexpr Duration recentObjectAge = Duration::seconds(15);
-    static constexpr Duration initialServiceTime = Duration::millis(600); // until measured
-    // Slowness within these limits is treated as 1, since service times vary by themselves.
-    static constexpr double minUsualSlowness = 0.6;
-    static constexpr double maxUsualSlowness = 1.5;
     static constexpr Duration failureHalfLife = Duration::seconds(3);
     static constexpr Duration failureCost = Duration::millis(900); // at a failure rate of 1
     static constexpr Duration ejectionTime = Duration::millis(500);
@@ -136,7 +134,7 @@
     // `elapsed` is the time since the request was sent; zero excludes it from learning.
     void onEnded(const TargetId &target, const TargetCriteria &criteria, const AttemptEnded &ended,
                  Duration elapsed, Instant now);
-    void onCancelled(const TargetId &target, Instant now);
+    void onCancelled(const TargetId &target, Instant sentAt, Instant now);
 
     // The limits that targets have named of late to this VM, and to another one, whose report is
     // `age` old.
@@ -149,6 +147,7 @@
     void onLeavingReported(const VmId &from, const std::vector<LeavingTarget> &reported,
                            Duration age, Instant now);
     const targets::TargetSignals &signals() const { return signals_; }
+    targets::TargetCapacity &capacity() { return capacity_; }
     // Drops old state. Call every few seconds.
     void prune(Instant now) { signals_.prune(now); }
 
@@ -156,7 +155,7 @@
     // Number of the service's slots that are usable now. A named limit counts as the slots that
     // its requests need.
     int usableSlots(const ServiceId &service, Instant now) const;
-    Duration expectedServiceTime(const std::string &route) const;
+    Duration expectedServiceTime(const std::string &route) const { return times_.expected(route); }
 
 private:
     struct State
@@ -173,6 +172,7 @@
         int consecutiveConnectFailures = 0;
         Instant ejectedUntil = Instant::never();
         double slowness = 1; // its service time relative to the route's usual one
+        targets::TargetCapacity::Entry *capacity = nullptr;
         int reportedOthersInFlight = 0;
         Instant reportedAt = Instant::never();
         std::vector<std::pair<std::uint64_t, Instant>> objects; // sent by this VM, latest last
@@ -210,12 +210,14 @@
     bool isCold(const State &state, Instant now) const { return now < state.coldUntil; }
     Duration coldSpacing(const State &state) const;
     double failureRateOf(const State &state, Instant now) const;
-    static double slownessOf(const State &state);
+    targets::CapacityEstimate capacityOf(const State &state, Instant now) const;
+    targets::SentRequest sentRequest(const State &state, const TargetCriteria &criteria,
+                                     Instant now) const;
     static targets::TargetStart startOf(const Target &target)
     {
         return { target.id, target.startUnixMillis };
     }
-    double slotsOf(const State &state) const;
+    double slotsOf(const State &state, Instant now) const;
     int othersAt(const State &state, const Congestion &congestion, Instant now) const;
     std::vector<const State *> candidatesFor(const TargetCriteria &criteria,
                                              ExclusionCounts *counts, Instant now) const;
@@ -250,13 +252,13 @@
     targets::Placement placement_;
     TargetLimits limits_;
     targets::TargetSignals signals_;
+    targets::ServiceTimes times_;
+    targets::TargetCapacity capacity_;
     std::unordered_map<TargetId, State> states_;
     std::unordered_map<ServiceId, std::vector<State *>> byService_; // into states_
     std::unordered_map<TargetHash, State *> byHash_;                // into states_
     std::unordered_set<FailureDomainId> evacuated_;
     std::unordered_map<FailureDomainId, Duration> rtts_;           // measured round trip times
-    std::unordered_map<std::string, double> serviceTimesMs_;       // cold object, by route
-    std::unordered_map<ServiceId, double> meanTimesMs_;            // of all requests, at the target
     mutable std::unordered_map<ServiceId, Congestion> congestion_; // cached for congestionInterval
 };
 
--- a/bluebellshift/gateway/targets/targetcapacity.cpp
+++ b/bluebellshift/gateway/targets/targetcapacity.cpp
@@ -7,8 +7,8 @@
 //
 // A VM of a large fleet sends one request to a target every ten seconds. It can't follow a change
 // within a second from its own responses; all VMs together can. They exchange samples, not
-// estimates, so that no observation counts twice, and also samples of the usual time: with the long
-// ones alone, the few requests that take 7 times as long made 5 in 100 usual targets seem slow.
+// estimates, so that no observation counts twice, and also those of the usual time: a trial with
+// the long ones alone made 5 in 100 usual targets seem slow.
 #include "bluebellshift/gateway/targets/targetcapacity.h"
 
 #include <algorithm>
@@ -424,15 +424,19 @@
         * std::clamp(gap.toSeconds() / independentAfter.toSeconds(), minWeight, 1.0);
     decay(entry, now);
     double sum = 0;
+    std::array<float, paceLevels> factors {};
+    int factorsOf = -1; // many limits share a factor, in particular all those above `running`
     for (std::size_t l = 0; l < limitLevels; ++l) {
         const double share = sample.running / limitOfLevel(l, entry.slots);
         const int sharing = share <= 1 ? 0 : binOf(share);
-        for (std::size_t p = 0; p < paceLevels; ++p) {
+        for (std::size_t p = 0; p < paceLevels && sharing != factorsOf; ++p) {
             const int pace = (static_cast<int>(p) - usualPaceLevel) * binsPerPaceLevel;
-            float &cell = entry.grid[l][p];
-            const double observed = likelihood(sample, pace + sharing);
-            cell *= static_cast<float>(std::pow(observed, weight));
-            sum += cell;
+            factors[p] = static_cast<float>(std::pow(likelihood(sample, pace + sharing), weight));
+        }
+        factorsOf = sharing;
+        for (std::size_t p = 0; p < paceLevels; ++p) {
+            entry.grid[l][p] *= factors[p];
+            sum += entry.grid[l][p];
         }
     }
     for (auto &row : entry.grid) {
--- a/bluebellshift/gateway/targets/targetcapacity.h
+++ b/bluebellshift/gateway/targets/targetcapacity.h
@@ -42,6 +42,14 @@
     Duration usual;    // the route's usual service time; zero: not known, so not counted
     ObjectState object = ObjectState::None;
     int occupied = 0; // requests in progress or waiting at the target, with this one
+
+    // `hash`: of the object; 0: none
+    void setObject(std::uint64_t hash, bool wasSentRecently)
+    {
+        object = hash == 0    ? ObjectState::None
+            : wasSentRecently ? ObjectState::LikelyWarm
+                              : ObjectState::Unknown;
+    }
 };
 
 struct CapacityEstimate
@@ -76,10 +84,9 @@
     static constexpr std::size_t paceLevels = 10; // half octaves from 0.5 to 11.3
     static constexpr std::size_t limitLevels = 6; // equal parts of the target's slots
 
-    class Entry
+    // The state of one target. Its members are for TargetCapacity only.
+    struct Entry
     {
-        friend class TargetCapacity;
-
         TargetId id;
         TargetHash hash = 0;
         Service *service = nullptr;
--- a/bluebellshift/gatewayd/metrics.cpp
+++ b/bluebellshift/gatewayd/metrics.cpp
@@ -140,6 +140,8 @@
     families.setGauge("targets_limited", static_cast<double>(readings.gateway.limitedTargets));
     families.setGauge("targets_leaving", static_cast<double>(readings.gateway.leavingTargets));
     families.setGauge("targets_paused", static_cast<double>(readings.gateway.pausedTargets));
+    families.setGauge("targets_slow", static_cast<double>(readings.gateway.slowTargets));
+    families.setGauge("targets_reduced", static_cast<double>(readings.gateway.reducedTargets));
     families.setGauge("config_version", static_cast<double>(readings.gateway.configVersion));
     families.setGauge("store_age_seconds", readings.gateway.storeAge.toSeconds());
     families.setGauge("store_lost", readings.gateway.isStoreLost ? 1 : 0);
