Take the lower middle pace as that of a service with two targets

Cause: with an even number of targets the upper middle was the median, so that the slow one of two targets counted as usual and the other as fast.

Change: the lower middle. A test of the wiring: a pool of two targets, one of which becomes 8 times as slow, chooses the other and reports samples.

--- a/bluebellshift/gateway/targets/targetcapacity.cpp
+++ b/bluebellshift/gateway/targets/targetcapacity.cpp
@@ -364,7 +364,7 @@
     paces.reserve(service.entries.size());
     for (const Entry *entry : service.entries)
         paces.push_back(static_cast<float>(paceOf(*entry, now)));
-    const auto middle = paces.begin() + static_cast<std::ptrdiff_t>(paces.size() / 2);
+    const auto middle = paces.begin() + static_cast<std::ptrdiff_t>((paces.size() - 1) / 2);
     std::nth_element(paces.begin(), middle, paces.end());
     service.medianPace = *middle;
 }
--- a/bluebellshift/gateway/targets/testing/targetcapacitytest.cpp
+++ b/bluebellshift/gateway/targets/testing/targetcapacitytest.cpp
@@ -5,7 +5,9 @@
 
 #include <random>
 
+#include "bluebellshift/gateway/targetpool.h"
 #include "bluebellshift/gateway/targets/testing/capacitymodel.h"
+#include "bluebellshift/gateway/testing/gatewaybench.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -329,3 +331,42 @@
         }
     }
 }
+
+// Guards against a pool that learns a slow target and still chooses it, or that tells Dispatcher
+// the registry's slots.
+TEST(TargetCapacity, APoolPrefersTheTargetsThatAreNotSlow)
+{
+    GatewayOptions options = gateway::testing::sampleOptions();
+    options.features.isRoomContended = true;
+    TargetPool pool(options,
+                    { [](std::uint32_t, Instant) { return 0; },
+                      [](std::uint64_t, Instant) { return std::size_t { 0 }; },
+                      [](TargetHash, const RegionId &, Instant) { return SenderRank(); },
+                      [](Instant) { return std::size_t { 1 }; }, [] { return 0.5; },
+                      [](const core::LogRecord &) {} });
+    pool.setConfig(gateway::testing::sampleConfig());
+    Instant now = Instant::fromMicros(1'000'000'000);
+    const std::vector<Target> targets = gateway::testing::sampleTargets(2);
+    for (const Target &target : targets)
+        pool.put(target, now);
+    TargetCriteria criteria;
+    criteria.service = ServiceId("s");
+    criteria.route = "r";
+    criteria.foundFreeSlot = true;
+    for (int i = 0; i < 40; ++i) {
+        const bool isSlow = i >= 20 && i % 2 == 0;
+        const TargetId &target = targets[static_cast<std::size_t>(i % 2)].id;
+        pool.onSent(target, criteria, now);
+        const Duration elapsed = usual * (isSlow ? 8 : 1);
+        now = now + elapsed;
+        AttemptEnded ended;
+        ended.outcome = AttemptOutcome::Answered;
+        ended.status = 200;
+        ended.load = LoadReport { 0, 0, slots, std::nullopt };
+        pool.onEnded(target, criteria, ended, elapsed, now);
+    }
+    const TargetSelection selection = pool.select(criteria, 1, now);
+    CHECK(selection.target != nullptr && selection.target->id == targets[1].id);
+    CHECK_EQUAL(targets[1].slots, selection.slots);
+    CHECK(!pool.capacity().reports(now).samples.empty());
+}
