Move the decisions of the queue to classes of their own

Change: AdmissionPlan (gateway/admission) holds the send-or-wait rule, mayWait and Retry-After; WaitingQueues holds the waiting requests and the rate at which a queue is served.

--- a/bluebellshift/gateway/dispatcher.cpp
+++ b/bluebellshift/gateway/dispatcher.cpp
@@ -1,30 +1,32 @@
-// A request is sent at once if a target has a free slot, or if it is expected to meet its
-// latency objective despite queueing at the target. Otherwise it waits here for a fraction
-// of its objective, ordered by priority, and is sent to whichever target becomes free
-// first. After that it is refused with a Retry-After: sending it anyway would fill the
-// queues of the targets and make all later requests late as well. A request that can't
-// expect its turn in time is refused at once, so that those ahead of it wait less.
 #include "bluebellshift/gateway/dispatcher.h"
 
 #include <algorithm>
-#include <cmath>
 
 #include <fmt/format.h>
 
 #include "bluebellshift/gateway/hashing.h"
 
 namespace bluebellshift::gateway {
+
+using admission::Step;
+
 namespace {
 
-Duration scaled(Duration duration, double factor)
+std::string millisText(Duration duration)
 {
-    return Duration::micros(
-        static_cast<std::int64_t>(static_cast<double>(duration.toMicros()) * factor));
+    return std::to_string(duration.toMillis());
 }
 
-std::string millisText(Duration duration)
+admission::Offer offerOf(const TargetSelection &selection)
 {
-    return std::to_string(duration.toMillis());
+    admission::Offer offer;
+    offer.hasTarget = selection.target != nullptr;
+    offer.inFlight = selection.ownInFlight + selection.othersInFlight;
+    offer.slots = offer.hasTarget ? selection.target->slots : 0;
+    offer.timeToFinish = selection.timeToFinish;
+    offer.isUnavailable = selection.isUnavailable;
+    offer.availableAt = selection.availableAt;
+    return offer;
 }
 
 // Whether the status guarantees that the request has not run and will not.
@@ -60,6 +62,7 @@
     , hooks_(std::move(hooks))
     , pool_(pool)
     , quotas_(quotas)
+    , plan_(queues_)
 {
 }
 
@@ -99,53 +102,19 @@
     if (!admit(pending, now))
         return;
     deadlines_.emplace(pending.deadline, pending.arrived.request);
-    if (place(pending, random, now) != Placement::Waits)
+    if (place(pending, random, now) != Step::Wait)
         return;
-    if (waitingCount_ >= maxWaitingRequests) {
+    if (queues_.size() >= maxWaitingRequests) {
         refuse(pending, 503, "queue-full", retryAfterFor(pending, now), now);
         return;
     }
-    if (!mayWait(pending, now)) {
+    if (!plan_.mayWait(admissionOf(pending), now)) {
         refuse(pending, 503, "no-room", retryAfterFor(pending, now), now);
         return;
     }
     enqueue(pending);
 }
 
-bool Dispatcher::mayWait(const Pending &pending, Instant now) const
-{
-    const auto waiting = waiting_.find(pending.service);
-    if (waiting == waiting_.end() || waiting->second.size() < minQueue)
-        return true;
-    const auto flow = queueFlows_.find(pending.service);
-    const double rate = flow == queueFlows_.end() ? 0 : flow->second.ratePerSecond(now);
-    const Duration maxWait = scaled(pending.route->latencyObjective, maxQueueFraction);
-    const double servedInTime = rate * maxWait.toSeconds() * maxExpectedWaitFraction;
-    const auto limit = std::max<std::size_t>(minQueue, static_cast<std::size_t>(servedInTime));
-    std::size_t ahead = 0;
-    for (const auto &[key, request] : waiting->second) {
-        if (key.first > pending.priority)
-            break;
-        if (++ahead >= limit)
-            return false;
-    }
-    return true;
-}
-
-double Dispatcher::QueueFlow::ratePerSecond(Instant now) const
-{
-    if (at == Instant::never())
-        return 0;
-    return sent * std::exp(-(now - at).toSeconds() / queueRateTime.toSeconds())
-        / queueRateTime.toSeconds();
-}
-
-void Dispatcher::QueueFlow::record(Instant now)
-{
-    sent = ratePerSecond(now) * queueRateTime.toSeconds() + 1;
-    at = now;
-}
-
 // Finds the request's route, team and service. Returns false if the request was refused.
 bool Dispatcher::admit(Pending &pending, Instant now)
 {
@@ -206,56 +175,39 @@
     return criteria;
 }
 
-Dispatcher::Placement Dispatcher::place(Pending &pending, std::uint64_t random, Instant now)
+admission::AdmissionRequest Dispatcher::admissionOf(const Pending &pending)
+{
+    admission::AdmissionRequest request;
+    request.service = pending.service;
+    request.priority = pending.priority;
+    request.objective = pending.route->latencyObjective;
+    request.arrivedAt = pending.arrivedAt;
+    request.deadline = pending.deadline;
+    request.mayHaveRun = pending.mayHaveRun;
+    return request;
+}
+
+// Sends or refuses a request, unless it has to wait.
+admission::Step Dispatcher::place(Pending &pending, std::uint64_t random, Instant now)
 {
     const TargetSelection selection =
         pool_.select(criteriaFor(pending), mixHashes(random, pending.sequence), now);
-    const Duration waited = now - pending.arrivedAt;
-    if (selection.target != nullptr) {
-        const bool hasSlot =
-            selection.ownInFlight + selection.othersInFlight < selection.target->slots;
-        if (hasSlot || waited + selection.timeToFinish <= pending.route->latencyObjective) {
-            send(pending, selection, now);
-            return Placement::Sent;
-        }
-    }
-    const Duration maxWait = scaled(pending.route->latencyObjective, maxQueueFraction);
-    if (selection.isUnavailable && !pending.mayHaveRun
-        && (selection.availableAt == Instant::never()
-            || selection.availableAt > pending.arrivedAt + maxWait)) {
-        refuseUnavailable(pending, selection.availableAt, now);
-        return Placement::Refused;
-    }
-    if (waited < maxWait)
-        return Placement::Waits;
-    const Duration left = pending.deadline - now;
-    if (selection.target != nullptr && selection.timeToFinish <= scaled(left, maxLateFraction)
-        && selection.ownInFlight + selection.othersInFlight < 2 * selection.target->slots) {
+    const admission::Decision decision =
+        plan_.decide(admissionOf(pending), offerOf(selection), now);
+    if (decision.step == Step::Send)
         send(pending, selection, now);
-        return Placement::Sent;
+    if (decision.step == Step::Refuse) {
+        refuse(pending, decision.status, decision.reason,
+               decision.retryAfter ? *decision.retryAfter : retryAfterFor(pending, now), now);
     }
-    if (pending.mayHaveRun)
-        refuse(pending, 502, "target-failed", Duration(), now);
-    else
-        refuse(pending, 503, selection.target == nullptr ? "no-target" : "no-room",
-               retryAfterFor(pending, now), now);
-    return Placement::Refused;
-}
-
-// Refuses a request whose targets all leave or want no requests, until the first of them returns.
-void Dispatcher::refuseUnavailable(Pending &pending, Instant availableAt, Instant now)
-{
-    const Duration wait =
-        availableAt == Instant::never() ? maxRetryAfter : availableAt - now + minRetryAfter;
-    refuse(pending, 503, "targets-unavailable", std::clamp(wait, minRetryAfter, maxRetryAfter),
-           now);
+    return decision.step;
 }
 
 void Dispatcher::send(Pending &pending, const TargetSelection &selection, Instant now)
 {
     if (pending.isWaiting) {
         dequeue(pending);
-        queueFlows_[pending.service].record(now);
+        queues_.recordSent(pending.service, now);
     }
     const Target &target = *selection.target;
     pending.target = target.id;
@@ -292,38 +244,30 @@
 
 void Dispatcher::enqueue(Pending &pending)
 {
-    if (pending.isWaiting)
-        return;
     pending.isWaiting = true;
-    ++waitingCount_;
-    waiting_[pending.service].emplace(WaitKey { pending.priority, pending.sequence },
-                                      pending.arrived.request);
+    queues_.add(pending.service, entryOf(pending));
 }
 
 void Dispatcher::dequeue(Pending &pending)
 {
-    if (!pending.isWaiting)
-        return;
     pending.isWaiting = false;
-    --waitingCount_;
-    waiting_[pending.service].erase(WaitKey { pending.priority, pending.sequence });
+    queues_.remove(pending.service, entryOf(pending));
+}
+
+admission::WaitingEntry Dispatcher::entryOf(const Pending &pending)
+{
+    return { pending.priority, pending.sequence, pending.arrived.request };
 }
 
 // Tries to send the requests that wait for a service, in order of priority.
 void Dispatcher::dispatchQueue(const ServiceId &service, std::uint64_t random, Instant now)
 {
-    std::vector<RequestId> next;
-    for (const auto &[key, request] : waiting_[service]) {
-        next.push_back(request);
-        if (next.size() >= maxScannedRequests)
-            break;
-    }
     int stillWaiting = 0;
-    for (const RequestId request : next) {
+    for (const RequestId request : queues_.first(service, maxScannedRequests)) {
         Pending *pending = find(request);
         if (pending == nullptr)
             continue;
-        if (place(*pending, random, now) == Placement::Waits && ++stillWaiting >= 6)
+        if (place(*pending, random, now) == Step::Wait && ++stillWaiting >= 6)
             break;
     }
 }
@@ -386,7 +330,7 @@
     // An error response of a target is forwarded unless the request is retried.
     const bool mayForward = isAnswered && !isNotRun && !isSuccess && !promisesNotRun(ended.status);
     if (isSafeToRetry && !isTimeOver && takeRetry(pending, hasReachedTarget, now)) {
-        if (place(pending, random, now) == Placement::Waits)
+        if (place(pending, random, now) == Step::Wait)
             enqueue(pending);
         return;
     }
@@ -414,19 +358,14 @@
         if (Pending *pending = find(request))
             expire(*pending, now);
     }
-    if (waitingCount_ > 0 && now - queuesTriedAt_ >= queueInterval)
+    if (queues_.size() > 0 && now - queuesTriedAt_ >= queueInterval)
         onCapacityChanged(random, now);
 }
 
 void Dispatcher::onCapacityChanged(std::uint64_t random, Instant now)
 {
     queuesTriedAt_ = now;
-    std::vector<ServiceId> services;
-    for (const auto &[service, waiting] : waiting_) {
-        if (!waiting.empty())
-            services.push_back(service);
-    }
-    for (const ServiceId &service : services)
+    for (const ServiceId &service : queues_.services())
         dispatchQueue(service, random, now);
 }
 
@@ -435,7 +374,7 @@
     Instant next = Instant::never();
     if (!deadlines_.empty())
         next = deadlines_.begin()->first;
-    if (waitingCount_ > 0) {
+    if (queues_.size() > 0) {
         const Instant queuesDueAt = queuesTriedAt_ + queueInterval;
         next = next == Instant::never() ? queuesDueAt : std::min(next, queuesDueAt);
     }
@@ -478,16 +417,12 @@
     }
 }
 
-// Retry-After: the expected time until the requests ahead in the queue have been served.
 Duration Dispatcher::retryAfterFor(const Pending &pending, Instant now) const
 {
-    const int slots = std::max(1, pool_.usableSlots(pending.service, now));
-    const Duration work = pool_.expectedServiceTime(pending.route->name);
-    const auto waiting = waiting_.find(pending.service);
-    const std::size_t ahead = waiting == waiting_.end() ? 0 : waiting->second.size();
-    const double rounds =
-        0.5 + static_cast<double>(ahead * hooks_.vmCount()) / static_cast<double>(slots);
-    return std::clamp(scaled(work, rounds), minRetryAfter, maxRetryAfter);
+    const admission::Backlog backlog { pool_.usableSlots(pending.service, now),
+                                       pool_.expectedServiceTime(pending.route->name),
+                                       hooks_.vmCount() };
+    return plan_.retryAfter(admissionOf(pending), backlog);
 }
 
 void Dispatcher::forwardResponse(Pending &pending, const AttemptEnded &ended, Instant now)
--- a/bluebellshift/gateway/dispatcher.h
+++ b/bluebellshift/gateway/dispatcher.h
@@ -14,12 +14,13 @@
 #pragma once
 
 #include <functional>
-#include <map>
 #include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "bluebellshift/gateway/admission/admissionplan.h"
+#include "bluebellshift/gateway/admission/waitingqueues.h"
 #include "bluebellshift/gateway/effect.h"
 #include "bluebellshift/gateway/retrybudget.h"
 #include "bluebellshift/gateway/servicesplit.h"
@@ -49,18 +50,8 @@
     // the others. A target may already have closed a connection that was idle for longer.
     static constexpr Duration maxReuseIdleIfUnsafe = Duration::millis(1500);
     static constexpr Duration maxReuseIdle = Duration::seconds(8);
-    // A request waits for a free slot for at most this fraction of its latency objective.
-    static constexpr double maxQueueFraction = 0.5;
-    // After that it is sent only if it is expected to end within this fraction of the time
-    // left until its deadline.
-    static constexpr double maxLateFraction = 0.7;
-    // A new request is refused at once if those ahead of it, at the rate at which the queue is
-    // served, are expected to take more than this fraction of the time for which it may wait.
-    static constexpr double maxExpectedWaitFraction = 0.5;
-    static constexpr std::size_t minQueue = 3; // requests that wait whatever the rate
-    static constexpr Duration queueRateTime = Duration::seconds(1);  // time constant of the rate
-    static constexpr Duration minRetryAfter = Duration::millis(100); // limits of Retry-After
-    static constexpr Duration maxRetryAfter = Duration::millis(1500);
+    static constexpr Duration minRetryAfter = admission::AdmissionPlan::minRetryAfter;
+    static constexpr Duration maxRetryAfter = admission::AdmissionPlan::maxRetryAfter;
     static constexpr std::size_t maxScannedRequests = 24; // of one queue, for each run
     static constexpr std::size_t maxWaitingRequests = 2000;
 
@@ -110,29 +101,14 @@
         bool mayHaveRun = false; // an attempt ended in an unknown state
         bool hasAnswer = false;  // the last attempt returned one that may be forwarded
     };
-    // Requests that left the queue for a target, decaying with queueRateTime.
-    struct QueueFlow
-    {
-        double sent = 0;
-        Instant at = Instant::never();
-
-        double ratePerSecond(Instant now) const;
-        void record(Instant now);
-    };
-    using WaitKey = std::pair<int, std::uint64_t>; // priority, order of arrival
-    using Waiting = std::map<WaitKey, RequestId>;
-
-    enum class Placement { Sent, Waits, Refused };
-
     void begin(Pending &pending, std::uint64_t random, Instant now);
     bool admit(Pending &pending, Instant now);
     bool admitTeam(Pending &pending, Instant now);
     TargetCriteria criteriaFor(const Pending &pending) const;
-    Placement place(Pending &pending, std::uint64_t random, Instant now);
-    void refuseUnavailable(Pending &pending, Instant availableAt, Instant now);
+    static admission::AdmissionRequest admissionOf(const Pending &pending);
+    static admission::WaitingEntry entryOf(const Pending &pending);
+    admission::Step place(Pending &pending, std::uint64_t random, Instant now);
     void send(Pending &pending, const TargetSelection &selection, Instant now);
-    // Whether the request is expected to find room in the time for which it may wait.
-    bool mayWait(const Pending &pending, Instant now) const;
     void enqueue(Pending &pending);
     void dequeue(Pending &pending);
     void dispatchQueue(const ServiceId &service, std::uint64_t random, Instant now);
@@ -156,9 +132,8 @@
     ServiceSplit split_;
     std::unordered_map<ServiceId, RetryBudget> retryBudgets_;
     std::unordered_map<RequestId, Pending> pending_;
-    std::map<ServiceId, Waiting> waiting_;
-    std::unordered_map<ServiceId, QueueFlow> queueFlows_;
-    std::size_t waitingCount_ = 0;
+    admission::WaitingQueues queues_;
+    const admission::AdmissionPlan plan_; // reads queues_
     std::set<std::pair<Instant, RequestId>> deadlines_;
     std::vector<RequestId> arrivedBeforeReady_;
     std::uint64_t lastSequence_ = 0;
--- a/bluebellshift/gateway/testing/reducertest.cpp
+++ b/bluebellshift/gateway/testing/reducertest.cpp
@@ -513,7 +513,7 @@
     for (std::size_t i = 0; i < more; ++i)
         bench.request(++id);
     const std::vector<Ended> refused = bench.takeEnded();
-    CHECK(refused.size() >= more - Dispatcher::minQueue);
+    CHECK(refused.size() >= more - admission::AdmissionPlan::minQueue);
     for (const Ended &one : refused) {
         CHECK_EQUAL(503, one.status);
         CHECK(one.retryAfter > Duration());
