Serve those who fit in time, and refuse the others at once, where callers compete

Cause: a request that waited half of its objective is sent although it will be late, so that in overload the queues of all targets are full and nearly all answers late. A new request takes a free slot before those that wait are tried.

Change: for a service is active if the settings say that callers compete for room or if one of its targets has reported the pace of its machine. Then a request gets a target without a free slot only if it is expected to end within 0.8 of its objective and the target has less than 1.5 times its slots in flight. It waits until it can no longer end in time, at least a quarter and at most half of its objective, and then takes any free slot or is refused. New requests are tried after those that wait, and are refused at once if they can't expect their turn (no-turn). Requests that may use the same targets form a room; a full room no longer holds up the others. request-routed says why a request was sent (admitted), request-refused how many wait (waiting).

Services that are not contended keep the rule and its tests.

--- a/bluebellshift/gateway/admission/admissionplan.cpp
+++ b/bluebellshift/gateway/admission/admissionplan.cpp
@@ -4,6 +4,11 @@
 // first. After that it is refused with a Retry-After: sending it anyway would fill the
 // queues of the targets and make all later requests late as well. A request that can't
 // expect its turn in time is refused at once, so that those ahead of it wait less.
+//
+// That rule still fills the targets' queues when demand exceeds their capacity: each request
+// that has waited half of its objective is sent late, and then nearly all are late. Where callers
+// compete for a service, queueing at a target therefore needs the prospect of a timely answer,
+// and a request that will be late gets only a slot that would stay unused.
 #include "bluebellshift/gateway/admission/admissionplan.h"
 
 #include <algorithm>
@@ -17,13 +22,40 @@
         static_cast<std::int64_t>(static_cast<double>(duration.toMicros()) * factor));
 }
 
-// Until the first target returns.
-Duration waitUntil(Instant availableAt, Instant now)
+// For how long a request waits for a target.
+Duration maxWaitOf(const AdmissionRequest &request, const Offer &offer)
+{
+    const Duration most = scaled(request.objective, AdmissionPlan::maxQueueFraction);
+    if (!request.isContended)
+        return most;
+    if (request.mayHaveRun)
+        return scaled(request.deadline - request.arrivedAt, AdmissionPlan::maxUncertainFraction);
+    const Duration least = scaled(request.objective, AdmissionPlan::minQueueFraction);
+    return std::clamp(request.objective - offer.serviceTime, least, most);
+}
+
+// Whether all targets leave or are paused for longer than the request waits.
+bool isHopeless(const AdmissionRequest &request, const Offer &offer)
+{
+    return offer.isUnavailable && !request.mayHaveRun
+        && (offer.availableAt == Instant::never()
+            || offer.availableAt > request.arrivedAt + maxWaitOf(request, offer));
+}
+
+Decision refuseUntil(Instant availableAt, Instant now)
 {
     const Duration wait = availableAt == Instant::never()
         ? AdmissionPlan::maxRetryAfter
         : availableAt - now + AdmissionPlan::minRetryAfter;
-    return std::clamp(wait, AdmissionPlan::minRetryAfter, AdmissionPlan::maxRetryAfter);
+    return { Step::Refuse, "targets-unavailable", 503,
+             std::clamp(wait, AdmissionPlan::minRetryAfter, AdmissionPlan::maxRetryAfter) };
+}
+
+Decision refuse(const AdmissionRequest &request, const char *reason)
+{
+    if (request.mayHaveRun)
+        return { Step::Refuse, "target-failed", 502, Duration() };
+    return { Step::Refuse, reason, 503, std::nullopt };
 }
 
 } // namespace
@@ -35,34 +67,78 @@
 
 Decision AdmissionPlan::decide(const AdmissionRequest &request, const Offer &offer,
                                Instant now) const
+{
+    const Decision decision = request.isContended ? decideContended(request, offer, now)
+                                                  : decideUsual(request, offer, now);
+    if (decision.step != Step::Wait || !request.isNew)
+        return decision;
+    if (queues_.size() >= maxWaitingRequests)
+        return { Step::Refuse, "queue-full", 503, std::nullopt };
+    if (!mayWait(request, offer, now))
+        return { Step::Refuse, request.isContended ? "no-turn" : "no-room", 503, std::nullopt };
+    return decision;
+}
+
+Decision AdmissionPlan::decideUsual(const AdmissionRequest &request, const Offer &offer,
+                                    Instant now) const
 {
     const Duration waited = now - request.arrivedAt;
-    if (offer.hasFreeSlot()
-        || (offer.hasTarget && waited + offer.timeToFinish <= request.objective))
-        return { Step::Send };
-    const Duration maxWait = scaled(request.objective, maxQueueFraction);
-    if (offer.isUnavailable && !request.mayHaveRun
-        && (offer.availableAt == Instant::never()
-            || offer.availableAt > request.arrivedAt + maxWait))
-        return { Step::Refuse, 503, "targets-unavailable", waitUntil(offer.availableAt, now) };
-    if (waited < maxWait)
+    if (offer.hasFreeSlot())
+        return { Step::Send, "free-slot" };
+    if (offer.hasTarget && waited + offer.timeToFinish <= request.objective)
+        return { Step::Send, "in-time" };
+    if (isHopeless(request, offer))
+        return refuseUntil(offer.availableAt, now);
+    if (waited < maxWaitOf(request, offer))
         return { Step::Wait };
     const Duration left = request.deadline - now;
     if (offer.hasTarget && offer.timeToFinish <= scaled(left, maxLateFraction)
         && offer.inFlight < 2 * offer.slots)
-        return { Step::Send };
-    if (request.mayHaveRun)
-        return { Step::Refuse, 502, "target-failed", Duration() };
-    return { Step::Refuse, 503, offer.hasTarget ? "no-room" : "no-target" };
+        return { Step::Send, "late" };
+    return refuse(request, offer.hasTarget ? "no-room" : "no-target");
+}
+
+Decision AdmissionPlan::decideContended(const AdmissionRequest &request, const Offer &offer,
+                                        Instant now) const
+{
+    const Duration waited = now - request.arrivedAt;
+    if (isHopeless(request, offer))
+        return refuseUntil(offer.availableAt, now);
+    if (!isBehind(request)) {
+        if (offer.hasFreeSlot())
+            return { Step::Send, "free-slot" };
+        if (offer.hasTarget && offer.inFlight < maxFill * offer.slots
+            && waited + offer.timeToFinish <= scaled(request.objective, inTimeFraction))
+            return { Step::Send, "in-time" };
+    }
+    if (waited < maxWaitOf(request, offer))
+        return { Step::Wait };
+    if (!offer.hasTarget)
+        return refuse(request, "no-target");
+    return { Step::FindFreeSlot };
+}
+
+Decision AdmissionPlan::decideAtFreeSlot(const AdmissionRequest &request, const Offer &offer)
+{
+    if (offer.hasFreeSlot())
+        return { Step::Send, "other-free-slot" };
+    return refuse(request, "no-room");
+}
+
+bool AdmissionPlan::isBehind(const AdmissionRequest &request) const
+{
+    if (!request.isNew)
+        return false;
+    const std::size_t tried = contendedScan.blockedPerRoom;
+    return queues_.ahead(request.service, request.room, request.priority, tried) >= tried;
 }
 
-bool AdmissionPlan::mayWait(const AdmissionRequest &request, Instant now) const
+bool AdmissionPlan::mayWait(const AdmissionRequest &request, const Offer &offer, Instant now) const
 {
-    const Duration maxWait = scaled(request.objective, maxQueueFraction);
-    const double servedInTime =
-        queues_.sentPerSecond(request.service, now) * maxWait.toSeconds() * maxExpectedWaitFraction;
+    const double servedInTime = queues_.sentPerSecond(request.service, request.room, now)
+        * maxWaitOf(request, offer).toSeconds() * maxExpectedWaitFraction;
     const auto limit = std::max<std::size_t>(minQueue, static_cast<std::size_t>(servedInTime));
-    return queues_.ahead(request.service, request.priority, limit) < limit;
+    return queues_.ahead(request.service, request.room, request.priority, limit) < limit;
 }
 
 Duration AdmissionPlan::retryAfter(const AdmissionRequest &request, const Backlog &backlog) const
--- a/bluebellshift/gateway/admission/admissionplan.h
+++ b/bluebellshift/gateway/admission/admissionplan.h
@@ -2,9 +2,16 @@
 // refused.
 //
 //   const AdmissionPlan plan(queues);
-//   switch (plan.decide(request, offer, now).step) { ... }
-//   if (!plan.mayWait(request, now))
-//       ...                                 // refuse it, with plan.retryAfter(...)
+//   const Decision decision = plan.decide(request, offer, now);
+//   if (decision.step == Step::Refuse)
+//       ...                                 // with plan.retryAfter(...), unless it names a time
+//
+// Where callers compete for a service (isContended), capacity goes to those who can be served
+// within their objective:
+//  - A target without a free slot gets a request only if that is expected to end in time.
+//  - With a free slot, a request is sent even if it will be late.
+//  - A new request is not sent while others ahead of it, which may use the same targets, could not
+//    be tried, and it is refused at once if it can't expect its turn.
 #pragma once
 
 #include <optional>
@@ -22,6 +29,9 @@
     Instant arrivedAt;
     Instant deadline;
     bool mayHaveRun = false; // an attempt ended in an unknown state
+    bool isNew = true;       // it has not waited, nor been sent
+    bool isContended = false;
+    std::uint64_t room = 0; // see WaitingQueues
 };
 
 // The target that is best for the request at this moment.
@@ -31,6 +41,7 @@
     int inFlight = 0; // there, from all VMs
     int slots = 0;
     Duration timeToFinish; // expected time until the response, from now
+    Duration serviceTime;  // of the request there, without waiting
     // If all targets leave or are paused: when the first pause ends, or never().
     bool isUnavailable = false;
     Instant availableAt = Instant::never();
@@ -38,14 +49,20 @@
     bool hasFreeSlot() const { return hasTarget && inFlight < slots; }
 };
 
-enum class Step { Send, Wait, Refuse };
+enum class Step {
+    Send,
+    Wait,
+    Refuse,
+    // Offer it the best target that has a free slot, and call decideAtFreeSlot().
+    FindFreeSlot
+};
 
 struct Decision
 {
     Step step = Step::Wait;
+    const char *reason = "";
     // Of a refusal:
     int status = 503;
-    const char *reason = "";
     std::optional<Duration> retryAfter = std::nullopt; // nothing: see AdmissionPlan::retryAfter()
 };
 
@@ -69,20 +86,44 @@
     // served, are expected to take more than this fraction of the time for which it may wait.
     static constexpr double maxExpectedWaitFraction = 0.5;
     static constexpr std::size_t minQueue = 3; // requests that wait whatever the rate
+    static constexpr std::size_t maxWaitingRequests = 2000;
+    // Where callers compete: a request waits until it can no longer end in time, but at least
+    // for this fraction of its objective, because a free slot must not stay unused.
+    static constexpr double minQueueFraction = 0.25;
+    // Without a free slot, a request is sent only if it is expected to end within this fraction of
+    // its objective, and to a target with fewer than this multiple of its slots in flight: work
+    // varies, and the load that other VMs add to a queue is known late.
+    static constexpr double inTimeFraction = 0.8;
+    static constexpr double maxFill = 1.5;
+    // A request that may have run can't be refused truthfully. It waits for at most this fraction
+    // of the time until its deadline.
+    static constexpr double maxUncertainFraction = 0.5;
+    // Requests that are tried in vain in one scan of a queue. Each costs a selection among all
+    // targets of the service.
+    static constexpr QueueScan::Limits usualScan { 24, 6, 6 };
+    static constexpr QueueScan::Limits contendedScan { 24, 8, 4 };
+    static constexpr std::size_t maxScannedEntries = 200;
     static constexpr Duration minRetryAfter = Duration::millis(100); // limits of Retry-After
     static constexpr Duration maxRetryAfter = Duration::millis(1500);
 
     explicit AdmissionPlan(const WaitingQueues &queues);
 
-    // Whether to send the request to the offered target.
+    // Whether to send the request to the offered target. Before a new request of a contended
+    // service, those that wait for the service must have been tried.
     Decision decide(const AdmissionRequest &request, const Offer &offer, Instant now) const;
-    // Whether a request that does not wait yet is expected to find room in the time for which it
-    // may wait.
-    bool mayWait(const AdmissionRequest &request, Instant now) const;
+    static Decision decideAtFreeSlot(const AdmissionRequest &request, const Offer &offer);
     // Retry-After: the expected time until the requests ahead in the queue have been served.
     Duration retryAfter(const AdmissionRequest &request, const Backlog &backlog) const;
 
 private:
+    Decision decideUsual(const AdmissionRequest &request, const Offer &offer, Instant now) const;
+    Decision decideContended(const AdmissionRequest &request, const Offer &offer,
+                             Instant now) const;
+    // Whether requests ahead of a new one, which may use the same targets, could not be tried.
+    bool isBehind(const AdmissionRequest &request) const;
+    // Whether a new request is expected to find room in the time for which it may wait.
+    bool mayWait(const AdmissionRequest &request, const Offer &offer, Instant now) const;
+
     const WaitingQueues &queues_;
 };
 
--- a/bluebellshift/gateway/admission/waitingqueues.cpp
+++ b/bluebellshift/gateway/admission/waitingqueues.cpp
@@ -2,8 +2,50 @@
 
 #include <cmath>
 
+#include "bluebellshift/gateway/hashing.h"
+
 namespace bluebellshift::gateway::admission {
 
+QueueScan::QueueScan(std::vector<WaitingEntry> entries, const Limits &limits)
+    : entries_(std::move(entries))
+    , limits_(limits)
+{
+}
+
+std::optional<RequestId> QueueScan::next()
+{
+    if (tried_ >= limits_.tried || blocked_ >= limits_.blocked)
+        return std::nullopt;
+    for (; position_ < entries_.size(); ++position_) {
+        const auto blocked = blockedByRoom_.find(entries_[position_].room);
+        if (blocked != blockedByRoom_.end() && blocked->second >= limits_.blockedPerRoom)
+            continue;
+        ++tried_;
+        return entries_[position_++].request;
+    }
+    return std::nullopt;
+}
+
+void QueueScan::onBlocked()
+{
+    ++blocked_;
+    ++blockedByRoom_[entries_[position_ - 1].room];
+}
+
+std::uint64_t roomOf(const std::vector<RegionId> &routeRegions,
+                     const std::vector<RegionId> *teamRegions)
+{
+    std::uint64_t room = 0;
+    for (const RegionId &region : routeRegions)
+        room = mixHashes(room, hashText(region.text()));
+    if (teamRegions == nullptr || teamRegions->empty())
+        return room;
+    room = mixHashes(room, teamRegions->size());
+    for (const RegionId &region : *teamRegions)
+        room = mixHashes(room, hashText(region.text()));
+    return room;
+}
+
 void WaitingQueues::add(const ServiceId &service, const WaitingEntry &entry)
 {
     if (entries_[service].insert(entry).second)
@@ -17,10 +59,10 @@
         --size_;
 }
 
-void WaitingQueues::recordSent(const ServiceId &service, Instant now)
+void WaitingQueues::recordSent(const ServiceId &service, std::uint64_t room, Instant now)
 {
-    const double before = sentPerSecond(service, now) * rateTime.toSeconds();
-    flows_[service] = { before + 1, now };
+    const double before = sentPerSecond(service, room, now) * rateTime.toSeconds();
+    flows_[{ service, room }] = { before + 1, now };
 }
 
 std::size_t WaitingQueues::size(const ServiceId &service) const
@@ -39,21 +81,22 @@
     return all;
 }
 
-std::vector<RequestId> WaitingQueues::first(const ServiceId &service, std::size_t count) const
+std::vector<WaitingEntry> WaitingQueues::first(const ServiceId &service, std::size_t count) const
 {
-    std::vector<RequestId> requests;
+    std::vector<WaitingEntry> first;
     const auto found = entries_.find(service);
     if (found == entries_.end())
-        return requests;
+        return first;
     for (const WaitingEntry &entry : found->second) {
-        if (requests.size() >= count)
+        if (first.size() >= count)
             break;
-        requests.push_back(entry.request);
+        first.push_back(entry);
     }
-    return requests;
+    return first;
 }
 
-std::size_t WaitingQueues::ahead(const ServiceId &service, int priority, std::size_t limit) const
+std::size_t WaitingQueues::ahead(const ServiceId &service, std::uint64_t room, int priority,
+                                 std::size_t limit) const
 {
     const auto found = entries_.find(service);
     if (found == entries_.end())
@@ -62,14 +105,15 @@
     for (const WaitingEntry &entry : found->second) {
         if (entry.priority > priority || ahead >= limit)
             break;
-        ++ahead;
+        if (entry.room == room)
+            ++ahead;
     }
     return ahead;
 }
 
-double WaitingQueues::sentPerSecond(const ServiceId &service, Instant now) const
+double WaitingQueues::sentPerSecond(const ServiceId &service, std::uint64_t room, Instant now) const
 {
-    const auto found = flows_.find(service);
+    const auto found = flows_.find({ service, room });
     if (found == flows_.end())
         return 0;
     const Flow &flow = found->second;
--- a/bluebellshift/gateway/admission/waitingqueues.h
+++ b/bluebellshift/gateway/admission/waitingqueues.h
@@ -1,20 +1,26 @@
 // The requests that wait for a target, by service, in order of priority and then of arrival.
 //
 //   WaitingQueues queues;
-//   queues.add(service, { priority, sequence, request });
-//   for (const RequestId request : queues.first(service, 24))
-//       ...                                  // try to send it
+//   queues.add(service, { priority, sequence, request, room });
+//   QueueScan scan(queues.first(service, 200), limits);
+//   while (const auto request = scan.next())
+//       if (!trySend(*request))
+//           scan.onBlocked();
 //   queues.remove(service, entry);
-//   queues.recordSent(service, now);         // if it was sent to a target
-//   queues.sentPerSecond(service, now);      // the rate at which the queue is served
+//   queues.recordSent(service, room, now);   // if it was sent to a target
+//   queues.sentPerSecond(service, room, now); // the rate at which the queue is served
+//
+// A room is a set of targets: those that a request may use by its route and team.
 #pragma once
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <tuple>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "bluebellshift/gateway/event.h"
@@ -26,6 +32,7 @@
     int priority = 0;           // lower is more urgent
     std::uint64_t sequence = 0; // order of arrival
     RequestId request;
+    std::uint64_t room = 0;
 
     friend bool operator<(const WaitingEntry &a, const WaitingEntry &b)
     {
@@ -33,6 +40,37 @@
     }
 };
 
+// The order in which waiting requests are tried when there may be room for some of them.
+class QueueScan
+{
+public:
+    struct Limits
+    {
+        std::size_t tried = 24;
+        std::size_t blocked = 6;        // ends the scan
+        std::size_t blockedPerRoom = 6; // skips the others of the same room
+    };
+
+    QueueScan(std::vector<WaitingEntry> entries, const Limits &limits);
+
+    // The next request to try; nothing at the end.
+    std::optional<RequestId> next();
+    // The request that next() returned last found no target.
+    void onBlocked();
+
+private:
+    const std::vector<WaitingEntry> entries_;
+    const Limits limits_;
+    std::size_t position_ = 0; // after the entry returned last
+    std::size_t tried_ = 0;
+    std::size_t blocked_ = 0;
+    std::unordered_map<std::uint64_t, std::size_t> blockedByRoom_;
+};
+
+// The room of the requests that may run only in the regions that both lists allow.
+std::uint64_t roomOf(const std::vector<RegionId> &routeRegions,
+                     const std::vector<RegionId> *teamRegions);
+
 class WaitingQueues
 {
 public:
@@ -40,15 +78,17 @@
 
     void add(const ServiceId &service, const WaitingEntry &entry);
     void remove(const ServiceId &service, const WaitingEntry &entry);
-    void recordSent(const ServiceId &service, Instant now);
+    void recordSent(const ServiceId &service, std::uint64_t room, Instant now);
 
     std::size_t size() const { return size_; } // of all services
     std::size_t size(const ServiceId &service) const;
     std::vector<ServiceId> services() const; // for which requests wait
-    std::vector<RequestId> first(const ServiceId &service, std::size_t count) const;
-    // Number of waiting requests that are at least as urgent as `priority`, counted up to `limit`.
-    std::size_t ahead(const ServiceId &service, int priority, std::size_t limit) const;
-    double sentPerSecond(const ServiceId &service, Instant now) const;
+    std::vector<WaitingEntry> first(const ServiceId &service, std::size_t count) const;
+    // Number of waiting requests of the same room that are at least as urgent as `priority`,
+    // counted up to `limit`.
+    std::size_t ahead(const ServiceId &service, std::uint64_t room, int priority,
+                      std::size_t limit) const;
+    double sentPerSecond(const ServiceId &service, std::uint64_t room, Instant now) const;
 
 private:
     // Requests that left the queue for a target, decaying with rateTime.
@@ -59,7 +99,7 @@
     };
 
     std::map<ServiceId, std::set<WaitingEntry>> entries_;
-    std::unordered_map<ServiceId, Flow> flows_;
+    std::map<std::pair<ServiceId, std::uint64_t>, Flow> flows_;
     std::size_t size_ = 0;
 };
 
--- a/bluebellshift/gateway/dispatcher.cpp
+++ b/bluebellshift/gateway/dispatcher.cpp
@@ -24,6 +24,7 @@
     offer.inFlight = selection.ownInFlight + selection.othersInFlight;
     offer.slots = offer.hasTarget ? selection.target->slots : 0;
     offer.timeToFinish = selection.timeToFinish;
+    offer.serviceTime = selection.serviceTime;
     offer.isUnavailable = selection.isUnavailable;
     offer.availableAt = selection.availableAt;
     return offer;
@@ -102,17 +103,11 @@
     if (!admit(pending, now))
         return;
     deadlines_.emplace(pending.deadline, pending.arrived.request);
-    if (place(pending, random, now) != Step::Wait)
-        return;
-    if (queues_.size() >= maxWaitingRequests) {
-        refuse(pending, 503, "queue-full", retryAfterFor(pending, now), now);
-        return;
-    }
-    if (!plan_.mayWait(admissionOf(pending), now)) {
-        refuse(pending, 503, "no-room", retryAfterFor(pending, now), now);
-        return;
-    }
-    enqueue(pending);
+    if (pending.isContended
+        && queues_.ahead(pending.service, pending.room, pending.priority, 1) > 0)
+        dispatchQueue(pending.service, random, now);
+    if (place(pending, random, now) == Step::Wait)
+        enqueue(pending);
 }
 
 // Finds the request's route, team and service. Returns false if the request was refused.
@@ -133,6 +128,11 @@
     if (!admitTeam(pending, now))
         return false;
     pending.service = split_.next(*pending.route);
+    pending.isContended = isContended(pending.service);
+    if (pending.isContended)
+        pending.room =
+            admission::roomOf(pending.route->allowedRegions,
+                              pending.team == nullptr ? nullptr : &pending.team->allowedRegions);
     retryBudgets_.try_emplace(pending.service, options_.bounds).first->second.recordRequest(now);
     if (!pending.arrived.affinityKey.empty() && pending.route->isSticky)
         pending.object =
@@ -184,18 +184,27 @@
     request.arrivedAt = pending.arrivedAt;
     request.deadline = pending.deadline;
     request.mayHaveRun = pending.mayHaveRun;
+    request.isNew = !pending.isWaiting && pending.attempts == 0 && pending.connectFailures == 0;
+    request.isContended = pending.isContended;
+    request.room = pending.room;
     return request;
 }
 
 // Sends or refuses a request, unless it has to wait.
 admission::Step Dispatcher::place(Pending &pending, std::uint64_t random, Instant now)
 {
-    const TargetSelection selection =
-        pool_.select(criteriaFor(pending), mixHashes(random, pending.sequence), now);
-    const admission::Decision decision =
-        plan_.decide(admissionOf(pending), offerOf(selection), now);
+    TargetCriteria criteria = criteriaFor(pending);
+    const std::uint64_t seed = mixHashes(random, pending.sequence);
+    const admission::AdmissionRequest request = admissionOf(pending);
+    TargetSelection selection = pool_.select(criteria, seed, now);
+    admission::Decision decision = plan_.decide(request, offerOf(selection), now);
+    if (decision.step == Step::FindFreeSlot) {
+        criteria.needsFreeSlot = true;
+        selection = pool_.select(criteria, seed, now);
+        decision = admission::AdmissionPlan::decideAtFreeSlot(request, offerOf(selection));
+    }
     if (decision.step == Step::Send)
-        send(pending, selection, now);
+        send(pending, selection, decision.reason, now);
     if (decision.step == Step::Refuse) {
         refuse(pending, decision.status, decision.reason,
                decision.retryAfter ? *decision.retryAfter : retryAfterFor(pending, now), now);
@@ -203,11 +212,17 @@
     return decision.step;
 }
 
-void Dispatcher::send(Pending &pending, const TargetSelection &selection, Instant now)
+bool Dispatcher::isContended(const ServiceId &service) const
+{
+    return options_.features.isRoomContended || pool_.hasWorkReports(service);
+}
+
+void Dispatcher::send(Pending &pending, const TargetSelection &selection, const char *reason,
+                      Instant now)
 {
     if (pending.isWaiting) {
         dequeue(pending);
-        queues_.recordSent(pending.service, now);
+        queues_.recordSent(pending.service, pending.room, now);
     }
     const Target &target = *selection.target;
     pending.target = target.id;
@@ -220,6 +235,7 @@
     log(core::log::requestRouted, pending,
         { { "target", target.id.text() },
           { "attempt", std::to_string(pending.attempts) },
+          { "admitted", reason },
           { "waitedMs", millisText(now - pending.arrivedAt) },
           { "finishMs", millisText(selection.timeToFinish) },
           { "inFlight",
@@ -256,19 +272,19 @@
 
 admission::WaitingEntry Dispatcher::entryOf(const Pending &pending)
 {
-    return { pending.priority, pending.sequence, pending.arrived.request };
+    return { pending.priority, pending.sequence, pending.arrived.request, pending.room };
 }
 
 // Tries to send the requests that wait for a service, in order of priority.
 void Dispatcher::dispatchQueue(const ServiceId &service, std::uint64_t random, Instant now)
 {
-    int stillWaiting = 0;
-    for (const RequestId request : queues_.first(service, maxScannedRequests)) {
-        Pending *pending = find(request);
-        if (pending == nullptr)
-            continue;
-        if (place(*pending, random, now) == Step::Wait && ++stillWaiting >= 6)
-            break;
+    using Plan = admission::AdmissionPlan;
+    admission::QueueScan scan(queues_.first(service, Plan::maxScannedEntries),
+                              isContended(service) ? Plan::contendedScan : Plan::usualScan);
+    while (const std::optional<RequestId> request = scan.next()) {
+        Pending *pending = find(*request);
+        if (pending != nullptr && place(*pending, random, now) == Step::Wait)
+            scan.onBlocked();
     }
 }
 
@@ -445,6 +461,7 @@
           { "run", pending.mayHaveRun ? "unknown" : "not-run" },
           { "retryAfterMs", millisText(retryAfter) },
           { "waitedMs", millisText(now - pending.arrivedAt) },
+          { "waiting", std::to_string(queues_.size(pending.service)) },
           { "config",
             pending.config ? std::to_string(pending.config->version.number()) : "none" } });
     hooks_.perform(RefuseRequest { pending.arrived.request, status, retryAfter, reason });
--- a/bluebellshift/gateway/dispatcher.h
+++ b/bluebellshift/gateway/dispatcher.h
@@ -52,8 +52,6 @@
     static constexpr Duration maxReuseIdle = Duration::seconds(8);
     static constexpr Duration minRetryAfter = admission::AdmissionPlan::minRetryAfter;
     static constexpr Duration maxRetryAfter = admission::AdmissionPlan::maxRetryAfter;
-    static constexpr std::size_t maxScannedRequests = 24; // of one queue, for each run
-    static constexpr std::size_t maxWaitingRequests = 2000;
 
     Dispatcher(const GatewayOptions &options, DispatcherHooks hooks, TargetPool &pool,
                TeamQuotas &quotas);
@@ -74,6 +72,7 @@
     void endAll(Instant now);
 
     std::size_t pendingCount() const { return pending_.size(); }
+    std::size_t waitingCount() const { return queues_.size(); }
 
 private:
     struct Pending
@@ -84,6 +83,8 @@
         const Team *team = nullptr; // null: the route needs no key
         int priority = 0;
         ServiceId service;
+        bool isContended = false; // callers compete for the service
+        std::uint64_t room = 0;   // see admission::WaitingQueues
         std::uint64_t object = 0;
         Instant arrivedAt;
         Instant deadline; // the earlier of the caller's and the route's
@@ -108,7 +109,9 @@
     static admission::AdmissionRequest admissionOf(const Pending &pending);
     static admission::WaitingEntry entryOf(const Pending &pending);
     admission::Step place(Pending &pending, std::uint64_t random, Instant now);
-    void send(Pending &pending, const TargetSelection &selection, Instant now);
+    void send(Pending &pending, const TargetSelection &selection, const char *reason, Instant now);
+    // Whether callers compete for the service's targets.
+    bool isContended(const ServiceId &service) const;
     void enqueue(Pending &pending);
     void dequeue(Pending &pending);
     void dispatchQueue(const ServiceId &service, std::uint64_t random, Instant now);
--- a/bluebellshift/gateway/targetpool.cpp
+++ b/bluebellshift/gateway/targetpool.cpp
@@ -169,6 +169,8 @@
         if (exclusion != Exclusion::None)
             continue;
         const int others = othersAt(state, congestion, now);
+        if (criteria.needsFreeSlot && state.inFlight + others >= state.target.slots)
+            continue;
         const double serviceTimeMs = serviceTimeMsAt(state, criteria, warmth[i], now);
         const Duration timeToFinish = timeToFinishAt(state, criteria, others, serviceTimeMs, now);
         double score = millis(timeToFinish) + congestion.level * serviceTimeMs
@@ -183,6 +185,7 @@
         bestScore = score;
         best.target = &state.target;
         best.timeToFinish = timeToFinish;
+        best.serviceTime = fromMillis(serviceTimeMs);
         best.ownInFlight = state.inFlight;
         best.othersInFlight = others;
         best.warmth = warmth[i];
@@ -506,6 +509,8 @@
         state->reportedOthersInFlight =
             std::max(0, ended.load->running + ended.load->waiting - state->inFlight);
         state->reportedAt = now;
+        if (ended.load->workPercent)
+            workReported_.insert(state->target.service);
     }
     if (ended.outcome == AttemptOutcome::ConnectFailed) {
         state->consecutiveConnectFailures = std::min(state->consecutiveConnectFailures + 1, 8);
--- a/bluebellshift/gateway/targetpool.h
+++ b/bluebellshift/gateway/targetpool.h
@@ -44,6 +44,7 @@
     const std::vector<TargetId> *tried = nullptr;
     std::string route; // name of the route, by which service times are learned
     std::size_t bodyBytes = 0;
+    bool needsFreeSlot = false;   // only targets that have one
     bool foundFreeSlot = false;   // when it was sent: its duration contains no queueing
     std::int64_t targetStart = 0; // start time, in Unix milliseconds, of the target it was sent to
 };
@@ -52,6 +53,7 @@
 {
     const Target *target = nullptr; // null: no target is usable now
     Duration timeToFinish;          // expected time until the response, from now
+    Duration serviceTime;           // of the request there, without waiting
     int ownInFlight = 0;
     int othersInFlight = 0;
     double warmth = 0;           // probability that the object is warm there, 0 to 1
@@ -157,6 +159,8 @@
     // its requests need.
     int usableSlots(const ServiceId &service, Instant now) const;
     Duration expectedServiceTime(const std::string &route) const;
+    // Whether a target of the service has reported the pace of its machine.
+    bool hasWorkReports(const ServiceId &service) const { return workReported_.count(service) > 0; }
 
 private:
     struct State
@@ -254,6 +258,7 @@
     std::unordered_map<ServiceId, std::vector<State *>> byService_; // into states_
     std::unordered_map<TargetHash, State *> byHash_;                // into states_
     std::unordered_set<FailureDomainId> evacuated_;
+    std::unordered_set<ServiceId> workReported_;
     std::unordered_map<FailureDomainId, Duration> rtts_;           // measured round trip times
     std::unordered_map<std::string, double> serviceTimesMs_;       // cold object, by route
     std::unordered_map<ServiceId, double> meanTimesMs_;            // of all requests, at the target
