Keep slots free for requests that are more urgent, over the whole fleet

Cause: priority holds only inside one VM's queue. An urgent request finds the slots and queues of its targets filled by less urgent ones of other VMs.

Change: VMs report arrivals a second and waiting requests by service and priority (VmReport.demands, where callers compete for a service). UrgencyLevels derives from them how many slots the more urgent requests of a region need until busy targets have free slots; less urgent requests leave that many free and don't queue at the targets that keep them. A request that would be refused on arrival may first take a free slot that nobody ahead of it wants. The expected turn follows from all requests of its room and priority that are sent, not only from those that waited.

--- a/bluebellshift/core/vmreport.h
+++ b/bluebellshift/core/vmreport.h
@@ -58,6 +58,15 @@
     std::uint32_t ageMillis = 0;      // since that response
 };
 
+// The requests of one priority that callers have sent to the VM for a service.
+struct ServiceDemand
+{
+    std::uint32_t service = 0;         // a hash of its id
+    std::uint32_t priority = 0;        // lower is more urgent
+    std::uint32_t millisPerSecond = 0; // thousandths of a request a second
+    std::uint32_t waiting = 0;         // for a target
+};
+
 struct VmReport
 {
     std::uint64_t sequence = 0; // increases with each report of one incarnation
@@ -76,6 +85,7 @@
     std::vector<FailureDomainId> evacuated;
     std::vector<TargetLimitReport> targetLimits; // that its own responses named of late
     std::vector<LeavingTarget> leavingTargets;   // the same
+    std::vector<ServiceDemand> demands;          // where callers compete for a service
 };
 
 // A report that another VM passes on.
--- a/bluebellshift/gateway/admission/admissionplan.cpp
+++ b/bluebellshift/gateway/admission/admissionplan.cpp
@@ -74,9 +74,11 @@
         return decision;
     if (queues_.size() >= maxWaitingRequests)
         return { Step::Refuse, "queue-full", 503, std::nullopt };
-    if (!mayWait(request, offer, now))
-        return { Step::Refuse, request.isContended ? "no-turn" : "no-room", 503, std::nullopt };
-    return decision;
+    if (mayWait(request, offer, now))
+        return decision;
+    if (request.isContended && offer.hasTarget && !isBehind(request))
+        return { Step::FindFreeSlot };
+    return refuse(request, request.isContended ? "no-turn" : "no-room");
 }
 
 Decision AdmissionPlan::decideUsual(const AdmissionRequest &request, const Offer &offer,
@@ -107,7 +109,7 @@
     if (!isBehind(request)) {
         if (offer.hasFreeSlot())
             return { Step::Send, "free-slot" };
-        if (offer.hasTarget && offer.inFlight < maxFill * offer.slots
+        if (offer.hasTarget && offer.reserved == 0 && offer.inFlight < maxFill * offer.slots
             && waited + offer.timeToFinish <= scaled(request.objective, inTimeFraction))
             return { Step::Send, "in-time" };
     }
@@ -122,7 +124,7 @@
 {
     if (offer.hasFreeSlot())
         return { Step::Send, "other-free-slot" };
-    return refuse(request, "no-room");
+    return refuse(request, request.isNew ? "no-turn" : "no-room");
 }
 
 bool AdmissionPlan::isBehind(const AdmissionRequest &request) const
@@ -135,7 +137,7 @@
 
 bool AdmissionPlan::mayWait(const AdmissionRequest &request, const Offer &offer, Instant now) const
 {
-    const double servedInTime = queues_.sentPerSecond(request.service, request.room, now)
+    const double servedInTime = queues_.sentPerSecond(request.service, request.lane(), now)
         * maxWaitOf(request, offer).toSeconds() * maxExpectedWaitFraction;
     const auto limit = std::max<std::size_t>(minQueue, static_cast<std::size_t>(servedInTime));
     return queues_.ahead(request.service, request.room, request.priority, limit) < limit;
--- a/bluebellshift/gateway/admission/admissionplan.h
+++ b/bluebellshift/gateway/admission/admissionplan.h
@@ -9,6 +9,8 @@
 // Where callers compete for a service (isContended), capacity goes to those who can be served
 // within their objective:
 //  - A target without a free slot gets a request only if that is expected to end in time.
+//  - While more urgent requests need them, targets get less urgent ones only for free slots that
+//    are not reserved (UrgencyLevels).
 //  - With a free slot, a request is sent even if it will be late.
 //  - A new request is not sent while others ahead of it, which may use the same targets, could not
 //    be tried, and it is refused at once if it can't expect its turn.
@@ -32,6 +34,10 @@
     bool isNew = true;       // it has not waited, nor been sent
     bool isContended = false;
     std::uint64_t room = 0; // see WaitingQueues
+    // More urgent requests, of any VM, are expected to need the targets soon.
+    bool hasMoreUrgent = false;
+
+    Lane lane() const { return isContended ? Lane(room, priority) : Lane(); }
 };
 
 // The target that is best for the request at this moment.
@@ -40,13 +46,14 @@
     bool hasTarget = false;
     int inFlight = 0; // there, from all VMs
     int slots = 0;
+    int reserved = 0;      // slots that it keeps free for more urgent requests
     Duration timeToFinish; // expected time until the response, from now
     Duration serviceTime;  // of the request there, without waiting
     // If all targets leave or are paused: when the first pause ends, or never().
     bool isUnavailable = false;
     Instant availableAt = Instant::never();
 
-    bool hasFreeSlot() const { return hasTarget && inFlight < slots; }
+    bool hasFreeSlot() const { return hasTarget && inFlight + reserved < slots; }
 };
 
 enum class Step {
--- a/bluebellshift/gateway/admission/waitingqueues.cpp
+++ b/bluebellshift/gateway/admission/waitingqueues.cpp
@@ -1,5 +1,6 @@
 #include "bluebellshift/gateway/admission/waitingqueues.h"
 
+#include <algorithm>
 #include <cmath>
 
 #include "bluebellshift/gateway/hashing.h"
@@ -59,10 +60,10 @@
         --size_;
 }
 
-void WaitingQueues::recordSent(const ServiceId &service, std::uint64_t room, Instant now)
+void WaitingQueues::recordSent(const ServiceId &service, const Lane &lane, Instant now)
 {
-    const double before = sentPerSecond(service, room, now) * rateTime.toSeconds();
-    flows_[{ service, room }] = { before + 1, now };
+    const double before = sentPerSecond(service, lane, now) * rateTime.toSeconds();
+    flows_[{ service, lane }] = { before + 1, now };
 }
 
 std::size_t WaitingQueues::size(const ServiceId &service) const
@@ -71,6 +72,16 @@
     return found == entries_.end() ? 0 : found->second.size();
 }
 
+std::size_t WaitingQueues::size(const ServiceId &service, int priority) const
+{
+    const auto found = entries_.find(service);
+    if (found == entries_.end())
+        return 0;
+    return static_cast<std::size_t>(
+        std::count_if(found->second.begin(), found->second.end(),
+                      [&](const WaitingEntry &entry) { return entry.priority == priority; }));
+}
+
 std::vector<ServiceId> WaitingQueues::services() const
 {
     std::vector<ServiceId> all;
@@ -111,9 +122,9 @@
     return ahead;
 }
 
-double WaitingQueues::sentPerSecond(const ServiceId &service, std::uint64_t room, Instant now) const
+double WaitingQueues::sentPerSecond(const ServiceId &service, const Lane &lane, Instant now) const
 {
-    const auto found = flows_.find({ service, room });
+    const auto found = flows_.find({ service, lane });
     if (found == flows_.end())
         return 0;
     const Flow &flow = found->second;
--- a/bluebellshift/gateway/admission/waitingqueues.h
+++ b/bluebellshift/gateway/admission/waitingqueues.h
@@ -7,8 +7,8 @@
 //       if (!trySend(*request))
 //           scan.onBlocked();
 //   queues.remove(service, entry);
-//   queues.recordSent(service, room, now);   // if it was sent to a target
-//   queues.sentPerSecond(service, room, now); // the rate at which the queue is served
+//   queues.recordSent(service, lane, now);    // if it was sent to a target
+//   queues.sentPerSecond(service, lane, now); // the rate at which requests like it are sent
 //
 // A room is a set of targets: those that a request may use by its route and team.
 #pragma once
@@ -40,6 +40,9 @@
     }
 };
 
+// Requests that are served at a rate of their own: of one room and priority.
+using Lane = std::pair<std::uint64_t, int>;
+
 // The order in which waiting requests are tried when there may be room for some of them.
 class QueueScan
 {
@@ -78,20 +81,22 @@
 
     void add(const ServiceId &service, const WaitingEntry &entry);
     void remove(const ServiceId &service, const WaitingEntry &entry);
-    void recordSent(const ServiceId &service, std::uint64_t room, Instant now);
+    // Records a request that was sent to a target, in a lane that the caller of this class chooses.
+    void recordSent(const ServiceId &service, const Lane &lane, Instant now);
 
     std::size_t size() const { return size_; } // of all services
     std::size_t size(const ServiceId &service) const;
+    std::size_t size(const ServiceId &service, int priority) const;
     std::vector<ServiceId> services() const; // for which requests wait
     std::vector<WaitingEntry> first(const ServiceId &service, std::size_t count) const;
     // Number of waiting requests of the same room that are at least as urgent as `priority`,
     // counted up to `limit`.
     std::size_t ahead(const ServiceId &service, std::uint64_t room, int priority,
                       std::size_t limit) const;
-    double sentPerSecond(const ServiceId &service, std::uint64_t room, Instant now) const;
+    double sentPerSecond(const ServiceId &service, const Lane &lane, Instant now) const;
 
 private:
-    // Requests that left the queue for a target, decaying with rateTime.
+    // Requests that were sent, decaying with rateTime.
     struct Flow
     {
         double sent = 0;
@@ -99,7 +104,7 @@
     };
 
     std::map<ServiceId, std::set<WaitingEntry>> entries_;
-    std::map<std::pair<ServiceId, std::uint64_t>, Flow> flows_;
+    std::map<std::pair<ServiceId, Lane>, Flow> flows_;
     std::size_t size_ = 0;
 };
 
--- a/bluebellshift/gateway/dispatcher.cpp
+++ b/bluebellshift/gateway/dispatcher.cpp
@@ -23,6 +23,7 @@
     offer.hasTarget = selection.target != nullptr;
     offer.inFlight = selection.ownInFlight + selection.othersInFlight;
     offer.slots = offer.hasTarget ? selection.target->slots : 0;
+    offer.reserved = selection.reserved;
     offer.timeToFinish = selection.timeToFinish;
     offer.serviceTime = selection.serviceTime;
     offer.isUnavailable = selection.isUnavailable;
@@ -64,6 +65,9 @@
     , pool_(pool)
     , quotas_(quotas)
     , plan_(queues_)
+    , urgency_(
+          { [this](const ServiceId &service, Instant now) { return pool_.roomOf(service, now); },
+            hooks_.vmCount, options.vm.region })
 {
 }
 
@@ -129,10 +133,12 @@
         return false;
     pending.service = split_.next(*pending.route);
     pending.isContended = isContended(pending.service);
-    if (pending.isContended)
+    if (pending.isContended) {
+        urgency_.recordArrival(pending.service, pending.priority, now);
         pending.room =
             admission::roomOf(pending.route->allowedRegions,
                               pending.team == nullptr ? nullptr : &pending.team->allowedRegions);
+    }
     retryBudgets_.try_emplace(pending.service, options_.bounds).first->second.recordRequest(now);
     if (!pending.arrived.affinityKey.empty() && pending.route->isSticky)
         pending.object =
@@ -195,7 +201,11 @@
 {
     TargetCriteria criteria = criteriaFor(pending);
     const std::uint64_t seed = mixHashes(random, pending.sequence);
-    const admission::AdmissionRequest request = admissionOf(pending);
+    admission::AdmissionRequest request = admissionOf(pending);
+    if (pending.isContended) {
+        criteria.reserved = &urgency_.reservedFor(pending.service, pending.priority, now);
+        request.hasMoreUrgent = !criteria.reserved->empty();
+    }
     TargetSelection selection = pool_.select(criteria, seed, now);
     admission::Decision decision = plan_.decide(request, offerOf(selection), now);
     if (decision.step == Step::FindFreeSlot) {
@@ -220,10 +230,11 @@
 void Dispatcher::send(Pending &pending, const TargetSelection &selection, const char *reason,
                       Instant now)
 {
-    if (pending.isWaiting) {
+    // Where callers compete, those that find room at once have waited for it like the others.
+    if (pending.isWaiting || pending.isContended)
+        queues_.recordSent(pending.service, admissionOf(pending).lane(), now);
+    if (pending.isWaiting)
         dequeue(pending);
-        queues_.recordSent(pending.service, pending.room, now);
-    }
     const Target &target = *selection.target;
     pending.target = target.id;
     pending.targetStart = target.startUnixMillis;
@@ -241,6 +252,7 @@
           { "inFlight",
             fmt::format("{}+{}/{}", selection.ownInFlight, selection.othersInFlight,
                         target.slots) },
+          { "reserved", std::to_string(selection.reserved) },
           { "object", fmt::format("{:08x}", static_cast<std::uint32_t>(pending.object)) },
           { "warmth", fmt::format("{:.2f}", selection.warmth) },
           { "considered", selection.exclusionCounts },
--- a/bluebellshift/gateway/dispatcher.h
+++ b/bluebellshift/gateway/dispatcher.h
@@ -20,6 +20,7 @@
 #include <vector>
 
 #include "bluebellshift/gateway/admission/admissionplan.h"
+#include "bluebellshift/gateway/admission/urgencylevels.h"
 #include "bluebellshift/gateway/admission/waitingqueues.h"
 #include "bluebellshift/gateway/effect.h"
 #include "bluebellshift/gateway/retrybudget.h"
@@ -73,6 +74,19 @@
 
     std::size_t pendingCount() const { return pending_.size(); }
     std::size_t waitingCount() const { return queues_.size(); }
+    // The requests that callers send to this VM, for its reports, and those of another VM, whose
+    // report is `age` old.
+    std::vector<core::ServiceDemand> demands(Instant now) const
+    {
+        return urgency_.demands(queues_, now);
+    }
+    void onDemandsReported(const VmId &from, const RegionId &region,
+                           const std::vector<core::ServiceDemand> &demands, Duration age,
+                           Instant now)
+    {
+        urgency_.onReport(from, region, demands, age, now);
+    }
+    double reservedSlots() const { return urgency_.reservedSlots(); }
 
 private:
     struct Pending
@@ -137,6 +151,7 @@
     std::unordered_map<RequestId, Pending> pending_;
     admission::WaitingQueues queues_;
     const admission::AdmissionPlan plan_; // reads queues_
+    admission::UrgencyLevels urgency_;
     std::set<std::pair<Instant, RequestId>> deadlines_;
     std::vector<RequestId> arrivedBeforeReady_;
     std::uint64_t lastSequence_ = 0;
--- a/bluebellshift/gateway/fleet.cpp
+++ b/bluebellshift/gateway/fleet.cpp
@@ -101,6 +101,12 @@
     }
 }
 
+RegionId Fleet::regionOf(const VmId &vm) const
+{
+    const auto found = entries_.find(vm);
+    return found == entries_.end() ? RegionId() : found->second.entry.region;
+}
+
 std::vector<VmEntry> Fleet::peers() const
 {
     std::vector<VmEntry> all;
--- a/bluebellshift/gateway/fleet.h
+++ b/bluebellshift/gateway/fleet.h
@@ -58,6 +58,8 @@
     // Marks VMs without recent reports as not live. Call several times a second.
     void onTimer(Instant now);
 
+    // The region of another registered VM; empty for all others.
+    RegionId regionOf(const VmId &vm) const;
     // The other registered VMs.
     std::vector<VmEntry> peers() const;
     // The live VMs among them.
--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -623,6 +623,7 @@
     report.admissions = limits_.admissions(now_);
     report.targetLimits = pool_.limitReports(now_);
     report.leavingTargets = pool_.leavingReports(now_);
+    report.demands = dispatcher_.demands(now_);
     return report;
 }
 
@@ -633,6 +634,8 @@
     limits_.onReport(event.from, event.report);
     pool_.onLimitsReported(event.from, event.report.targetLimits, Duration(), now_);
     pool_.onLeavingReported(event.from, event.report.leavingTargets, Duration(), now_);
+    dispatcher_.onDemandsReported(event.from, fleet_.regionOf(event.from), event.report.demands,
+                                  Duration(), now_);
     applyReportedEvacuations(event.report);
     applyReportedRevisions();
 }
@@ -644,6 +647,8 @@
         const Duration age = Duration::millis(one.ageMillis);
         pool_.onLimitsReported(one.vm, one.report.targetLimits, age, now_);
         pool_.onLeavingReported(one.vm, one.report.leavingTargets, age, now_);
+        dispatcher_.onDemandsReported(one.vm, fleet_.regionOf(one.vm), one.report.demands, age,
+                                      now_);
         applyReportedEvacuations(one.report);
     }
     applyReportedRevisions();
@@ -790,6 +795,8 @@
 {
     Readings readings;
     readings.pending = state_->dispatcher_.pendingCount();
+    readings.waiting = state_->dispatcher_.waitingCount();
+    readings.reservedSlots = state_->dispatcher_.reservedSlots();
     readings.vms = state_->fleet_.vmCount();
     readings.liveVms = state_->fleet_.livePeers(now).size() + 1;
     readings.targets = state_->pool_.targetIds().size();
--- a/bluebellshift/gateway/reducer.h
+++ b/bluebellshift/gateway/reducer.h
@@ -53,6 +53,8 @@
     struct Readings
     {
         std::size_t pending = 0;
+        std::size_t waiting = 0;  // of them, those that wait for a target
+        double reservedSlots = 0; // kept free for more urgent requests
         std::size_t vms = 0;
         std::size_t liveVms = 0;
         std::size_t targets = 0;
--- a/bluebellshift/gateway/targetpool.cpp
+++ b/bluebellshift/gateway/targetpool.cpp
@@ -169,7 +169,8 @@
         if (exclusion != Exclusion::None)
             continue;
         const int others = othersAt(state, congestion, now);
-        if (criteria.needsFreeSlot && state.inFlight + others >= state.target.slots)
+        const int reserved = reservedAt(state, criteria);
+        if (criteria.needsFreeSlot && state.inFlight + others + reserved >= state.target.slots)
             continue;
         const double serviceTimeMs = serviceTimeMsAt(state, criteria, warmth[i], now);
         const Duration timeToFinish = timeToFinishAt(state, criteria, others, serviceTimeMs, now);
@@ -188,6 +189,7 @@
         best.serviceTime = fromMillis(serviceTimeMs);
         best.ownInFlight = state.inFlight;
         best.othersInFlight = others;
+        best.reserved = reserved;
         best.warmth = warmth[i];
     }
     best.exclusionCounts =
@@ -315,9 +317,24 @@
     const std::optional<double> limit = limits_.limitOf(state.target.id);
     if (!limit)
         return state.target.slots;
-    const auto mean = meanTimesMs_.find(state.target.service);
-    const double meanMs = mean == meanTimesMs_.end() ? millis(initialServiceTime) : mean->second;
-    return std::min<double>(state.target.slots, *limit * meanMs / 1000);
+    return std::min<double>(state.target.slots, *limit * meanTimeMs(state.target.service) / 1000);
+}
+
+double TargetPool::meanTimeMs(const ServiceId &service) const
+{
+    const auto mean = meanTimesMs_.find(service);
+    return mean == meanTimesMs_.end() ? millis(initialServiceTime) : mean->second;
+}
+
+// A fraction of a slot is reserved at that part of the targets, which are the same for all VMs.
+int TargetPool::reservedAt(const State &state, const TargetCriteria &criteria)
+{
+    if (criteria.reserved == nullptr)
+        return 0;
+    const auto found = criteria.reserved->find(state.region);
+    return found == criteria.reserved->end()
+        ? 0
+        : static_cast<int>(found->second + toFraction(mixHashes(state.hash, 1)));
 }
 
 int TargetPool::othersAt(const State &state, const Congestion &congestion, Instant now) const
@@ -637,23 +654,45 @@
     return all;
 }
 
+bool TargetPool::isUsable(const State &state, Instant now) const
+{
+    return !state.target.isDraining && evacuated_.count(state.target.failureDomain) == 0
+        && now >= state.ejectedUntil
+        && signals_.stateOf(startOf(state.target), now) == targets::TargetSignals::State::Usable;
+}
+
 int TargetPool::usableSlots(const ServiceId &service, Instant now) const
 {
     double slots = 0;
     const auto targets = byService_.find(service);
     if (targets == byService_.end())
         return 0;
-    for (const State *candidate : targets->second) {
-        const State &state = *candidate;
-        if (!state.target.isDraining && evacuated_.count(state.target.failureDomain) == 0
-            && now >= state.ejectedUntil
-            && signals_.stateOf(startOf(state.target), now)
-                == targets::TargetSignals::State::Usable)
-            slots += slotsOf(state);
+    for (const State *state : targets->second) {
+        if (isUsable(*state, now))
+            slots += slotsOf(*state);
     }
     return static_cast<int>(std::lround(slots));
 }
 
+targets::ServiceRoom TargetPool::roomOf(const ServiceId &service, Instant now) const
+{
+    targets::ServiceRoom room;
+    double slots = 0;
+    double count = 0;
+    const auto targets = byService_.find(service);
+    if (targets == byService_.end())
+        return room;
+    for (const State *state : targets->second) {
+        if (!isUsable(*state, now))
+            continue;
+        ++room.targets[state->region];
+        ++count;
+        slots += slotsOf(*state);
+    }
+    room.slotTime = fromMillis(meanTimeMs(service) * count / std::max(1.0, slots));
+    return room;
+}
+
 Duration TargetPool::expectedServiceTime(const std::string &route) const
 {
     const auto found = serviceTimesMs_.find(route);
--- a/bluebellshift/gateway/targetpool.h
+++ b/bluebellshift/gateway/targetpool.h
@@ -30,6 +30,7 @@
 #include "bluebellshift/gateway/registry.h"
 #include "bluebellshift/gateway/targetlimits.h"
 #include "bluebellshift/gateway/targets/placement.h"
+#include "bluebellshift/gateway/targets/serviceroom.h"
 #include "bluebellshift/gateway/targets/targetsignals.h"
 
 namespace bluebellshift::gateway {
@@ -44,7 +45,9 @@
     const std::vector<TargetId> *tried = nullptr;
     std::string route; // name of the route, by which service times are learned
     std::size_t bodyBytes = 0;
-    bool needsFreeSlot = false;   // only targets that have one
+    bool needsFreeSlot = false; // only targets that have one, beyond those reserved
+    // Slots that each target of a region keeps free for others, on average; null: none.
+    const std::map<RegionId, double> *reserved = nullptr;
     bool foundFreeSlot = false;   // when it was sent: its duration contains no queueing
     std::int64_t targetStart = 0; // start time, in Unix milliseconds, of the target it was sent to
 };
@@ -56,6 +59,7 @@
     Duration serviceTime;           // of the request there, without waiting
     int ownInFlight = 0;
     int othersInFlight = 0;
+    int reserved = 0;            // slots that the target keeps free for others
     double warmth = 0;           // probability that the object is warm there, 0 to 1
     std::string exclusionCounts; // number of targets excluded, by reason
     // If all targets leave or are paused: when the first pause ends, or never().
@@ -158,6 +162,7 @@
     // Number of the service's slots that are usable now. A named limit counts as the slots that
     // its requests need.
     int usableSlots(const ServiceId &service, Instant now) const;
+    targets::ServiceRoom roomOf(const ServiceId &service, Instant now) const;
     Duration expectedServiceTime(const std::string &route) const;
     // Whether a target of the service has reported the pace of its machine.
     bool hasWorkReports(const ServiceId &service) const { return workReported_.count(service) > 0; }
@@ -220,6 +225,9 @@
         return { target.id, target.startUnixMillis };
     }
     double slotsOf(const State &state) const;
+    bool isUsable(const State &state, Instant now) const;
+    static int reservedAt(const State &state, const TargetCriteria &criteria);
+    double meanTimeMs(const ServiceId &service) const;
     int othersAt(const State &state, const Congestion &congestion, Instant now) const;
     std::vector<const State *> candidatesFor(const TargetCriteria &criteria,
                                              ExclusionCounts *counts, Instant now) const;
--- a/bluebellshift/gatewayd/metrics.cpp
+++ b/bluebellshift/gatewayd/metrics.cpp
@@ -134,6 +134,8 @@
         .Set(static_cast<double>(readings.storeCallsUnanswered));
     families.setGauge("ready", readings.isReady ? 1 : 0);
     families.setGauge("requests_pending", static_cast<double>(readings.gateway.pending));
+    families.setGauge("requests_waiting", static_cast<double>(readings.gateway.waiting));
+    families.setGauge("slots_reserved", readings.gateway.reservedSlots);
     families.setGauge("vms_known", static_cast<double>(readings.gateway.vms));
     families.setGauge("vms_heard", static_cast<double>(readings.gateway.liveVms));
     families.setGauge("targets_known", static_cast<double>(readings.gateway.targets));
--- a/bluebellshift/shell/messagefields.h
+++ b/bluebellshift/shell/messagefields.h
@@ -139,13 +139,19 @@
     using T = core::LeavingTarget;
     static constexpr auto list = std::make_tuple(&T::target, &T::startUnixMillis, &T::ageMillis);
 };
+template<> struct Fields<core::ServiceDemand>
+{
+    using T = core::ServiceDemand;
+    static constexpr auto list =
+        std::make_tuple(&T::service, &T::priority, &T::millisPerSecond, &T::waiting);
+};
 template<> struct Fields<core::VmReport>
 {
     using T = core::VmReport;
     static constexpr auto list = std::make_tuple(
         &T::sequence, &T::isReady, &T::isLeaving, &T::configVersion, &T::uses, &T::readsStore,
         &T::storeAgeMillis, &T::registryRevisions, &T::isYoung, &T::admissions, &T::evacuated,
-        &T::isUrgent, &T::wantsReports, &T::targetLimits, &T::leavingTargets);
+        &T::isUrgent, &T::wantsReports, &T::targetLimits, &T::leavingTargets, &T::demands);
 };
 template<> struct Fields<core::RelayedReport>
 {
--- a/bluebellshift/shell/testing/messagecodectest.cpp
+++ b/bluebellshift/shell/testing/messagecodectest.cpp
@@ -64,6 +64,16 @@
     return reply;
 }
 
+// The demand of 24 services and priorities, the most that a VM reports.
+VmReport reportWithDemands()
+{
+    VmReport report;
+    report.sequence = 5;
+    for (std::uint32_t i = 0; i < 24; ++i)
+        report.demands.push_back({ 0xf0000000U + i, i % 3, 12'345 + i, i });
+    return report;
+}
+
 std::vector<Message> sampleMessages()
 {
     return { idleHeartbeat(),
@@ -84,7 +94,8 @@
                            { "keys", "gone", Revision(9), "", true } } },
              relayRequest(),
              relayReply(),
-             RelayCancel { 5 } };
+             RelayCancel { 5 },
+             reportWithDemands() };
 }
 
 } // namespace
@@ -112,6 +123,14 @@
     CHECK(heartbeat.closings[0].accounts[0].netReceived == -1);
     CHECK(heartbeat.credits[0].shareGiven == -5);
     LONGS_EQUAL(70'000, heartbeat.requestsInFlight);
+    const std::string report = encodeMessage(reportWithDemands());
+    CHECK(report.size() < 1024); // all VMs send it about once a second
+    const auto decodedReport = decodeMessage(report);
+    const ServiceDemand last = std::get<VmReport>(*decodedReport).demands.at(23);
+    LONGS_EQUAL(0xf0000017U, last.service);
+    LONGS_EQUAL(2, last.priority);
+    LONGS_EQUAL(12'368, last.millisPerSecond);
+    LONGS_EQUAL(23, last.waiting);
 }
 
 TEST(MessageCodec, IdleHeartbeatIsSmall)
