Tell refused callers when to return, and prefer those that have

Cause: Retry-After followed from this VM's queue alone, was the same for all and up to 1.5 s whatever time the caller had left. A caller that returned was treated like a new one.

Change: where callers compete for a service, Retry-After is the time until those that wait in the fleet have been served, spread over the same time again or, at full load, over half of the objective, and at most a third of the caller's time left. A caller has returned if the deadline that it sends is shorter than the longest of its route by 80 ms and 1.5%. It may then wait where a new one is refused, in front of its priority, for at most a quarter of what is served and only while demand is below the capacity.

--- a/bluebellshift/gateway/admission/admissionplan.cpp
+++ b/bluebellshift/gateway/admission/admissionplan.cpp
@@ -47,15 +47,15 @@
     const Duration wait = availableAt == Instant::never()
         ? AdmissionPlan::maxRetryAfter
         : availableAt - now + AdmissionPlan::minRetryAfter;
-    return { Step::Refuse, "targets-unavailable", 503,
+    return { Step::Refuse, "targets-unavailable", false, 503,
              std::clamp(wait, AdmissionPlan::minRetryAfter, AdmissionPlan::maxRetryAfter) };
 }
 
 Decision refuse(const AdmissionRequest &request, const char *reason)
 {
     if (request.mayHaveRun)
-        return { Step::Refuse, "target-failed", 502, Duration() };
-    return { Step::Refuse, reason, 503, std::nullopt };
+        return { Step::Refuse, "target-failed", false, 502, Duration() };
+    return { Step::Refuse, reason, false, 503, std::nullopt };
 }
 
 } // namespace
@@ -73,9 +73,11 @@
     if (decision.step != Step::Wait || !request.isNew)
         return decision;
     if (queues_.size() >= maxWaitingRequests)
-        return { Step::Refuse, "queue-full", 503, std::nullopt };
+        return { Step::Refuse, "queue-full", false, 503, std::nullopt };
     if (mayWait(request, offer, now))
         return decision;
+    if (mayPrefer(request, now))
+        return { Step::Wait, "returned", true };
     if (request.isContended && offer.hasTarget && !isBehind(request))
         return { Step::FindFreeSlot };
     return refuse(request, request.isContended ? "no-turn" : "no-room");
@@ -143,6 +145,16 @@
     return queues_.ahead(request.service, request.room, request.priority, limit) < limit;
 }
 
+bool AdmissionPlan::mayPrefer(const AdmissionRequest &request, Instant now) const
+{
+    if (!request.isContended || !request.hasReturned || request.load >= maxReturnLoad)
+        return false;
+    const double most =
+        maxReturnShare * queues_.sentPerSecond(request.service, request.lane(), now);
+    return queues_.preferredPerSecond(request.service, request.lane(), now)
+        <= std::max(minReturnsPerSecond, most);
+}
+
 Duration AdmissionPlan::retryAfter(const AdmissionRequest &request, const Backlog &backlog) const
 {
     const auto ahead = static_cast<double>(queues_.size(request.service) * backlog.vms);
--- a/bluebellshift/gateway/admission/admissionplan.h
+++ b/bluebellshift/gateway/admission/admissionplan.h
@@ -33,9 +33,9 @@
     bool mayHaveRun = false; // an attempt ended in an unknown state
     bool isNew = true;       // it has not waited, nor been sent
     bool isContended = false;
-    std::uint64_t room = 0; // see WaitingQueues
-    // More urgent requests, of any VM, are expected to need the targets soon.
-    bool hasMoreUrgent = false;
+    std::uint64_t room = 0;   // see WaitingQueues
+    bool hasReturned = false; // the caller was refused before
+    double load = 0;          // of the service, see Outlook; for a new request that hasReturned
 
     Lane lane() const { return isContended ? Lane(room, priority) : Lane(); }
 };
@@ -68,6 +68,7 @@
 {
     Step step = Step::Wait;
     const char *reason = "";
+    bool isPreferred = false; // it waits in front of the others of its priority
     // Of a refusal:
     int status = 503;
     std::optional<Duration> retryAfter = std::nullopt; // nothing: see AdmissionPlan::retryAfter()
@@ -94,6 +95,13 @@
     static constexpr double maxExpectedWaitFraction = 0.5;
     static constexpr std::size_t minQueue = 3; // requests that wait whatever the rate
     static constexpr std::size_t maxWaitingRequests = 2000;
+    // Callers that have returned may wait where new ones are refused, up to this fraction of what
+    // is served. While demand exceeds the capacity for long, the same number is refused twice
+    // whoever is preferred, but more are served late, on their second attempt: there is no
+    // preference from this load on.
+    static constexpr double maxReturnShare = 0.25;
+    static constexpr double maxReturnLoad = 1;
+    static constexpr double minReturnsPerSecond = 0.5;
     // Where callers compete: a request waits until it can no longer end in time, but at least
     // for this fraction of its objective, because a free slot must not stay unused.
     static constexpr double minQueueFraction = 0.25;
@@ -130,6 +138,8 @@
     bool isBehind(const AdmissionRequest &request) const;
     // Whether a new request is expected to find room in the time for which it may wait.
     bool mayWait(const AdmissionRequest &request, const Offer &offer, Instant now) const;
+    // Whether a new request that may not wait is let in because its caller has returned.
+    bool mayPrefer(const AdmissionRequest &request, Instant now) const;
 
     const WaitingQueues &queues_;
 };
--- a/bluebellshift/gateway/admission/urgencylevels.cpp
+++ b/bluebellshift/gateway/admission/urgencylevels.cpp
@@ -134,6 +134,28 @@
     return reserve.perTarget;
 }
 
+Outlook UrgencyLevels::outlook(const ServiceId &service, int priority, const WaitingQueues &queues,
+                               Instant now) const
+{
+    const targets::ServiceRoom room = hooks_.roomOf(service, now);
+    double targets = 0;
+    for (const auto &[region, count] : room.targets)
+        targets += count;
+    if (targets == 0 || room.slotTime <= Duration())
+        return {};
+    double demanded = 0;
+    for (const auto &[region, demand] : moreUrgent(service, INT_MAX, now))
+        demanded += demand.perSecond;
+    double waiting = 0;
+    for (const auto &[region, demand] : moreUrgent(service, priority + 1, now))
+        waiting += demand.waiting;
+    waiting += static_cast<double>(queues.size(service));
+    const double servedPerSecond = targets / room.slotTime.toSeconds();
+    const Duration wait =
+        Duration::micros(static_cast<std::int64_t>(1e6 * waiting / servedPerSecond));
+    return { room.slotTime + wait, demanded / servedPerSecond };
+}
+
 double UrgencyLevels::reservedSlots() const
 {
     double most = 0;
--- a/bluebellshift/gateway/admission/urgencylevels.h
+++ b/bluebellshift/gateway/admission/urgencylevels.h
@@ -31,6 +31,13 @@
 // one more.
 using ReservedSlots = std::map<RegionId, double>;
 
+// What the fleet expects of a service, for requests of one priority.
+struct Outlook
+{
+    Duration wait;   // until those that wait now, and are at least as urgent, have a slot
+    double load = 0; // demand relative to what the targets can serve
+};
+
 class UrgencyLevels
 {
 public:
@@ -58,6 +65,8 @@
 
     // What a request of this priority must leave free. The reference is valid until the next call.
     const ReservedSlots &reservedFor(const ServiceId &service, int priority, Instant now);
+    Outlook outlook(const ServiceId &service, int priority, const WaitingQueues &queues,
+                    Instant now) const;
     // Of all regions together, as computed last for any priority; for metrics.
     double reservedSlots() const;
 
--- a/bluebellshift/gateway/admission/waitingqueues.cpp
+++ b/bluebellshift/gateway/admission/waitingqueues.cpp
@@ -124,8 +124,26 @@
 
 double WaitingQueues::sentPerSecond(const ServiceId &service, const Lane &lane, Instant now) const
 {
-    const auto found = flows_.find({ service, lane });
-    if (found == flows_.end())
+    return ratePerSecond(flows_, service, lane, now);
+}
+
+void WaitingQueues::recordPreferred(const ServiceId &service, const Lane &lane, Instant now)
+{
+    const double before = preferredPerSecond(service, lane, now) * rateTime.toSeconds();
+    preferredFlows_[{ service, lane }] = { before + 1, now };
+}
+
+double WaitingQueues::preferredPerSecond(const ServiceId &service, const Lane &lane,
+                                         Instant now) const
+{
+    return ratePerSecond(preferredFlows_, service, lane, now);
+}
+
+double WaitingQueues::ratePerSecond(const Flows &flows, const ServiceId &service, const Lane &lane,
+                                    Instant now)
+{
+    const auto found = flows.find({ service, lane });
+    if (found == flows.end())
         return 0;
     const Flow &flow = found->second;
     return flow.sent * std::exp(-(now - flow.at).toSeconds() / rateTime.toSeconds())
--- a/bluebellshift/gateway/admission/waitingqueues.h
+++ b/bluebellshift/gateway/admission/waitingqueues.h
@@ -33,10 +33,12 @@
     std::uint64_t sequence = 0; // order of arrival
     RequestId request;
     std::uint64_t room = 0;
+    bool isPreferred = false; // in front of the others of its priority
 
     friend bool operator<(const WaitingEntry &a, const WaitingEntry &b)
     {
-        return std::tie(a.priority, a.sequence) < std::tie(b.priority, b.sequence);
+        return std::tie(a.priority, b.isPreferred, a.sequence)
+            < std::tie(b.priority, a.isPreferred, b.sequence);
     }
 };
 
@@ -94,6 +96,9 @@
     std::size_t ahead(const ServiceId &service, std::uint64_t room, int priority,
                       std::size_t limit) const;
     double sentPerSecond(const ServiceId &service, const Lane &lane, Instant now) const;
+    // The same for requests that came to wait as preferred ones.
+    void recordPreferred(const ServiceId &service, const Lane &lane, Instant now);
+    double preferredPerSecond(const ServiceId &service, const Lane &lane, Instant now) const;
 
 private:
     // Requests that were sent, decaying with rateTime.
@@ -104,7 +109,12 @@
     };
 
     std::map<ServiceId, std::set<WaitingEntry>> entries_;
-    std::map<std::pair<ServiceId, Lane>, Flow> flows_;
+    using Flows = std::map<std::pair<ServiceId, Lane>, Flow>;
+    static double ratePerSecond(const Flows &flows, const ServiceId &service, const Lane &lane,
+                                Instant now);
+
+    Flows flows_;
+    Flows preferredFlows_;
     std::size_t size_ = 0;
 };
 
--- a/bluebellshift/gateway/dispatcher.cpp
+++ b/bluebellshift/gateway/dispatcher.cpp
@@ -135,6 +135,8 @@
     pending.isContended = isContended(pending.service);
     if (pending.isContended) {
         urgency_.recordArrival(pending.service, pending.priority, now);
+        pending.hasReturned =
+            returns_.recordDeadline(pending.route->name, pending.arrived.deadline, now);
         pending.room =
             admission::roomOf(pending.route->allowedRegions,
                               pending.team == nullptr ? nullptr : &pending.team->allowedRegions);
@@ -193,6 +195,7 @@
     request.isNew = !pending.isWaiting && pending.attempts == 0 && pending.connectFailures == 0;
     request.isContended = pending.isContended;
     request.room = pending.room;
+    request.hasReturned = pending.hasReturned;
     return request;
 }
 
@@ -204,7 +207,8 @@
     admission::AdmissionRequest request = admissionOf(pending);
     if (pending.isContended) {
         criteria.reserved = &urgency_.reservedFor(pending.service, pending.priority, now);
-        request.hasMoreUrgent = !criteria.reserved->empty();
+        if (request.hasReturned && request.isNew)
+            request.load = urgency_.outlook(pending.service, pending.priority, queues_, now).load;
     }
     TargetSelection selection = pool_.select(criteria, seed, now);
     admission::Decision decision = plan_.decide(request, offerOf(selection), now);
@@ -217,7 +221,10 @@
         send(pending, selection, decision.reason, now);
     if (decision.step == Step::Refuse) {
         refuse(pending, decision.status, decision.reason,
-               decision.retryAfter ? *decision.retryAfter : retryAfterFor(pending, now), now);
+               retryAfterFor(pending, decision.retryAfter, now), now);
+    } else if (decision.isPreferred) {
+        pending.isPreferred = true;
+        queues_.recordPreferred(pending.service, request.lane(), now);
     }
     return decision.step;
 }
@@ -284,7 +291,8 @@
 
 admission::WaitingEntry Dispatcher::entryOf(const Pending &pending)
 {
-    return { pending.priority, pending.sequence, pending.arrived.request, pending.room };
+    return { pending.priority, pending.sequence, pending.arrived.request, pending.room,
+             pending.isPreferred };
 }
 
 // Tries to send the requests that wait for a service, in order of priority.
@@ -365,7 +373,7 @@
     if (mayForward)
         forwardResponse(pending, ended, now);
     else if (!pending.mayHaveRun)
-        refuse(pending, 503, "no-target-took-it", retryAfterFor(pending, now), now);
+        refuse(pending, 503, "no-target-took-it", retryAfterFor(pending, std::nullopt, now), now);
     else
         refuse(pending, isTimeOver ? 504 : 502, "target-failed", Duration(), now);
 }
@@ -445,8 +453,19 @@
     }
 }
 
-Duration Dispatcher::retryAfterFor(const Pending &pending, Instant now) const
+Duration Dispatcher::retryAfterFor(const Pending &pending, std::optional<Duration> known,
+                                   Instant now) const
 {
+    if (known && (!pending.isContended || *known <= Duration()))
+        return *known;
+    if (pending.isContended) {
+        admission::Outlook outlook =
+            urgency_.outlook(pending.service, pending.priority, queues_, now);
+        outlook.wait = known.value_or(outlook.wait);
+        return admission::ReturnPlan::wait(
+            { pending.callerDeadline - now, pending.route->latencyObjective, outlook,
+              mixHashes(hashText(options_.vm.id.text()), pending.sequence) });
+    }
     const admission::Backlog backlog { pool_.usableSlots(pending.service, now),
                                        pool_.expectedServiceTime(pending.route->name),
                                        hooks_.vmCount() };
@@ -474,6 +493,7 @@
           { "retryAfterMs", millisText(retryAfter) },
           { "waitedMs", millisText(now - pending.arrivedAt) },
           { "waiting", std::to_string(queues_.size(pending.service)) },
+          { "returned", pending.hasReturned ? "yes" : "no" },
           { "config",
             pending.config ? std::to_string(pending.config->version.number()) : "none" } });
     hooks_.perform(RefuseRequest { pending.arrived.request, status, retryAfter, reason });
--- a/bluebellshift/gateway/dispatcher.h
+++ b/bluebellshift/gateway/dispatcher.h
@@ -14,12 +14,14 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "bluebellshift/gateway/admission/admissionplan.h"
+#include "bluebellshift/gateway/admission/returnplan.h"
 #include "bluebellshift/gateway/admission/urgencylevels.h"
 #include "bluebellshift/gateway/admission/waitingqueues.h"
 #include "bluebellshift/gateway/effect.h"
@@ -98,6 +100,8 @@
         int priority = 0;
         ServiceId service;
         bool isContended = false; // callers compete for the service
+        bool hasReturned = false; // its caller was refused before
+        bool isPreferred = false; // it waits in front of the others of its priority
         std::uint64_t room = 0;   // see admission::WaitingQueues
         std::uint64_t object = 0;
         Instant arrivedAt;
@@ -133,7 +137,9 @@
                         Instant now);
     bool takeRetry(Pending &pending, bool hasReachedTarget, Instant now);
     void expire(Pending &pending, Instant now);
-    Duration retryAfterFor(const Pending &pending, Instant now) const;
+    // `known`: the time at which capacity is expected, if the decision names one.
+    Duration retryAfterFor(const Pending &pending, std::optional<Duration> known,
+                           Instant now) const;
 
     void forwardResponse(Pending &pending, const AttemptEnded &ended, Instant now);
     void refuse(Pending &pending, int status, const char *reason, Duration retryAfter, Instant now);
@@ -152,6 +158,7 @@
     admission::WaitingQueues queues_;
     const admission::AdmissionPlan plan_; // reads queues_
     admission::UrgencyLevels urgency_;
+    admission::ReturnPlan returns_;
     std::set<std::pair<Instant, RequestId>> deadlines_;
     std::vector<RequestId> arrivedBeforeReady_;
     std::uint64_t lastSequence_ = 0;
