--- a/bluebellshift/gateway/dispatcher.h
+++ b/bluebellshift/gateway/dispatcher.h
@@ -10,7 +10,8 @@
 //  - A request that is not idempotent is retried only if a target stated that it did not
 //    run it, or if no byte of it left this VM.
 //  - 408, 421, 429 and 503 are returned only for a request that has not run and will not.
-//  - Waiting requests are sent in order of priority, then of arrival.
+//  - Waiting requests are sent in order of priority, then of arrival. Where callers compete for a
+//    service, some that have been refused before come first within their priority.
 #pragma once
 
 #include <functional>
