Initialize a constant member of a test group as clang requires

Cause: clang-tidy rejects the const WaitingQueues without an initializer; the compiler of the build accepts it.

--- a/bluebellshift/gateway/admission/testing/urgencylevelstest.cpp
+++ b/bluebellshift/gateway/admission/testing/urgencylevelstest.cpp
@@ -54,7 +54,7 @@
 
 TEST_GROUP(UrgencyLevels)
 {
-    const WaitingQueues noQueues;
+    const WaitingQueues noQueues {};
 };
 
 // Guards against capacity that is kept free for nobody.
