Trial: admissions of team accounts as leases

Cause: an owner that is out of reach is followed for 3.2 s, and both sides of a partition spend a team's account.

Change: an admission ends when the owner's word is old, and the owner charges for VMs that it no longer hears.

--- a/bluebellshift/core/vmreport.h
+++ b/bluebellshift/core/vmreport.h
@@ -30,7 +30,8 @@
 {
     std::uint32_t team = 0;     // a hash of its id
     std::uint32_t permille = 0; // of the requests that arrive
-    std::uint32_t requests = 0; // that one VM may admit until the next report
+    std::uint32_t requests = 0; // that all VMs together may admit until the next report
+    std::uint32_t demand = 0;   // recent arrivals at all VMs, decaying; 0: not known
 };
 
 // The number of the VM's requests in flight to a target.
@@ -76,6 +77,7 @@
     std::vector<FailureDomainId> evacuated;
     std::vector<TargetLimitReport> targetLimits; // that its own responses named of late
     std::vector<LeavingTarget> leavingTargets;   // the same
+    std::vector<std::uint32_t> unheardVms; // hashes of registered VMs whose reports don't arrive
 };
 
 // A report that another VM passes on.
--- a/bluebellshift/gateway/fleet.cpp
+++ b/bluebellshift/gateway/fleet.cpp
@@ -5,10 +5,20 @@
 #include "bluebellshift/gateway/hashing.h"
 
 namespace bluebellshift::gateway {
+namespace {
+
+// Identifies a VM in reports.
+std::uint32_t shortHash(std::uint64_t hash)
+{
+    return static_cast<std::uint32_t>(hash);
+}
+
+} // namespace
 
 Fleet::Fleet(const GatewayOptions &options, std::function<void(core::LogRecord)> log)
     : options_(options)
     , log_(std::move(log))
+    , ownHash_(hashText(options.vm.id.text()))
 {
 }
 
@@ -28,6 +38,8 @@
             peer.reportedAt = Instant::never();
             replaceUses(peer, {});
             peer.report.isLeaving = false; // that was said by the run before
+            peer.hearsSelf = true;
+            updateTouch(peer, now);
         }
     }
 }
@@ -69,7 +81,14 @@
     peer.incarnation = incarnation;
     peer.reportedAt = now - age;
     peer.isDisconnected = false;
+    const std::vector<std::uint32_t> &unheard = report.unheardVms;
+    const bool hearsSelf =
+        std::find(unheard.begin(), unheard.end(), shortHash(ownHash_)) == unheard.end();
+    if (peer.hearsSelf && !hearsSelf)
+        peer.unheardSince = now;
+    peer.hearsSelf = hearsSelf;
     setLive(peer, isLive(peer, now), "it reports");
+    updateTouch(peer, now);
     return isSameRun ? ReportResult::Accepted : ReportResult::First;
 }
 
@@ -81,6 +100,7 @@
     found->second.isDisconnected = true;
     replaceUses(found->second, {});
     setLive(found->second, false, "its connection ended");
+    updateTouch(found->second, now);
 }
 
 void Fleet::onContactLost(const VmId &vm, Instant now)
@@ -99,6 +119,7 @@
             replaceUses(peer, {});
             setLive(peer, false, "silence");
         }
+        updateTouch(peer, now);
     }
 }
 
@@ -259,7 +280,8 @@
     const std::uint64_t own = mixHashes(hashText(options_.vm.id.text()), target);
     std::size_t counted = 1;
     for (const auto &[id, peer] : entries_) {
-        const Instant countedUntil = std::max(peer.reportedAt, peer.listedAt) + senderTimeout;
+        const Instant heardAt = peer.hearsSelf ? peer.reportedAt : peer.unheardSince;
+        const Instant countedUntil = std::max(heardAt, peer.listedAt) + senderTimeout;
         if (now >= countedUntil) {
             rank.since = std::max(rank.since, countedUntil);
             continue;
@@ -297,7 +319,7 @@
     std::uint64_t least = mixHashes(hashText(options_.vm.id.text()), team);
     bool isAny = !isSelfLeaving;
     const auto consider = [&](const VmId &id, const Peer &peer) {
-        if (!isLive(peer, now) || peer.report.isLeaving)
+        if (!isLive(peer, now) || peer.report.isLeaving || !peer.hearsSelf)
             return;
         const std::uint64_t rank = mixHashes(peer.hash, team);
         if (isAny && rank >= least)
@@ -334,19 +356,55 @@
     return nullptr;
 }
 
-double Fleet::liveShare(Instant now) const
+bool Fleet::isInTouch(const VmId &vm, Instant now) const
+{
+    const auto found = entries_.find(vm);
+    return found != entries_.end() && isInTouch(found->second, now);
+}
+
+std::vector<VmId> Fleet::vmsOutOfTouch(Instant now) const
+{
+    std::vector<VmId> all;
+    for (const auto &[id, peer] : entries_) {
+        if (!isInTouch(peer, now))
+            all.push_back(id);
+    }
+    return all;
+}
+
+// A VM that is new to this one is given the time for its first report.
+std::vector<std::uint32_t> Fleet::unheardVms(Instant now) const
+{
+    std::vector<std::uint32_t> all;
+    for (const auto &[id, peer] : entries_) {
+        const bool isNewVm =
+            peer.reportedAt == Instant::never() && now - peer.listedAt < newVmGrace;
+        if (!isNewVm && !isHeard(peer, now))
+            all.push_back(shortHash(peer.hash));
+    }
+    return all;
+}
+
+Instant Fleet::leaseEnd(const VmId &owner) const
+{
+    const auto found = entries_.find(owner);
+    return found == entries_.end() ? Instant::never()
+                                   : found->second.reportedAt + hearingTime() + leaseMargin;
+}
+
+double Fleet::shareInTouch(Instant now) const
 {
-    std::size_t live = 1;
+    std::size_t count = 1;
     for (const auto &[id, peer] : entries_)
-        live += isLive(peer, now) ? 1 : 0;
-    return static_cast<double>(live) / static_cast<double>(vmCount());
+        count += isInTouch(peer, now) ? 1 : 0;
+    return static_cast<double>(count) / static_cast<double>(vmCount());
 }
 
 double Fleet::settledShare(bool isSelfYoung, Instant now) const
 {
     std::size_t settled = isSelfYoung ? 0 : 1;
     for (const auto &[id, peer] : entries_)
-        settled += isLive(peer, now) && !peer.report.isYoung ? 1 : 0;
+        settled += isInTouch(peer, now) && !peer.report.isYoung ? 1 : 0;
     return static_cast<double>(settled) / static_cast<double>(vmCount());
 }
 
@@ -355,6 +413,19 @@
     return !peer.isDisconnected && now - peer.reportedAt < livenessTimeout;
 }
 
+bool Fleet::isHeard(const Peer &peer, Instant now) const
+{
+    return !peer.isDisconnected && now - peer.reportedAt < hearingTime();
+}
+
+void Fleet::updateTouch(Peer &peer, Instant now)
+{
+    const bool isNow = isInTouch(peer, now);
+    if (peer.wasInTouch != isNow)
+        ++version_;
+    peer.wasInTouch = isNow;
+}
+
 bool Fleet::isFreshReader(const Peer &peer, Duration maxAge, Instant now) const
 {
     const Duration age = Duration::millis(peer.report.storeAgeMillis) + (now - peer.reportedAt);
--- a/bluebellshift/gateway/fleet.h
+++ b/bluebellshift/gateway/fleet.h
@@ -34,6 +34,13 @@
     static constexpr Duration reconnectTime = Duration::millis(1500);
     // Fraction of the other VMs. While fewer are live, this VM counts as partitioned.
     static constexpr double minLiveFraction = 0.34;
+    // A VM whose last report is older than this is no longer heard. Reports come every second;
+    // relays delay each by up to 0.5 s, twice.
+    static constexpr Duration hearingTimeout = Duration::millis(1600);
+    static constexpr Duration relayedHearingTimeout = Duration::millis(2500);
+    // For how long an admission holds after its owner reported it, longer than hearingTimeout: the
+    // owner charges VMs that it no longer hears before they stop using it.
+    static constexpr Duration leaseMargin = Duration::millis(400);
     static constexpr Duration senderTimeout = Duration::seconds(6);
     static constexpr std::size_t maxAddresses = 64;
     static constexpr std::size_t minAddressesInDomain = 2; // otherwise those of the region are used
@@ -98,13 +105,20 @@
     std::optional<VmId> accountOwner(std::uint32_t team, bool isSelfLeaving, Instant now) const;
     // The VMs that may own accounts while one of them is live. Default: all.
     void setOwnerCandidates(std::vector<VmId> candidates);
+    // Whether reports arrive in both directions between this VM and the other.
+    bool isInTouch(const VmId &vm, Instant now) const;
+    std::vector<VmId> vmsOutOfTouch(Instant now) const;
+    // Hashes of the VMs that this VM doesn't hear, for its report.
+    std::vector<std::uint32_t> unheardVms(Instant now) const;
+    // When the admissions that a VM last reported end.
+    Instant leaseEnd(const VmId &owner) const;
     // The admission that `owner` last reported for the team, or null.
     const TeamAdmission *admissionOf(const VmId &owner, std::uint32_t team) const;
     // Increases whenever the result of accountOwner() may have changed.
     std::uint64_t version() const { return version_; }
-    // Shares of all VMs, including this one, that are live, and that are live and have been
-    // running for longer than the quota window.
-    double liveShare(Instant now) const;
+    // Shares of all VMs, including this one, that are in touch with it, and of those that have also
+    // been running for longer than the quota window.
+    double shareInTouch(Instant now) const;
     double settledShare(bool isSelfYoung, Instant now) const;
 
 private:
@@ -120,7 +134,20 @@
         VmReport report;
         bool isDisconnected = false; // its connection closed, and no report came since
         bool wasLive = false;        // liveness as last logged
+        bool wasInTouch = false;
+        bool hearsSelf = true; // according to its latest report
+        Instant unheardSince = Instant::never(); // when it was first reported otherwise
     };
+    Duration hearingTime() const
+    {
+        return ownerCandidates_ ? relayedHearingTimeout : hearingTimeout; // relays are in use
+    }
+    bool isHeard(const Peer &peer, Instant now) const;
+    bool isInTouch(const Peer &peer, Instant now) const
+    {
+        return peer.hearsSelf && isHeard(peer, now);
+    }
+    void updateTouch(Peer &peer, Instant now);
     bool isLive(const Peer &peer, Instant now) const;
     bool isFreshReader(const Peer &peer, Duration maxAge, Instant now) const;
     bool isPartitioned(Instant now) const;
@@ -129,6 +156,7 @@
 
     const GatewayOptions &options_;
     const std::function<void(core::LogRecord)> log_;
+    const std::uint64_t ownHash_;
     std::map<VmId, Peer> entries_;
     std::unordered_map<std::uint32_t, int> inFlight_; // of all other VMs, by target
     std::optional<std::vector<VmId>> ownerCandidates_;
--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -626,6 +626,7 @@
     report.admissions = limits_.admissions(now_);
     report.targetLimits = pool_.limitReports(now_);
     report.leavingTargets = pool_.leavingReports(now_);
+    report.unheardVms = fleet_.unheardVms(now_);
     return report;
 }
 
@@ -633,7 +634,7 @@
 {
     if (exchange_.onReport(event, now_) == Fleet::ReportResult::Ignored)
         return;
-    limits_.onReport(event.from, event.report);
+    limits_.onReport(event.from, event.report, now_);
     pool_.onLimitsReported(event.from, event.report.targetLimits, Duration(), now_);
     pool_.onLeavingReported(event.from, event.report.leavingTargets, Duration(), now_);
     applyReportedEvacuations(event.report);
@@ -643,7 +644,7 @@
 void Reducer::State::on(const PeerReportsRelayed &event)
 {
     for (const RelayedReport &one : exchange_.onRelayed(event, now_)) {
-        limits_.onReport(one.vm, one.report);
+        limits_.onReport(one.vm, one.report, now_);
         const Duration age = Duration::millis(one.ageMillis);
         pool_.onLimitsReported(one.vm, one.report.targetLimits, age, now_);
         pool_.onLeavingReported(one.vm, one.report.leavingTargets, age, now_);
--- a/bluebellshift/gateway/teamaccounts.h
+++ b/bluebellshift/gateway/teamaccounts.h
@@ -32,10 +32,15 @@
 using TeamHash = std::uint32_t;
 TeamHash hashOf(const TeamId &team);
 
+// What one VM may admit on the word of an account's owner before it needs a newer one: its part
+// of `admission.requests` by the demand that it had, with room for changes. `ownDemand` decays
+// as TeamAdmission::demand.
+double leaseRequests(const TeamAdmission &admission, double ownDemand, std::size_t vms);
+
 class TeamAccounts
 {
 public:
-    static constexpr double slackFraction = 0.35; // the rest of the slack covers delays
+    static constexpr double slackFraction = 0.15; // the rest of the slack covers delays
     // A new account grants no admission until the VMs have reported their recent spending.
     static constexpr Duration settlingTime = Duration::millis(400);
     // Time constant for smoothing a team's demand over the whole fleet.
@@ -52,10 +57,13 @@
     }
 
     void setConfig(const TrafficConfig &config, Instant now);
-    // `liveShare` is the share of live VMs, including this one. The others may still be
-    // admitting requests and keep their share of every limit. `knownShare` is the share of
-    // VMs that have reported their spending of the whole quota window.
-    void setFleet(double liveShare, double knownShare, Instant now);
+    // `liveShare` is the share of the VMs that are in touch, including this one. The others may
+    // still be admitting requests and keep their share of every limit. `knownShare` is the share
+    // of VMs that have reported their spending of the whole quota window.
+    // `outOfTouch` are the others: an account is charged what each may still admit on the last
+    // word that it may have received.
+    void setFleet(double liveShare, double knownShare, const std::vector<VmId> &outOfTouch,
+                  std::size_t vms, Instant now);
 
     void open(TeamHash team, Instant now);
     void close(TeamHash team) { accounts_.erase(team); }
@@ -83,6 +91,9 @@
         Incarnation incarnation;
         std::uint64_t arrived = 0;
         std::uint64_t admitted = 0;
+        double demand = 0; // arrivals, decaying with demandTimeConstant
+        Instant demandAt;
+        std::uint64_t admittedSinceWord = 0; // since markReported()
     };
     struct Level
     {
@@ -96,16 +107,22 @@
         Level level;
         std::uint32_t reportedPermille = 0;
         std::unordered_map<VmId, LastReport> lastReports;
+        std::unordered_map<VmId, double> charges; // of VMs out of touch, not yet settled
+        bool isWordDue = false; // a VM has used much of what it may admit
     };
 
     const Limit *limitOf(TeamHash team) const;
     double capacityOf(const Limit &limit) const;
     Level levelAt(const Account &account, const Limit &limit, Instant now) const;
     void updateLevels(Instant now);
+    void chargeOutOfTouch(TeamHash team, Account &account, const std::vector<VmId> &outOfTouch,
+                          Instant now);
 
     const FleetBounds &bounds_;
     double liveShare_ = 1;
     double knownShare_ = 0;
+    std::vector<VmId> outOfTouch_;
+    std::size_t vms_ = 1;
     std::unordered_map<TeamHash, Limit> limits_; // of teams with a limit
     std::unordered_map<TeamHash, Account> accounts_;
 };
--- a/bluebellshift/gateway/teamlimits.cpp
+++ b/bluebellshift/gateway/teamlimits.cpp
@@ -30,7 +30,8 @@
     haveTeamsChanged_ = false;
     fleetVersion_ = fleet_.version();
     quotas_.setVmCount(fleet_.vmCount(), now);
-    accounts_.setFleet(fleet_.liveShare(now), fleet_.settledShare(isYoung(now), now), now);
+    accounts_.setFleet(fleet_.shareInTouch(now), fleet_.settledShare(isYoung(now), now),
+                       fleet_.vmsOutOfTouch(now), fleet_.vmCount(), now);
     std::unordered_map<TeamHash, Owner> before = std::exchange(owners_, {});
     for (const TeamHash team : quotas_.limitedTeams()) {
         const auto known = before.find(team);
@@ -58,7 +59,7 @@
         accounts_.open(team, now);
     const TeamAdmission *reported = owner.vm ? fleet_.admissionOf(*owner.vm, team) : nullptr;
     if (reported != nullptr)
-        applyAdmission(team, *reported);
+        applyAdmission(team, *reported, fleet_.leaseEnd(*owner.vm), now);
     else
         quotas_.dropAdmission(team);
     quotas_.markForReport(team);
@@ -70,12 +71,14 @@
         spendingDueAt_ = now + spendingDelay;
 }
 
-void TeamLimits::onReport(const VmId &from, const VmReport &report)
+void TeamLimits::onReport(const VmId &from, const VmReport &report, Instant now)
 {
+    if (!fleet_.isInTouch(from, now)) // it doesn't count what this VM admits
+        return;
     for (const TeamAdmission &admission : report.admissions) {
         const auto owner = owners_.find(admission.team);
         if (owner != owners_.end() && owner->second.vm == from)
-            applyAdmission(admission.team, admission);
+            applyAdmission(admission.team, admission, fleet_.leaseEnd(from), now);
     }
 }
 
@@ -99,15 +102,16 @@
         if (owner.vm)
             continue;
         if (const auto admission = accounts_.admission(team, now))
-            applyAdmission(team, *admission);
+            applyAdmission(team, *admission, now + Fleet::hearingTimeout, now);
         else
             quotas_.dropAdmission(team);
     }
 }
 
-void TeamLimits::applyAdmission(TeamHash team, const TeamAdmission &admission)
+void TeamLimits::applyAdmission(TeamHash team, const TeamAdmission &admission, Instant until,
+                                Instant now)
 {
-    quotas_.setAdmission(admission);
+    quotas_.setAdmission(admission, until, now);
     Owner &owner = owners_[team];
     const auto change = static_cast<std::int64_t>(admission.permille) - owner.loggedPermille;
     if (std::abs(change) < minLoggedPermilleChange)
--- a/bluebellshift/gateway/teamlimits.h
+++ b/bluebellshift/gateway/teamlimits.h
@@ -53,7 +53,7 @@
     void scheduleSpendingReport(Instant now);
 
     // Applies another VM's admissions for the accounts that it owns.
-    void onReport(const VmId &from, const VmReport &report);
+    void onReport(const VmId &from, const VmReport &report, Instant now);
     // Records what another VM has admitted.
     void onSpending(const VmId &from, Incarnation incarnation, const SpendingReport &spending,
                     Instant now);
@@ -80,7 +80,7 @@
     };
 
     void changeOwner(TeamHash team, Owner &owner, std::optional<VmId> vm, Instant now);
-    void applyAdmission(TeamHash team, const TeamAdmission &admission);
+    void applyAdmission(TeamHash team, const TeamAdmission &admission, Instant until, Instant now);
     void reportSpending(Instant now);
 
     const GatewayOptions &options_;
--- a/bluebellshift/gateway/teamquotas.cpp
+++ b/bluebellshift/gateway/teamquotas.cpp
@@ -5,6 +5,7 @@
 #include "bluebellshift/gateway/teamquotas.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "bluebellshift/gateway/hashing.h"
 
@@ -51,19 +52,36 @@
     }
 }
 
-void TeamQuotas::setAdmission(const TeamAdmission &admission)
+void TeamQuotas::setAdmission(const TeamAdmission &admission, Instant until, Instant now)
 {
     Bucket *bucket = findLimited(admission.team);
     if (bucket == nullptr)
         return;
+    fill(*bucket, now);
     bucket->admission = admission;
+    bucket->admittedUntil = until;
     bucket->admittedSince = 0;
+    // At least what it has saved up of its even share, but not both: when all VMs' demand jumps at
+    // once, they would exceed the bound before the owner's next word.
+    bucket->leaseRequests =
+        std::max(std::floor(bucket->tokens),
+                 leaseRequests(admission, bucket->demand, std::max<std::size_t>(1, vms_)));
 }
 
 void TeamQuotas::dropAdmission(TeamHash team)
 {
     if (Bucket *bucket = findLimited(team))
-        bucket->admission.reset();
+        endAdmission(*bucket);
+}
+
+// The burst may have been spent by other VMs on the owner's word: what this VM saved up
+// meanwhile is no part of the even share.
+void TeamQuotas::endAdmission(Bucket &bucket) const
+{
+    if (!bucket.admission)
+        return;
+    bucket.admission.reset();
+    bucket.tokens = std::min(bucket.tokens, phaseOf(bucket));
 }
 
 bool TeamQuotas::take(const TeamId &team, Instant now)
@@ -78,7 +96,8 @@
     }
     ++bucket->arrived;
     fill(*bucket, now);
-    if (!admit(*bucket))
+    bucket->demand += 1;
+    if (!admit(*bucket, now))
         return false;
     bucket->tokens = std::max(0.0, bucket->tokens - 1);
     ++bucket->admitted;
@@ -91,11 +110,13 @@
     return true;
 }
 
-bool TeamQuotas::admit(Bucket &bucket)
+bool TeamQuotas::admit(Bucket &bucket, Instant now) const
 {
+    if (bucket.admission && now >= bucket.admittedUntil)
+        endAdmission(bucket);
     if (!bucket.admission)
         return bucket.tokens >= 1;
-    if (bucket.admittedSince >= bucket.admission->requests)
+    if (bucket.admittedSince + 1 > bucket.leaseRequests)
         return false;
     bucket.credit = std::min(2.0, bucket.credit + bucket.admission->permille / 1000.0);
     if (bucket.credit < 1)
@@ -182,14 +203,19 @@
 // each may send one: together they admit no more than the rate.
 double TeamQuotas::initialTokensOf(const Bucket &bucket) const
 {
-    const double phase = toFraction(mixHashes(phaseSeed_, hashOf(bucket.team)));
-    return std::max(slackOf(bucket) * initialSlackFraction, phase);
+    return std::max(slackOf(bucket) * initialSlackFraction, phaseOf(bucket));
+}
+
+double TeamQuotas::phaseOf(const Bucket &bucket) const
+{
+    return toFraction(mixHashes(phaseSeed_, hashOf(bucket.team)));
 }
 
 void TeamQuotas::fill(Bucket &bucket, Instant now) const
 {
     const double seconds = (now - bucket.filledAt).toSeconds();
     bucket.filledAt = now;
+    bucket.demand *= std::exp(-seconds / TeamAccounts::demandTimeConstant.toSeconds());
     if (vms_ == 0)
         return;
     const double perSecond = bucket.rate / static_cast<double>(vms_);
--- a/bluebellshift/gateway/teamquotas.h
+++ b/bluebellshift/gateway/teamquotas.h
@@ -9,7 +9,9 @@
 //       ... // goes to the VM that owns that team's account
 //
 // Of the arriving requests, the VM admits the fraction that the account's owner allows and
-// reports the admitted ones to it soon after. Until an owner has sent an admission, the VM
+// reports the admitted ones to it soon after. An admission is a lease: it ends a short time after
+// the owner's report and allows no more than this VM's part of what is left, so that VMs that
+// are cut off from the owner can't spend what it gives to others. Without an admission, the VM
 // limits the team to an even share of its rate, burst and slack: then all VMs together stay
 // within the bound without messages. In a large fleet that share is a fraction of a request:
 // each VM starts at a random phase between two requests, so that all VMs together admit the
@@ -49,7 +51,9 @@
     // Number of registered VMs, including this one.
     void setVmCount(std::size_t vms, Instant now);
 
-    void setAdmission(const TeamAdmission &admission);
+    // The admission holds until `until`: then the owner's word is too old, and the even share
+    // applies.
+    void setAdmission(const TeamAdmission &admission, Instant until, Instant now);
     // The team's account has no known owner: falls back to the even share.
     void dropAdmission(TeamHash team);
 
@@ -83,6 +87,9 @@
         double tokens = 0; // of the even share
         Instant filledAt;
         std::optional<TeamAdmission> admission;
+        Instant admittedUntil;
+        double leaseRequests = 0; // that this VM may admit by that admission
+        double demand = 0;        // arrivals, decaying with TeamAccounts::demandTimeConstant
         double credit = 0.5;             // accumulated admitted fractions
         std::uint32_t admittedSince = 0; // since the last setAdmission()
         std::uint64_t arrived = 0;
@@ -91,10 +98,12 @@
         bool isChanged = false;
     };
 
-    static bool admit(Bucket &bucket);
+    bool admit(Bucket &bucket, Instant now) const;
+    void endAdmission(Bucket &bucket) const;
     double capacityOf(const Bucket &bucket) const;
     double slackOf(const Bucket &bucket) const;
     double initialTokensOf(const Bucket &bucket) const;
+    double phaseOf(const Bucket &bucket) const;
     void fill(Bucket &bucket, Instant now) const;
     std::int64_t slotNumber(Instant now) const;
     Bucket *findLimited(TeamHash team);
--- a/bluebellshift/gateway/testing/fleetwalk.cpp
+++ b/bluebellshift/gateway/testing/fleetwalk.cpp
@@ -26,6 +26,8 @@
 
 FleetWalk::FleetWalk(const FleetShape &shape)
     : isDead_(shape.vmCount)
+    , isPaused_(shape.vmCount)
+    , held_(shape.vmCount)
     , sent_(shape.vmCount)
     , received_(shape.vmCount)
     , relayedAt_(shape.vmCount, Instant::never())
@@ -62,7 +64,7 @@
     for (Duration passed; passed < time; passed = passed + step) {
         deliver();
         for (std::size_t i = 0; i < vms_.size(); ++i) {
-            if (!isDead_[i])
+            if (isRunning(i))
                 vms_[i]->advance(step);
         }
         now_ = now_ + step;
@@ -92,6 +94,10 @@
             messages.pop_front();
             if (isDead_[one.to])
                 continue;
+            if (isPaused_[one.to]) {
+                held_[one.to].push_back(std::move(one.event));
+                continue;
+            }
             ++received_[one.to];
             vms_[one.to]->reduce(std::move(one.event));
         }
@@ -113,6 +119,16 @@
     }
 }
 
+void FleetWalk::resume(std::size_t vm)
+{
+    isPaused_[vm] = false;
+    if (isDead_[vm])
+        return;
+    vms_[vm]->skip(now_ - vms_[vm]->now());
+    for (EventBody &event : std::exchange(held_[vm], {}))
+        vms_[vm]->reduce(std::move(event));
+}
+
 std::vector<std::size_t> FleetWalk::relays() const
 {
     std::vector<std::size_t> found;
--- a/bluebellshift/gateway/testing/fleetwalk.h
+++ b/bluebellshift/gateway/testing/fleetwalk.h
@@ -33,6 +33,9 @@
     void run(Duration time);
     // Stops a VM. Its connections close, or are silent if it is not noticed.
     void kill(std::size_t vm, bool isNoticed);
+    // Stops a VM for a while: it handles no messages until it is resumed.
+    void pause(std::size_t vm) { isPaused_[vm] = true; }
+    void resume(std::size_t vm);
     // Whether a message from one VM to another is delivered.
     void setPath(std::function<bool(std::size_t from, std::size_t to)> isOpen)
     {
@@ -43,6 +46,7 @@
     GatewayBench &vm(std::size_t index) { return *vms_[index]; }
     const VmEntry &entry(std::size_t index) const { return entries_[index]; }
     bool isAlive(std::size_t index) const { return !isDead_[index]; }
+    bool isRunning(std::size_t index) const { return !isDead_[index] && !isPaused_[index]; }
     std::size_t indexOf(const VmId &vm) const { return index_.at(vm); }
     // The indexes of the VMs that send reports of others in the latest second.
     std::vector<std::size_t> relays() const;
@@ -72,6 +76,8 @@
     std::map<Duration, std::deque<InTransit>> inTransit_; // by delay, so that each is in order
     Instant now_;
     std::vector<bool> isDead_;
+    std::vector<bool> isPaused_;
+    std::vector<std::vector<EventBody>> held_; // for VMs that are paused
     std::vector<std::size_t> sent_;
     std::vector<std::size_t> received_;
     std::vector<Instant> relayedAt_;
--- a/bluebellshift/gateway/testing/gatewaybench.h
+++ b/bluebellshift/gateway/testing/gatewaybench.h
@@ -57,6 +57,8 @@
     void reduce(EventBody body);
     // Advances the time and fires all timers that become due.
     void advance(Duration time);
+    // Advances the time without firing timers, as for a process that was stopped.
+    void skip(Duration time) { now_ = now_ + time; }
     Instant now() const { return now_; }
 
     void putConfig(std::shared_ptr<TrafficConfig> config);
--- a/bluebellshift/shell/messagefields.h
+++ b/bluebellshift/shell/messagefields.h
@@ -121,7 +121,7 @@
 template<> struct Fields<core::TeamAdmission>
 {
     using T = core::TeamAdmission;
-    static constexpr auto list = std::make_tuple(&T::team, &T::permille, &T::requests);
+    static constexpr auto list = std::make_tuple(&T::team, &T::permille, &T::requests, &T::demand);
 };
 template<> struct Fields<core::TargetUse>
 {
@@ -145,7 +145,7 @@
     static constexpr auto list = std::make_tuple(
         &T::sequence, &T::isReady, &T::isLeaving, &T::configVersion, &T::uses, &T::readsStore,
         &T::storeAgeMillis, &T::registryRevisions, &T::isYoung, &T::admissions, &T::evacuated,
-        &T::isUrgent, &T::wantsReports, &T::targetLimits, &T::leavingTargets);
+        &T::isUrgent, &T::wantsReports, &T::targetLimits, &T::leavingTargets, &T::unheardVms);
 };
 template<> struct Fields<core::RelayedReport>
 {
