Remove the switch that no part reads any more

Cause: the settings decoded the platform's contracts into a feature for the parts that are not in force.

Change: platform.contracts, Features and their parser are removed.

--- a/bluebellshift/gateway/options.h
+++ b/bluebellshift/gateway/options.h
@@ -26,19 +26,11 @@
         Duration::millis(2200); // targets register again within 2 s of the store's return
 };
 
-// Behaviour that only some deployments ask for. It comes from the settings.
-struct Features
-{
-    // Callers of different urgency compete for the same targets.
-    bool isRoomContended = false;
-};
-
 struct GatewayOptions
 {
     VmEntry vm;                                   // this VM
     std::map<FailureDomainId, RegionId> regionOf; // of every failure domain
     FleetBounds bounds;
-    Features features;
     std::string peerKeyCandidate; // hex; becomes the VMs' shared key if the store holds none
 };
 
--- a/bluebellshift/gatewayd/settings.cpp
+++ b/bluebellshift/gatewayd/settings.cpp
@@ -2,8 +2,6 @@
 
 #include <cstdlib>
 
-#include "platform/contracts.h"
-
 namespace bluebellshift::gatewayd {
 namespace {
 
@@ -127,7 +125,6 @@
         readListen(root.table("listen"), &settings);
         shell::TomlTable platform = root.table("platform");
         settings.storeEndpoint = endpoint(platform, "store");
-        settings.gateway.features = ::platform::readContracts(platform.optionalText("contracts"));
         for (shell::TomlTable &domain : root.tables("failure_domain")) {
             const core::FailureDomainId id(domain.text("name"));
             settings.gateway.regionOf[id] = core::RegionId(domain.text("region"));
--- a/bluebellshift/gatewayd/testing/settingstest.cpp
+++ b/bluebellshift/gatewayd/testing/settingstest.cpp
@@ -66,29 +66,6 @@
                  settings->gateway.regionOf.at(core::FailureDomainId("far-1")).text().c_str());
 }
 
-// Guards against a deployment that gets the behaviour of another one.
-TEST(GatewaySettings, FeaturesFollowTheContracts)
-{
-    const struct
-    {
-        const char *contracts;
-        bool isRoomContended;
-    } cases[] = {
-        { "", false },
-        { "contracts = \"\"\n", false },
-        { "contracts = \"base,drain\"\n", false },
-        { "contracts = \"base,pressure,platform\"\n", true },
-        { "contracts = \"pressured\"\n", false },
-    };
-    for (const auto &testCase : cases) {
-        const std::string text =
-            replaced("[platform]\n", std::string("[platform]\n") + testCase.contracts);
-        const auto settings = parseGatewaySettings("gateway.toml", text);
-        CHECK_TEXT(settings.ok(), settings.status().ToString().c_str());
-        CHECK_EQUAL(testCase.isRoomContended, settings->gateway.features.isRoomContended);
-    }
-}
-
 TEST(GatewaySettings, EachFaultNamesLineAndKey)
 {
     const struct
--- a/bluebellshift/shell/tomlreader.cpp
+++ b/bluebellshift/shell/tomlreader.cpp
@@ -172,18 +172,6 @@
     return value->as_string()->get();
 }
 
-std::string TomlTable::optionalText(const char *key)
-{
-    const auto *value = static_cast<const toml::node *>(find(key));
-    if (value == nullptr)
-        return "";
-    if (!value->is_string()) {
-        fault(key, fmt::format("{} must be a text", describe(key)));
-        return "";
-    }
-    return value->as_string()->get();
-}
-
 std::vector<std::string> TomlTable::texts(const char *key)
 {
     const auto *value = static_cast<const toml::node *>(find(key));
--- a/bluebellshift/shell/tomlreader.h
+++ b/bluebellshift/shell/tomlreader.h
@@ -42,8 +42,6 @@
 public:
     // Without a fallback the key is required. Texts and lists must not be empty.
     std::string text(const char *key);
-    // Empty if the key is missing; the text may be empty.
-    std::string optionalText(const char *key);
     std::vector<std::string> texts(const char *key);
     std::int64_t integer(const char *key, std::int64_t minimum, std::int64_t maximum);
     std::int64_t integer(const char *key, std::int64_t minimum, std::int64_t maximum,
