Lift the limit on shares while any VM notices a fault

Cause: ShareLimit knew a fault only by requests that ended without a response, 4 in 100 of a region's. It stayed in force while targets were lost, a domain was evacuated, VMs stopped or were lost, and the store did not answer, and let shares return at the rate of calm times. Change: FaultWatch collects signs of faults; each VM reports the age of its own latest one, so that a sign counts for the whole fleet for 4 s. The start of a VM is a sign.

--- a/bluebellshift/core/vmreport.h
+++ b/bluebellshift/core/vmreport.h
@@ -80,6 +80,8 @@
     // region, in the order of their names.
     std::vector<std::uint32_t> regionRequests;
     std::uint32_t failedRequests = 0; // that ended without a response within that window
+    bool hasNoticedFault = false;     // of a target, a VM or the store, of late
+    std::uint32_t faultAgeMillis = 0; // since its latest sign
 };
 
 // A report that another VM passes on.
--- a/bluebellshift/gateway/fleet.cpp
+++ b/bluebellshift/gateway/fleet.cpp
@@ -60,6 +60,7 @@
     if (!peer.report.isLeaving && report.isLeaving) {
         log_({ core::log::peerLeaving, { { "vm", from.text() } } });
         ++version_;
+        ++lossCount_;
     }
     if (!isSameRun) {
         ++version_;
@@ -258,11 +259,11 @@
     return requests;
 }
 
-double Fleet::failedRegionRequests(Instant now) const
+double Fleet::failedRequests(Instant now) const
 {
     double failed = 0;
     for (const auto &[id, peer] : entries_) {
-        if (peer.entry.region == options_.vm.region && isLive(peer, now))
+        if (isLive(peer, now))
             failed += peer.report.failedRequests;
     }
     return failed;
@@ -432,6 +433,8 @@
         return;
     peer.wasLive = isLive;
     ++version_;
+    if (!isLive && !peer.report.isLeaving)
+        ++lossCount_;
     log_({ isLive ? core::log::peerAlive : core::log::peerSuspected,
            { { "vm", peer.entry.id.text() }, { "reason", reason } } });
 }
--- a/bluebellshift/gateway/fleet.h
+++ b/bluebellshift/gateway/fleet.h
@@ -86,8 +86,8 @@
     // Requests that the other live VMs of this VM's region sent to each region, according to their
     // latest reports.
     std::vector<double> regionRequests(Instant now) const;
-    // The number of their requests that ended without a response.
-    double failedRegionRequests(Instant now) const;
+    // The requests of all other live VMs that ended without a response.
+    double failedRequests(Instant now) const;
     // Number of live VMs in this VM's region, including itself.
     std::size_t liveVmsInRegion(Instant now) const;
     // Share of all registered VMs that are in this VM's region.
@@ -107,6 +107,8 @@
     void setOwnerCandidates(std::vector<VmId> candidates);
     // The admission that `owner` last reported for the team, or null.
     const TeamAdmission *admissionOf(const VmId &owner, std::uint32_t team) const;
+    // Number of times that a VM was lost or began to stop.
+    std::uint64_t lossCount() const { return lossCount_; }
     // Increases whenever the result of accountOwner() may have changed.
     std::uint64_t version() const { return version_; }
     // Shares of all VMs, including this one, that are live, and that are live and have been
@@ -140,6 +142,7 @@
     std::unordered_map<std::uint32_t, int> inFlight_; // of all other VMs, by target
     std::optional<std::vector<VmId>> ownerCandidates_;
     std::uint64_t version_ = 0;
+    std::uint64_t lossCount_ = 0;
 };
 
 } // namespace bluebellshift::gateway
--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -15,6 +15,7 @@
 #include "bluebellshift/gateway/dispatcher.h"
 #include "bluebellshift/gateway/fleet.h"
 #include "bluebellshift/gateway/hashing.h"
+#include "bluebellshift/gateway/regions/faultwatch.h"
 #include "bluebellshift/gateway/storelink.h"
 #include "bluebellshift/gateway/targetpool.h"
 #include "bluebellshift/gateway/teamlimits.h"
@@ -80,6 +81,7 @@
     TrafficConfigPointer config_;
     Fleet fleet_;
     VmExchange exchange_;
+    regions::FaultWatch faults_;
     TargetPool pool_;
     TeamLimits limits_;
     Dispatcher dispatcher_;
@@ -138,6 +140,8 @@
     }
     void applyReportedRevisions();
     void applyReportedEvacuations(const VmReport &report);
+    void applyReportedFault(const VmReport &report, Duration age);
+    void noticeFaults();
     void removeLapsed();
     void removeStaleVms();
     void updateLimits();
@@ -157,6 +161,7 @@
     Instant entryDueAt_ = Instant::never();
     bool hasEntryChanged_ = false;            // by the current event
     std::map<TargetId, Instant> lapsedUntil_; // time by which they must register again
+    std::uint64_t knownLosses_ = 0;           // of the fleet's VMs
     std::uint64_t reportSequence_ = 0;
     Instant reportAt_ = Instant::never();
     Instant reportedAt_ = Instant::never();
@@ -176,7 +181,9 @@
                 { [this](Effect effect) { perform(std::move(effect)); },
                   [this] { return makeReport(); },
                   [this](core::LogRecord record) { log(std::move(record)); } })
-    , pool_(options_,
+    , faults_({ [this](Instant now) { return fleet_.failedRequests(now); },
+                [this](core::LogRecord record) { log(std::move(record)); } })
+    , pool_(options_, faults_,
             { [this](std::uint32_t target, Instant) { return fleet_.othersInFlight(target); },
               [this](std::uint64_t target, Instant now) {
                   return fleet_.coldSenderRank(target, now);
@@ -187,7 +194,6 @@
               [this](Instant now) { return fleet_.liveVmsInRegion(now); },
               [this] { return fleet_.regionShare(); },
               [this](Instant now) { return fleet_.regionRequests(now); },
-              [this](Instant now) { return fleet_.failedRegionRequests(now); },
               [this](core::LogRecord record) { log(std::move(record)); } })
     , limits_(options_, fleet_,
               { [this](const SendSpending &spending) { exchange_.sendSpending(spending); },
@@ -214,6 +220,7 @@
     startedAt_ = now;
     limits_.start(now);
     dispatcher_.start(now);
+    faults_.onSign(regions::FaultSign::VmStarted, now);
     reportAt_ = now;
     reportedAt_ = now;
     entryDueAt_ = now;
@@ -226,6 +233,7 @@
     now_ = event.now;
     random_ = event.random;
     std::visit([this](const auto &body) { on(body); }, event.body);
+    noticeFaults();
     if (std::exchange(hasEntryChanged_, false))
         dispatcher_.onCapacityChanged(random_, now_);
     updateReadiness();
@@ -642,7 +650,11 @@
     report.targetLimits = pool_.limitReports(now_);
     report.leavingTargets = pool_.leavingReports(now_);
     report.regionRequests = pool_.shareLimit().report(now_);
-    report.failedRequests = pool_.shareLimit().reportFailed(now_);
+    report.failedRequests = static_cast<std::uint32_t>(faults_.failures(now_));
+    if (const std::optional<Duration> age = faults_.signAge(now_)) {
+        report.hasNoticedFault = true;
+        report.faultAgeMillis = static_cast<std::uint32_t>(age->toMillis());
+    }
     return report;
 }
 
@@ -653,6 +665,7 @@
     limits_.onReport(event.from, event.report);
     pool_.onLimitsReported(event.from, event.report.targetLimits, Duration(), now_);
     pool_.onLeavingReported(event.from, event.report.leavingTargets, Duration(), now_);
+    applyReportedFault(event.report, Duration());
     applyReportedEvacuations(event.report);
     applyReportedRevisions();
 }
@@ -664,11 +677,26 @@
         const Duration age = Duration::millis(one.ageMillis);
         pool_.onLimitsReported(one.vm, one.report.targetLimits, age, now_);
         pool_.onLeavingReported(one.vm, one.report.leavingTargets, age, now_);
+        applyReportedFault(one.report, age);
         applyReportedEvacuations(one.report);
     }
     applyReportedRevisions();
 }
 
+void Reducer::State::applyReportedFault(const VmReport &report, Duration age)
+{
+    if (report.hasNoticedFault)
+        faults_.onReported(age + Duration::millis(report.faultAgeMillis), now_);
+}
+
+void Reducer::State::noticeFaults()
+{
+    if (store_.isLost())
+        faults_.onSign(regions::FaultSign::StoreLost, now_);
+    if (std::exchange(knownLosses_, fleet_.lossCount()) != fleet_.lossCount())
+        faults_.onSign(regions::FaultSign::VmLost, now_);
+}
+
 void Reducer::State::on(const PeerSpendingRelayed &event)
 {
     if (!exchange_.onSpending(event))
--- a/bluebellshift/gateway/regions/sharelimit.cpp
+++ b/bluebellshift/gateway/regions/sharelimit.cpp
@@ -91,14 +91,14 @@
     Flow &flow = flow_;
     const std::int64_t newest = binAt(now);
     if (flow.limits.empty()) {
-        flow.bins.fill(RegionValues(regions_.size() + 1, 0));
+        flow.bins.fill(RegionValues(regions_.size(), 0));
         flow.newestBin = newest;
         flow.peakSlots.assign(regions_.size(), 0);
         flow.limits = makeLimits();
     }
     const auto bins = static_cast<std::int64_t>(binCount);
     for (std::int64_t bin = std::max(flow.newestBin + 1, newest - bins + 1); bin <= newest; ++bin)
-        flow.bins[positionOf(bin)].assign(regions_.size() + 1, 0);
+        flow.bins[positionOf(bin)].assign(regions_.size(), 0);
     flow.newestBin = std::max(flow.newestBin, newest);
     if (flow.updatedAt == Instant::never() || now - flow.updatedAt >= updateInterval)
         update(now);
@@ -107,7 +107,7 @@
 
 RegionValues ShareLimit::countsInWindow(Instant now) const
 {
-    RegionValues sent(regions_.size() + 1, 0);
+    RegionValues sent(regions_.size(), 0);
     const auto bins = static_cast<std::int64_t>(binCount);
     const std::int64_t oldest = std::max(binAt(now), flow_.newestBin) - bins + 1;
     for (std::int64_t bin = oldest; bin <= flow_.newestBin; ++bin) {
@@ -128,9 +128,7 @@
     const RegionValues slots = hooks_.usableSlots(now);
     if (isFirst)
         flow.earlier = expectedShares(slots, own_, hooks_.regionShare());
-    RegionValues own = countsInWindow(now);
-    const double failed = own.back() + hooks_.othersFailed(now);
-    own.pop_back();
+    const RegionValues own = countsInWindow(now);
     RegionValues shares = hooks_.othersSent(now);
     shares.resize(regions_.size(), 0);
     const double all = sum(shares) + sum(own);
@@ -141,12 +139,11 @@
     // The other VMs are expected to begin when this one does, and have reported nothing yet.
     const double expected = (sum(own) + 1) * static_cast<double>(hooks_.vmsInRegion(now));
     const double requests = std::max(all, expected);
-    flow.isLimited = requests >= minRequests;
+    flow.isLimited = requests >= minRequests && !hooks_.isNearFault(now);
     flow.maxCredit = std::clamp(creditFraction * sum(own), 1.0, maxCredit);
     updatePeaks(slots, passed);
     const double certainty = std::max(minCertainty, 1 - randomPart / std::sqrt(requests));
-    const bool isNearFault = failed >= std::max(minFailed, minFailedShare * all);
-    updateLimits(own, shares, slots, certainty, isNearFault);
+    updateLimits(own, shares, slots, certainty);
 }
 
 void ShareLimit::updatePeaks(const RegionValues &slots, Duration passed) const
@@ -156,7 +153,7 @@
 }
 
 void ShareLimit::updateLimits(const RegionValues &own, const RegionValues &shares,
-                              const RegionValues &slots, double certainty, bool isNearFault) const
+                              const RegionValues &slots, double certainty) const
 {
     const double ownAll = sum(own);
     for (SetLimit &limit : flow_.limits) {
@@ -173,9 +170,7 @@
             lost += loss > minLoss ? loss * shares[i] : 0;
         }
         const double ownShare = (ownSent + regionWeight * share) / (ownAll + regionWeight);
-        if (isNearFault)
-            limit.maxShare = share + growthNearFaults;
-        else if (limit.contains(own_))
+        if (limit.contains(own_))
             limit.maxShare = share + lost + maxReturn * certainty;
         else
             limit.maxShare = std::min(share, ownShare) + lost + maxGrowth * certainty;
@@ -247,27 +242,15 @@
     }
 }
 
-void ShareLimit::onFailed(Instant now)
-{
-    Flow &flow = flowAt(now);
-    flow.bins[positionOf(flow.newestBin)].back() += 1;
-}
-
 std::vector<std::uint32_t> ShareLimit::report(Instant now) const
 {
     std::vector<std::uint32_t> requests;
     if (flow_.limits.empty())
         return requests;
-    RegionValues sent = countsInWindow(now);
-    sent.pop_back();
+    const RegionValues sent = countsInWindow(now);
     if (sum(sent) > 0)
         requests.assign(sent.begin(), sent.end());
     return requests;
 }
 
-std::uint32_t ShareLimit::reportFailed(Instant now) const
-{
-    return flow_.limits.empty() ? 0 : static_cast<std::uint32_t>(countsInWindow(now).back());
-}
-
 } // namespace bluebellshift::gateway::regions
--- a/bluebellshift/gateway/regions/sharelimit.h
+++ b/bluebellshift/gateway/regions/sharelimit.h
@@ -5,7 +5,6 @@
 //   if (limit.isOpen(open, regionIndex)) ...         // it may take the next request
 //   limit.onSent(regionIndex, now);
 //   limit.onNotRun(regionIndex, now);                // if it was rejected
-//   limit.onFailed(now);                             // if it ended without a response
 //   report.regionRequests = limit.report(now);       // for the other VMs of this region
 //
 // The users bound the share of a region's requests that change their region between two
@@ -46,10 +45,6 @@
     // number.
     static constexpr double randomPart = 5;
     static constexpr double minCertainty = 0.3;
-    // Shares may change by this while that many requests fail, as they do near a fault.
-    static constexpr double growthNearFaults = 0.5;
-    static constexpr double minFailedShare = 0.04;
-    static constexpr double minFailed = 3;
     // A window with fewer requests, of all VMs of this region together, is not limited.
     static constexpr double minRequests = 10;
     // Weights, in requests: of the shares before the window, and of the region's shares against
@@ -79,7 +74,7 @@
     {
         // The requests that the other VMs of this VM's region reported.
         std::function<RegionValues(Instant now)> othersSent;
-        std::function<double(Instant now)> othersFailed;
+        std::function<bool(Instant now)> isNearFault;
         std::function<RegionValues(Instant now)> usableSlots;
         std::function<std::size_t(Instant now)> vmsInRegion; // live, with this VM
         std::function<double()> regionShare; // this region's expected share of all requests
@@ -100,12 +95,9 @@
     void onSent(std::size_t region, Instant now);
     // Takes back onSent(): the request did not run.
     void onNotRun(std::size_t region, Instant now);
-    // A request ended without a response.
-    void onFailed(Instant now);
 
     // What this VM sent to each region in the latest window.
     std::vector<std::uint32_t> report(Instant now) const;
-    std::uint32_t reportFailed(Instant now) const;
 
     // The expected shares of the requests before the first one: the own region serves what
     // its slots can, the others the rest in proportion to their slots.
@@ -125,7 +117,7 @@
     };
     struct Flow
     {
-        // Requests sent to each region, and last those that failed.
+        // Requests sent to each region.
         std::array<RegionValues, binCount> bins;
         std::int64_t newestBin = 0;
         std::vector<SetLimit> limits;
@@ -141,7 +133,7 @@
     RegionValues countsInWindow(Instant now) const;
     void update(Instant now) const;
     void updateLimits(const RegionValues &own, const RegionValues &shares,
-                      const RegionValues &slots, double certainty, bool isNearFault) const;
+                      const RegionValues &slots, double certainty) const;
     void updatePeaks(const RegionValues &slots, Duration passed) const;
     std::vector<SetLimit> makeLimits() const;
 
--- a/bluebellshift/gateway/regions/testing/sharelimittest.cpp
+++ b/bluebellshift/gateway/regions/testing/sharelimittest.cpp
@@ -21,12 +21,12 @@
     GatewayOptions options_ = gateway::testing::sampleOptions();
     Instant now_ = Instant::fromMicros(7'000'000'000);
     RegionValues others_;
-    double othersFailed_ = 0;
+    bool isNearFault_ = false;
     RegionValues slots_ { 100, 100 };
     std::size_t vms_ = 10;
     ShareLimit limit_ {
         options_,
-        { [this](Instant) { return others_; }, [this](Instant) { return othersFailed_; },
+        { [this](Instant) { return others_; }, [this](Instant) { return isNearFault_; },
           [this](Instant) { return slots_; }, [this](Instant) { return vms_; }, [] { return 0.5; } }
     };
 
@@ -101,7 +101,7 @@
 TEST(ShareLimit, SharesAreFreeWhileManyRequestsFail)
 {
     send(near, ShareLimit::window * 4);
-    othersFailed_ = 50;
+    isNearFault_ = true;
     CHECK(send(far, ShareLimit::window) > 0.4);
 }
 
--- a/bluebellshift/gateway/targetpool.cpp
+++ b/bluebellshift/gateway/targetpool.cpp
@@ -46,11 +46,12 @@
 
 } // namespace
 
-TargetPool::TargetPool(const GatewayOptions &options, PoolHooks hooks)
+TargetPool::TargetPool(const GatewayOptions &options, regions::FaultWatch &faults, PoolHooks hooks)
     : options_(options)
+    , faults_(faults)
     , hooks_(std::move(hooks))
     , shareLimit_(options,
-                  { hooks_.regionRequests, hooks_.failedRegionRequests,
+                  { hooks_.regionRequests, [this](Instant now) { return faults_.isNear(now); },
                     [this](Instant now) { return slotsByRegion(now); }, hooks_.vmsInRegion,
                     hooks_.regionShare })
     , limits_(options.vm.id, { hooks_.senderRank, hooks_.log })
@@ -106,6 +107,10 @@
         return;
     auto &siblings = byService_[found->second.target.service];
     siblings.erase(std::remove(siblings.begin(), siblings.end(), &found->second), siblings.end());
+    const bool isLeaving = signals_.stateOf(startOf(found->second.target), now)
+        == targets::TargetSignals::State::Leaving;
+    if (!found->second.target.isDraining && !isLeaving)
+        faults_.onSign(regions::FaultSign::TargetLost, now);
     byHash_.erase(hashOf(target));
     states_.erase(found);
     limits_.forget(target);
@@ -120,6 +125,7 @@
         evacuated_.insert(domain);
     else
         evacuated_.erase(domain);
+    faults_.onSign(regions::FaultSign::DomainEvacuated, now);
     hooks_.log({ isEvacuated ? core::log::domainEvacuated : core::log::domainReturned,
                  { { "domain", domain.text() } } });
     if (isEvacuated)
@@ -549,8 +555,11 @@
     const bool hasRun = ended.outcome != AttemptOutcome::ConnectFailed && !ended.saysNotRun;
     if (!hasRun && mayRunAnywhere(criteria))
         shareLimit_.onNotRun(state->regionIndex, now);
-    if (ended.outcome != AttemptOutcome::Answered && ended.outcome != AttemptOutcome::TimedOut)
-        shareLimit_.onFailed(now);
+    const bool isShed = ended.saysNotRun && ended.status != 421 && ended.load
+        && ended.load->running < ended.load->slots;
+    if (isShed
+        || (ended.outcome != AttemptOutcome::Answered && ended.outcome != AttemptOutcome::TimedOut))
+        faults_.onFailure(now);
     if (ended.load) {
         state->reportedOthersInFlight =
             std::max(0, ended.load->running + ended.load->waiting - state->inFlight);
--- a/bluebellshift/gateway/targetpool.h
+++ b/bluebellshift/gateway/targetpool.h
@@ -28,6 +28,7 @@
 #include "bluebellshift/gateway/event.h"
 #include "bluebellshift/gateway/options.h"
 #include "bluebellshift/gateway/regionflow.h"
+#include "bluebellshift/gateway/regions/faultwatch.h"
 #include "bluebellshift/gateway/regions/sharelimit.h"
 #include "bluebellshift/gateway/registry.h"
 #include "bluebellshift/gateway/targetlimits.h"
@@ -79,7 +80,6 @@
     std::function<double()> regionShare;
     // Requests that the other VMs of this VM's region reported that they sent to each region.
     std::function<std::vector<double>(Instant now)> regionRequests;
-    std::function<double(Instant now)> failedRegionRequests; // that ended without a response
     std::function<void(core::LogRecord)> log;
 };
 
@@ -115,7 +115,7 @@
     static constexpr double bytesPerRoundTrip = 16 * 1024;
     static constexpr double crossDomainMillisPerKilobyte = 2; // cost of billed traffic in the score
 
-    TargetPool(const GatewayOptions &options, PoolHooks hooks);
+    TargetPool(const GatewayOptions &options, regions::FaultWatch &faults, PoolHooks hooks);
     TargetPool(const TargetPool &) = delete; // its parts refer to it
     TargetPool &operator=(const TargetPool &) = delete;
 
@@ -262,6 +262,7 @@
     State *findState(const TargetId &target);
 
     const GatewayOptions &options_;
+    regions::FaultWatch &faults_;
     const PoolHooks hooks_;
     TrafficConfigPointer config_;
     RegionFlow flow_;
--- a/bluebellshift/shell/testing/messagefuzztest.cpp
+++ b/bluebellshift/shell/testing/messagefuzztest.cpp
@@ -36,6 +36,10 @@
     report.evacuated = { core::FailureDomainId("near-2") };
     report.targetLimits = { { 1, true, 4000, 10 } };
     report.leavingTargets = { { 1, 1775742164080, 10 } };
+    report.regionRequests = { 20, 30 };
+    report.failedRequests = 2;
+    report.hasNoticedFault = true;
+    report.faultAgeMillis = 300;
     return report;
 }
 
