Leave slots of a target free for more urgent routes of its service

Cause: a request with a long objective may take the last slot of a target and wait in its queue; each such slot is taken for seconds. Priority orders only the queue of one VM. Change: UrgentRoom. A request leaves as many slots of each target free as more urgent routes use, if one of them would miss its objective behind it, and does not wait at a target; it waits in its VM. Core's admission and fairqueue order requests for one process and know no slots of targets; not reused. Why it works: the room is there before the urgent request arrives, on all VMs.

--- a/bluebellshift/gateway/dispatcher.cpp
+++ b/bluebellshift/gateway/dispatcher.cpp
@@ -60,6 +60,11 @@
     , hooks_(std::move(hooks))
     , pool_(pool)
     , quotas_(quotas)
+    , urgentRoom_({ [this](const std::string &route) { return pool_.expectedServiceTime(route); },
+                    [this](const ServiceId &service, Instant now) {
+                        return pool_.usableSlots(service, now);
+                    },
+                    hooks_.vmCount })
 {
 }
 
@@ -170,6 +175,10 @@
     pending.service = split_.next(*pending.route);
     retryBudgets_.try_emplace(pending.service, options_.bounds, startedAt_)
         .first->second.recordRequest(now);
+    urgentRoom_.onArrived(pending.service, *pending.route, now);
+    pending.reservedShare =
+        urgentRoom_.reservedShare(pending.service, *pending.route, pending.priority,
+                                  pool_.slotsPerTarget(pending.service), now);
     if (!pending.arrived.affinityKey.empty() && pending.route->isSticky)
         pending.object =
             mixHashes(hashText(pending.route->name), hashText(pending.arrived.affinityKey)) | 1;
@@ -213,6 +222,7 @@
     criteria.tried = &pending.tried;
     criteria.route = pending.route->name;
     criteria.bodyBytes = pending.arrived.bodyBytes;
+    criteria.reservedShare = pending.reservedShare;
     criteria.foundFreeSlot = pending.foundFreeSlot;
     criteria.targetStart = pending.targetStart;
     return criteria;
@@ -223,10 +233,13 @@
     const TargetSelection selection =
         pool_.select(criteriaFor(pending), mixHashes(random, pending.sequence), now);
     const Duration waited = now - pending.arrivedAt;
+    // What waits at a target delays the more urgent requests that come after it.
+    const bool mayQueueAtTarget = pending.reservedShare <= 0;
     if (selection.target != nullptr) {
-        const bool hasSlot =
-            selection.ownInFlight + selection.othersInFlight < selection.target->slots;
-        if (hasSlot || waited + selection.timeToFinish <= pending.route->latencyObjective) {
+        const bool hasSlot = selection.ownInFlight + selection.othersInFlight < selection.slots;
+        if (hasSlot
+            || (mayQueueAtTarget
+                && waited + selection.timeToFinish <= pending.route->latencyObjective)) {
             send(pending, selection, now);
             return Placement::Sent;
         }
@@ -241,7 +254,8 @@
     if (waited < maxWait)
         return Placement::Waits;
     const Duration left = pending.deadline - now;
-    if (selection.target != nullptr && selection.timeToFinish <= scaled(left, maxLateFraction)
+    if (mayQueueAtTarget && selection.target != nullptr
+        && selection.timeToFinish <= scaled(left, maxLateFraction)
         && selection.ownInFlight + selection.othersInFlight < 2 * selection.target->slots) {
         send(pending, selection, now);
         return Placement::Sent;
@@ -287,6 +301,7 @@
                         target.slots) },
           { "object", fmt::format("{:08x}", static_cast<std::uint32_t>(pending.object)) },
           { "warmth", fmt::format("{:.2f}", selection.warmth) },
+          { "usable", std::to_string(selection.slots) },
           { "considered", selection.exclusionCounts },
           { "config", std::to_string(pending.config->version.number()) } });
     SendAttempt attempt;
--- a/bluebellshift/gateway/dispatcher.h
+++ b/bluebellshift/gateway/dispatcher.h
@@ -20,6 +20,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "bluebellshift/gateway/admission/urgentroom.h"
 #include "bluebellshift/gateway/effect.h"
 #include "bluebellshift/gateway/retrybudget.h"
 #include "bluebellshift/gateway/servicesplit.h"
@@ -102,6 +103,7 @@
         int priority = 0;
         ServiceId service;
         std::uint64_t object = 0;
+        double reservedShare = 0; // of each target's slots, left to more urgent requests
         Instant arrivedAt;
         Instant deadline; // the earlier of the caller's and the route's
         Instant callerDeadline;
@@ -163,6 +165,7 @@
     TargetPool &pool_;
     TeamQuotas &quotas_;
     ServiceSplit split_;
+    admission::UrgentRoom urgentRoom_;
     std::unordered_map<ServiceId, RetryBudget> retryBudgets_;
     Instant startedAt_;
     std::unordered_map<RequestId, Pending> pending_;
--- a/bluebellshift/gateway/targetpool.cpp
+++ b/bluebellshift/gateway/targetpool.cpp
@@ -8,6 +8,7 @@
 
 #include <fmt/format.h>
 
+#include "bluebellshift/gateway/admission/urgentroom.h"
 #include "bluebellshift/gateway/hashing.h"
 
 namespace bluebellshift::gateway {
@@ -209,6 +210,7 @@
         best.timeToFinish = timeToFinish;
         best.ownInFlight = state.inFlight;
         best.othersInFlight = others;
+        best.slots = admission::UrgentRoom::slotsFor(state.target.slots, criteria.reservedShare);
         best.warmth = warmth[i];
     }
     best.exclusionCounts =
@@ -513,7 +515,8 @@
 {
     const double usualMs = coldObjectServiceTimeMs(state, criteria, now);
     const int occupied = state.inFlight + others;
-    const int slots = std::max(1, state.target.slots);
+    const int slots =
+        std::max(1, admission::UrgentRoom::slotsFor(state.target.slots, criteria.reservedShare));
     // Requests queued ahead are assumed to have a warm object in half of the cases.
     const double queuedServiceTimeMs =
         criteria.object != 0 ? usualMs * (warmServiceTimeFactor + 1) / 2 : usualMs;
@@ -710,6 +713,17 @@
     return static_cast<int>(std::lround(slots));
 }
 
+int TargetPool::slotsPerTarget(const ServiceId &service) const
+{
+    const auto targets = byService_.find(service);
+    if (targets == byService_.end() || targets->second.empty())
+        return 1;
+    double slots = 0;
+    for (const State *state : targets->second)
+        slots += state->target.slots;
+    return std::max(1, static_cast<int>(slots / static_cast<double>(targets->second.size())));
+}
+
 Duration TargetPool::expectedServiceTime(const std::string &route) const
 {
     const auto found = serviceTimesMs_.find(route);
--- a/bluebellshift/gateway/targetpool.h
+++ b/bluebellshift/gateway/targetpool.h
@@ -48,6 +48,7 @@
     const std::vector<TargetId> *tried = nullptr;
     std::string route; // name of the route, by which service times are learned
     std::size_t bodyBytes = 0;
+    double reservedShare = 0;     // of each target's slots, left to more urgent requests
     bool foundFreeSlot = false;   // when it was sent: its duration contains no queueing
     std::int64_t targetStart = 0; // start time, in Unix milliseconds, of the target it was sent to
 };
@@ -58,6 +59,7 @@
     Duration timeToFinish;          // expected time until the response, from now
     int ownInFlight = 0;
     int othersInFlight = 0;
+    int slots = 0;               // that the request may use
     double warmth = 0;           // probability that the object is warm there, 0 to 1
     std::string exclusionCounts; // number of targets excluded, by reason
     // If all targets leave or are paused: when the first pause ends, or never().
@@ -166,6 +168,8 @@
     // Number of the service's slots that are usable now. A named limit counts as the slots that
     // its requests need.
     int usableSlots(const ServiceId &service, Instant now) const;
+    // The mean number of slots of the service's targets; at least 1.
+    int slotsPerTarget(const ServiceId &service) const;
     Duration expectedServiceTime(const std::string &route) const;
 
 private:
