Match a target's response by exactly one request id

What callers saw (reported by another operator): 'not run, try again' for a request that an instance had run, after an instance wrote an earlier refusal once more on a kept connection. Cause: here a repeated refusal with the id of its own request, or without one, was skipped already, and bytes on an idle connection close it. Two ways were open: a response with two ids was matched by the first, and a request whose caller sent no id took any response on a reused connection. Change: a response matches by exactly one id; a request without an id uses a new connection. A refusal with the same id on the same connection needs a second attempt at the same target, which Dispatcher excludes (TargetCriteria::tried).

--- a/bluebellshift/net/httpclient.cpp
+++ b/bluebellshift/net/httpclient.cpp
@@ -353,13 +353,19 @@
     }
 
     // Returns whether the response belongs to this call. A response without a request id
-    // may be a late one to an earlier request, so it does not match.
+    // may be a late one to an earlier request, and one with several ids names another request
+    // too, so neither matches.
     bool matchesRequest(const core::Answer &response) const
     {
         if (options_.requestId.empty())
             return true;
-        const std::string *id = findHeader(response.headers, options_.idHeader);
-        return id != nullptr && *id == options_.requestId;
+        const auto isId = [this](const auto &header) {
+            return boost::beast::iequals(header.name, options_.idHeader);
+        };
+        const auto &headers = response.headers;
+        const auto id = std::find_if(headers.begin(), headers.end(), isId);
+        return id != headers.end() && id->value == options_.requestId
+            && std::find_if(id + 1, headers.end(), isId) == headers.end();
     }
 
     void finish(CallOutcome outcome)
@@ -440,7 +446,10 @@
                          const CallOptions &options, Callback callback)
 {
     const CallId call = ++lastCall_;
-    ConnectionPointer connection = takeIdle(pool, options.maxReuseIdleTime);
+    // Without an id, a late response to an earlier request could not be told from its own.
+    const bool mayReuse = options.idHeader.empty() || !options.requestId.empty();
+    ConnectionPointer connection =
+        mayReuse ? takeIdle(pool, options.maxReuseIdleTime) : ConnectionPointer();
     if (!connection)
         connection = std::make_shared<Connection>(*this, pool);
     calls_[call] = connection;
--- a/bluebellshift/net/httpclient.h
+++ b/bluebellshift/net/httpclient.h
@@ -69,9 +69,10 @@
     // A pooled connection is reused only if it has been idle for at most this long.
     // Zero: always open a new connection.
     core::Duration maxReuseIdleTime = core::Duration::seconds(8);
-    std::string idHeader;  // a request header that the response echoes
-    std::string requestId; // its value; empty: not checked
-    bool isHead = false;   // a HEAD request: the response has no body
+    std::string idHeader; // a request header that the response echoes
+    // Its value. Empty: not checked, and if `idHeader` is given, the call uses a new connection.
+    std::string requestId;
+    bool isHead = false; // a HEAD request: the response has no body
 };
 
 class HttpClient
--- a/bluebellshift/net/testing/httpclienttest.cpp
+++ b/bluebellshift/net/testing/httpclienttest.cpp
@@ -46,6 +46,15 @@
       CallOutcome::Answered, "yes" },
     { "only a response to another request", staleResponse, PeerAction::ShutDownSend,
       CallOutcome::Cut, "" },
+    { "refusal with the ids of two requests",
+      "HTTP/1.1 503 No\r\nRequest-Id: r1\r\nRequest-Id: r0\r\nNot-Run: 1\r\nContent-Length: "
+      "0\r\n\r\n",
+      PeerAction::ShutDownSend, CallOutcome::Cut, "" },
+    { "late refusals with another id, none and two before the response",
+      "HTTP/1.1 503 No\r\nRequest-Id: r0\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+      "HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+          + validResponse,
+      PeerAction::KeepOpen, CallOutcome::Answered, "yes" },
     { "interim response first", "HTTP/1.1 100 Continue\r\n\r\n" + validResponse,
       PeerAction::KeepOpen, CallOutcome::Answered, "yes" },
     { "success without a request id", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nyes",
@@ -161,6 +170,23 @@
     CHECK(result->isReused);
 }
 
+// Guards against an earlier refusal, written once more, that is taken for the response to a request
+// without an id.
+TEST(NetHttpClient, ARequestWithoutAnIdUsesANewConnection)
+{
+    call();
+    CHECK(waitFor([&] { return hasRead(0, 1); }));
+    peers[0].send(validResponse);
+    CHECK(waitFor([&] { return result.has_value(); }));
+    options.requestId.clear();
+    call();
+    CHECK(waitFor([&] { return hasRead(1, 1); }));
+    peers[0].send("HTTP/1.1 503 No\r\nRequest-Id: r1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    peers[1].send(validResponse);
+    CHECK(waitFor([&] { return result.has_value(); }));
+    CHECK_EQUAL(200U, result->response->status);
+}
+
 TEST(NetHttpClient, ClosesAnIdleConnectionOnALateDuplicateResponse)
 {
     call();
