Test that a response which ends in its head is never complete

What callers saw (reported by another operator): a 200 with an empty or short body, framed as whole, when an instance stopped in the middle of its answer's head. Cause: none here; the parser reports a partial message. Change: a test that closes after each byte of six heads (with and without a length, chunked, after and at an interim response), on the first and on a later response of a connection.

--- a/bluebellshift/net/testing/httpclienttest.cpp
+++ b/bluebellshift/net/testing/httpclienttest.cpp
@@ -156,6 +156,40 @@
     }
 }
 
+// Guards against a response that ends in the middle of its head and is taken as complete.
+TEST(NetHttpClient, AResponseThatEndsInItsHeadIsCut)
+{
+    const std::string heads[] = {
+        "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 3\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nRequest-Id: r1\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\nRequest-Id: r1\r\n\r\n",
+    };
+    for (const std::string &head : heads) {
+        for (const bool isFirst : { true, false }) {
+            for (std::size_t size = 0; size < head.size(); ++size) {
+                const std::size_t peer = peers.size();
+                const std::string name = head.substr(0, size) + (isFirst ? " (first)" : " (later)");
+                call();
+                CHECK_TEXT(waitFor([&] { return hasRead(peer, 1); }), name.c_str());
+                if (!isFirst) {
+                    peers[peer].send(validResponse);
+                    CHECK_TEXT(waitFor([&] { return result.has_value(); }), name.c_str());
+                    call();
+                    CHECK_TEXT(waitFor([&] { return hasRead(peer, 2); }), name.c_str());
+                }
+                if (size > 0)
+                    peers[peer].send(head.substr(0, size));
+                peers[peer].shutDownSend();
+                CHECK_TEXT(waitFor([&] { return result.has_value(); }), name.c_str());
+                STRCMP_EQUAL_TEXT("cut", toText(result->outcome), name.c_str());
+            }
+        }
+    }
+}
+
 TEST(NetHttpClient, ReusesAConnectionWithoutSurplusBytes)
 {
     call();
