--- a/bluebellshift/gateway/dispatcher.cpp
+++ b/bluebellshift/gateway/dispatcher.cpp
@@ -1,9 +1,10 @@
 // A request is sent at once if a target has a free slot, or if it is expected to meet its
-// latency objective despite queueing at the target. Otherwise it waits here for a fraction
-// of its objective, ordered by priority, and is sent to whichever target becomes free
-// first. After that it is refused with a Retry-After: sending it anyway would fill the
-// queues of the targets and make all later requests late as well. A request that can't
-// expect its turn in time is refused at once, so that those ahead of it wait less.
+// latency objective despite queueing at the target. The slots that UrgentRoom reserves for more
+// urgent routes do not count as free, and a request that leaves them does not queue at a target.
+// Otherwise it waits here for a fraction of its objective, ordered by priority, and is sent to
+// whichever target becomes free first. After that it is refused with a Retry-After: sending it
+// anyway would fill the queues of the targets and make all later requests late as well. A request
+// that can't expect its turn in time is refused at once, so that those ahead of it wait less.
 #include "bluebellshift/gateway/dispatcher.h"
 
 #include <algorithm>
--- a/bluebellshift/gateway/regions/sharelimit.h
+++ b/bluebellshift/gateway/regions/sharelimit.h
@@ -14,8 +14,8 @@
 // waits or is refused.
 //
 // Not limited: requests that may not run in all regions, what a region can't serve because it has
-// lost targets, and all requests while many of them end without a response. TargetPool also sends
-// a request to the region that got its object latest.
+// lost targets, and all requests while a fault is near. TargetPool also sends a request to the
+// region that got its object latest.
 #pragma once
 
 #include <array>
