Bound the routes that UrgentRoom remembers

What callers would see: none yet; a VM's memory and the work for each request grew with the routes of all configurations that had a request. Cause: flows were never removed. Change: 64 routes of a service, idle ones make room. Measured: IdleRoutesAreForgotten.

--- a/bluebellshift/gateway/admission/testing/urgentroomtest.cpp
+++ b/bluebellshift/gateway/admission/testing/urgentroomtest.cpp
@@ -86,6 +86,22 @@
     CHECK(shareFor(history_) < 1e-6);
 }
 
+// Guards against a memory that grows with the routes of all configurations.
+TEST(UrgentRoom, IdleRoutesAreForgotten)
+{
+    for (std::size_t i = 0; i < UrgentRoom::maxRoutes; ++i) {
+        const std::string name = "route-" + std::to_string(i);
+        times_[name] = Duration::millis(400);
+        room_.onArrived(service_, routeOf(name, 1, Duration::seconds(1)), now_);
+    }
+    offer(check_, 15, Duration::seconds(1));
+    DOUBLES_EQUAL(0, shareFor(history_), 0);
+    now_ = now_ + Duration::seconds(30);
+    room_.onArrived(service_, history_, now_);
+    offer(check_, 15, Duration::seconds(1));
+    CHECK(shareFor(history_) > 0);
+}
+
 TEST(UrgentRoom, EachTargetKeepsAtLeastOneSlot)
 {
     const struct
--- a/bluebellshift/gateway/admission/urgentroom.cpp
+++ b/bluebellshift/gateway/admission/urgentroom.cpp
@@ -26,13 +26,25 @@
 
 void UrgentRoom::onArrived(const ServiceId &service, const RouteRule &route, Instant now)
 {
-    Flow &flow = flows_[service][route.name];
+    Flows &flows = flows_[service];
+    if (flows.size() >= maxRoutes && flows.count(route.name) == 0) {
+        removeIdle(flows, now);
+        if (flows.size() >= maxRoutes)
+            return;
+    }
+    Flow &flow = flows[route.name];
     flow.requests = flow.perSecond(now) * rateTime.toSeconds() + 1;
     flow.at = now;
     flow.priority = route.priority;
     flow.objective = route.latencyObjective;
 }
 
+void UrgentRoom::removeIdle(Flows &flows, Instant now)
+{
+    for (auto flow = flows.begin(); flow != flows.end();)
+        flow = flow->second.perSecond(now) < minPerSecond ? flows.erase(flow) : std::next(flow);
+}
+
 // Whether an urgent request misses its objective if it has to wait for the first of a target's
 // slots that are all taken by long requests.
 bool UrgentRoom::wouldDelay(const Flow &urgent, Duration urgentTime, Duration longTime,
--- a/bluebellshift/gateway/admission/urgentroom.h
+++ b/bluebellshift/gateway/admission/urgentroom.h
@@ -27,6 +27,11 @@
     // Time of a request with a warm object, against that with a cold one.
     static constexpr double warmTimeFactor = 0.3;
 
+    // Routes of a service that are remembered. Idle ones make room for others; while none is idle,
+    // a further route gets no room.
+    static constexpr std::size_t maxRoutes = 64;
+    static constexpr double minPerSecond = 0.02; // at this VM; below this a route is idle
+
     struct Hooks
     {
         std::function<Duration(const std::string &route)> serviceTime; // with a cold object
@@ -57,11 +62,14 @@
         double perSecond(Instant now) const;
     };
 
+    using Flows = std::map<std::string, Flow>; // by route
+
+    static void removeIdle(Flows &flows, Instant now);
     bool wouldDelay(const Flow &urgent, Duration urgentTime, Duration longTime,
                     int slotsPerTarget) const;
 
     const Hooks hooks_;
-    std::unordered_map<ServiceId, std::map<std::string, Flow>> flows_; // by route
+    std::unordered_map<ServiceId, Flows> flows_;
 };
 
 } // namespace bluebellshift::gateway::admission
