Construct the sample pool of GatewayParts with a FaultWatch

Cause: the constructor of TargetPool got a parameter, and this test was not built with it. Change: the sample pool passes a FaultWatch that notices nothing; no check changed.

--- a/bluebellshift/gateway/testing/partstest.cpp
+++ b/bluebellshift/gateway/testing/partstest.cpp
@@ -21,19 +21,23 @@
 
 const Instant begin = Instant::fromMicros(5'000'000'000);
 
-class SamplePool : public TargetPool
+struct NoFaults
+{
+    regions::FaultWatch faults { { [](Instant) { return 0.0; }, [](const core::LogRecord &) {} } };
+};
+
+class SamplePool : private NoFaults, public TargetPool
 {
 public:
     explicit SamplePool(const GatewayOptions &options, std::size_t vmsInRegion = 1,
                         double regionShare = 0.5)
-        : TargetPool(options,
-                     { [](std::uint32_t, Instant) { return 0; },
-                       [](std::uint64_t, Instant) { return ColdSenderRank(); },
-                       [](TargetHash, const RegionId &, Instant) { return SenderRank(); },
-                       [vmsInRegion](Instant) { return vmsInRegion; },
-                       [regionShare] { return regionShare; },
-                       [](Instant) { return std::vector<double>(); }, [](Instant) { return 0.0; },
-                       [](const core::LogRecord &) {} })
+        : TargetPool(
+            options, faults,
+            { [](std::uint32_t, Instant) { return 0; },
+              [](std::uint64_t, Instant) { return ColdSenderRank(); },
+              [](TargetHash, const RegionId &, Instant) { return SenderRank(); },
+              [vmsInRegion](Instant) { return vmsInRegion; }, [regionShare] { return regionShare; },
+              [](Instant) { return std::vector<double>(); }, [](const core::LogRecord &) {} })
     {
         setConfig(sampleConfig());
     }
