--- a/bluebellshift/gateway/dispatcher.cpp
+++ b/bluebellshift/gateway/dispatcher.cpp
@@ -290,7 +290,11 @@
     pending.sentAt = now;
     ++pending.attempts;
     pending.tried.push_back(target.id);
-    pending.foundFreeSlot = selection.ownInFlight + selection.othersInFlight < target.slots;
+    const int inFlight = selection.ownInFlight + selection.othersInFlight;
+    pending.foundFreeSlot = inFlight < target.slots;
+    pending.observation = {};
+    pending.observation.expectedLoad = static_cast<double>(inFlight) / std::max(1, target.slots);
+    pending.observation.expectedWarmth = selection.expectedWarmth;
     pool_.onSent(target.id, criteriaFor(pending), now);
     log(core::log::requestRouted, pending,
         { { "target", target.id.text() },
@@ -302,6 +306,8 @@
                         target.slots) },
           { "object", fmt::format("{:08x}", static_cast<std::uint32_t>(pending.object)) },
           { "warmth", fmt::format("{:.2f}", selection.warmth) },
+          { "expectedWarmth", toText(selection.expectedWarmth) },
+          { "warmObjects", fmt::format("{:.0f}", pool_.warmObjectsPerTarget(pending.service)) },
           { "usable", std::to_string(selection.slots) },
           { "considered", selection.exclusionCounts },
           { "config", std::to_string(pending.config->version.number()) } });
@@ -378,11 +384,36 @@
     if (pending == nullptr || pending->isWaiting || ended.attempt != pending->attempts)
         return;
     const ServiceId service = pending->service;
-    pool_.onEnded(pending->target, criteriaFor(*pending), ended, now - pending->sentAt, now);
+    const targets::FoundWarmth found =
+        pool_.onEnded(pending->target, criteriaFor(*pending), ended, now - pending->sentAt, now);
+    observe(*pending, ended, found);
     resolveAttempt(*pending, ended, random, now);
     dispatchQueue(service, random, now);
 }
 
+void Dispatcher::observe(Pending &pending, const AttemptEnded &ended, targets::FoundWarmth found)
+{
+    targets::TargetObservation &observation = pending.observation;
+    observation.foundWarmth = found;
+    if (ended.load && ended.load->slots > 0) {
+        const double slots = ended.load->slots;
+        observation.reportedLoad = (ended.load->running + ended.load->waiting) / slots;
+        observation.reportedQueue = ended.load->waiting / slots;
+    }
+    hooks_.perform(ObserveTarget { observation });
+}
+
+std::vector<core::LogField>
+Dispatcher::observationFields(const targets::TargetObservation &observation)
+{
+    return { { "expectedLoad", fmt::format("{:.2f}", observation.expectedLoad) },
+             { "reportedLoad",
+               observation.reportedLoad ? fmt::format("{:.2f}", *observation.reportedLoad)
+                                        : "none" },
+             { "expectedWarmth", toText(observation.expectedWarmth) },
+             { "foundWarmth", toText(observation.foundWarmth) } };
+}
+
 // Retries, forwards or refuses a request after an attempt has ended.
 void Dispatcher::resolveAttempt(Pending &pending, const AttemptEnded &ended, std::uint64_t random,
                                 Instant now)
@@ -394,14 +425,15 @@
         forwardResponse(pending, ended, now);
         return;
     }
-    log(core::log::attemptFailed, pending,
-        { { "target", pending.target.text() },
-          { "attempt", std::to_string(ended.attempt) },
-          { "outcome", toText(ended.outcome) },
-          { "status", std::to_string(ended.status) },
-          { "notRun", isNotRun ? "yes" : "no" },
-          { "reused", ended.wasReused ? "yes" : "no" },
-          { "tookMs", millisText(now - pending.sentAt) } });
+    std::vector<core::LogField> fields = {
+        { "target", pending.target.text() },           { "attempt", std::to_string(ended.attempt) },
+        { "outcome", toText(ended.outcome) },          { "status", std::to_string(ended.status) },
+        { "notRun", isNotRun ? "yes" : "no" },         { "reused", ended.wasReused ? "yes" : "no" },
+        { "tookMs", millisText(now - pending.sentAt) }
+    };
+    for (core::LogField &field : observationFields(pending.observation))
+        fields.push_back(std::move(field));
+    log(core::log::attemptFailed, pending, std::move(fields));
     const bool hasReachedTarget = ended.outcome != AttemptOutcome::ConnectFailed;
     if (!hasReachedTarget) {
         --pending.attempts; // the request did not reach a target
@@ -520,11 +552,13 @@
 
 void Dispatcher::forwardResponse(Pending &pending, const AttemptEnded &ended, Instant now)
 {
-    log(core::log::requestAnswered, pending,
-        { { "status", std::to_string(ended.status) },
-          { "target", pending.target.text() },
-          { "atTargetMs", millisText(now - pending.sentAt) },
-          { "tookMs", millisText(now - pending.arrivedAt) } });
+    std::vector<core::LogField> fields = { { "status", std::to_string(ended.status) },
+                                           { "target", pending.target.text() },
+                                           { "atTargetMs", millisText(now - pending.sentAt) },
+                                           { "tookMs", millisText(now - pending.arrivedAt) } };
+    for (core::LogField &field : observationFields(pending.observation))
+        fields.push_back(std::move(field));
+    log(core::log::requestAnswered, pending, std::move(fields));
     hooks_.perform(ForwardResponse { pending.arrived.request });
     erase(pending.arrived.request);
 }
--- a/bluebellshift/gateway/dispatcher.h
+++ b/bluebellshift/gateway/dispatcher.h
@@ -115,7 +115,8 @@
         std::int64_t targetStart = 0; // Unix milliseconds
         int attempts = 0;             // number of targets it was sent to
         int connectFailures = 0;
-        bool foundFreeSlot = false; // at its last target, when it was sent
+        bool foundFreeSlot = false;             // at its last target, when it was sent
+        targets::TargetObservation observation; // of its last target
         std::vector<TargetId> tried;
         bool mayHaveRun = false; // an attempt ended in an unknown state
         bool hasAnswer = false;  // the last attempt returned one that may be forwarded
@@ -149,6 +150,11 @@
     void dispatchQueue(const ServiceId &service, std::uint64_t random, Instant now);
     void resolveAttempt(Pending &pending, const AttemptEnded &ended, std::uint64_t random,
                         Instant now);
+    // Compares what was expected of the request's target with what its response shows.
+    void observe(Pending &pending, const AttemptEnded &ended, targets::FoundWarmth found);
+    // Fields of log lines: the loads in requests for each slot.
+    static std::vector<core::LogField>
+    observationFields(const targets::TargetObservation &observation);
     bool takeRetry(Pending &pending, bool hasReachedTarget, Instant now);
     void expire(Pending &pending, Instant now);
     Duration retryAfterFor(const Pending &pending, Instant now) const;
--- a/bluebellshift/gateway/effect.h
+++ b/bluebellshift/gateway/effect.h
@@ -7,6 +7,7 @@
 
 #include "bluebellshift/core/logevent.h"
 #include "bluebellshift/gateway/event.h"
+#include "bluebellshift/gateway/targets/targetobservation.h"
 
 namespace bluebellshift::gateway {
 
@@ -145,6 +146,12 @@
     TargetId target;
 };
 
+// Adds to the metrics what was expected of a target and what its response showed.
+struct ObserveTarget
+{
+    targets::TargetObservation observation;
+};
+
 struct WriteLog
 {
     core::LogRecord record;
@@ -160,11 +167,11 @@
 {
 };
 
-using Effect =
-    std::variant<ListRegistry, WatchRegistry, WriteVm, RemoveVm, CreatePeerKey, SendAttempt,
-                 CancelAttempt, ForwardResponse, RefuseRequest, DropRequest, SendReport,
-                 SendSpending, SendRelayedReports, SendRelayedSpending, SendTargetUpdate,
-                 SendVmUpdate, SetPeers, ForgetTarget, WriteLog, CloseConnections, Exit>;
+using Effect = std::variant<ListRegistry, WatchRegistry, WriteVm, RemoveVm, CreatePeerKey,
+                            SendAttempt, CancelAttempt, ForwardResponse, RefuseRequest, DropRequest,
+                            SendReport, SendSpending, SendRelayedReports, SendRelayedSpending,
+                            SendTargetUpdate, SendVmUpdate, SetPeers, ForgetTarget, ObserveTarget,
+                            WriteLog, CloseConnections, Exit>;
 
 using Effects = std::vector<Effect>;
 
--- a/bluebellshift/gateway/targetpool.cpp
+++ b/bluebellshift/gateway/targetpool.cpp
@@ -212,6 +212,7 @@
         best.othersInFlight = others;
         best.slots = admission::UrgentRoom::slotsFor(state.target.slots, criteria.reservedShare);
         best.warmth = warmth[i];
+        best.expectedWarmth = expectedWarmthAt(state, criteria, warmth[i], now);
     }
     best.exclusionCounts =
         fmt::format("draining:{},evacuated:{},region:{},tried:{},avoided:{},cold:{},limited:{},"
@@ -269,6 +270,17 @@
     return warmth;
 }
 
+targets::ExpectedWarmth TargetPool::expectedWarmthAt(const State &state,
+                                                     const TargetCriteria &criteria, double warmth,
+                                                     Instant now) const
+{
+    if (criteria.object == 0)
+        return targets::ExpectedWarmth::NoObject;
+    if (wasSentRecently(state, criteria.object, now))
+        return targets::ExpectedWarmth::SentRecently;
+    return warmth > 0 ? targets::ExpectedWarmth::Preferred : targets::ExpectedWarmth::Cold;
+}
+
 // The region to which this VM sent the object latest, if that was recently.
 std::optional<std::size_t> TargetPool::latestRegionOf(const TargetCriteria &criteria,
                                                       const std::vector<const State *> &candidates,
@@ -547,13 +559,13 @@
     placement_.recordRequest(criteria.service, criteria.object, now);
 }
 
-void TargetPool::onEnded(const TargetId &target, const TargetCriteria &criteria,
-                         const AttemptEnded &ended, Duration elapsed, Instant now)
+targets::FoundWarmth TargetPool::onEnded(const TargetId &target, const TargetCriteria &criteria,
+                                         const AttemptEnded &ended, Duration elapsed, Instant now)
 {
     signals_.onResponse({ target, criteria.targetStart }, ended, now);
     State *state = findState(target);
     if (state == nullptr)
-        return;
+        return targets::FoundWarmth::Unknown;
     state->inFlight = std::max(0, state->inFlight - 1);
     const bool hasRun = ended.outcome != AttemptOutcome::ConnectFailed && !ended.saysNotRun;
     if (!hasRun && mayRunAnywhere(criteria))
@@ -576,7 +588,7 @@
             hooks_.log({ core::log::targetEjected,
                          { { "target", target.text() }, { "reason", "connection failed" } } });
         }
-        return;
+        return targets::FoundWarmth::Unknown;
     }
     learnRtt(*state, ended.connectTime);
     if (state->consecutiveConnectFailures > 0) {
@@ -586,7 +598,7 @@
     }
     if (ended.outcome == AttemptOutcome::Answered && ended.status == 421) {
         remove(target, "its address belongs to another target", now);
-        return;
+        return targets::FoundWarmth::Unknown;
     }
     const bool isAnswered = ended.outcome == AttemptOutcome::Answered;
     if (ended.isAuthentic || ended.limitPerSecond)
@@ -596,12 +608,30 @@
     const bool isError = isAnswered && !ended.saysNotRun;
     recordOutcome(*state, !isError || ended.status >= 500, isError ? 0.1 : 0.3, now);
     if (!isAnswered || ended.saysNotRun || ended.status >= 400)
-        return;
+        return targets::FoundWarmth::Unknown;
+    const targets::FoundWarmth found = foundWarmth(*state, criteria, ended, elapsed, now);
     learnServiceTime(*state, criteria, elapsed, now);
     if (elapsed <= Duration())
-        return;
+        return found;
     double &meanMs = meanTimesMs_.emplace(criteria.service, millis(elapsed)).first->second;
     meanMs += learningRate / 10 * (millis(elapsed) - meanMs);
+    return found;
+}
+
+targets::FoundWarmth TargetPool::foundWarmth(const State &state, const TargetCriteria &criteria,
+                                             const AttemptEnded &ended, Duration elapsed,
+                                             Instant now) const
+{
+    const auto usual = serviceTimesMs_.find(criteria.route);
+    if (criteria.object == 0 || elapsed <= Duration() || usual == serviceTimesMs_.end()
+        || isCold(state, now))
+        return targets::FoundWarmth::Unknown;
+    const double work = ended.load ? ended.load->workPercent.value_or(100) / 100.0 : 1;
+    const double coldMs = usual->second * slownessOf(state) * work;
+    if (millis(elapsed - transferTime(state, criteria)) < warmResponseFraction * coldMs)
+        return targets::FoundWarmth::Warm;
+    const bool mayHaveWaited = !ended.load || ended.load->waiting > 0;
+    return mayHaveWaited ? targets::FoundWarmth::Unknown : targets::FoundWarmth::Cold;
 }
 
 void TargetPool::onLimitsReported(const VmId &from, const std::vector<TargetLimitReport> &reported,
--- a/bluebellshift/gateway/targetpool.h
+++ b/bluebellshift/gateway/targetpool.h
@@ -34,6 +34,7 @@
 #include "bluebellshift/gateway/targetlimits.h"
 #include "bluebellshift/gateway/targets/coldsenders.h"
 #include "bluebellshift/gateway/targets/placement.h"
+#include "bluebellshift/gateway/targets/targetobservation.h"
 #include "bluebellshift/gateway/targets/targetsignals.h"
 
 namespace bluebellshift::gateway {
@@ -59,8 +60,9 @@
     Duration timeToFinish;          // expected time until the response, from now
     int ownInFlight = 0;
     int othersInFlight = 0;
-    int slots = 0;               // that the request may use
-    double warmth = 0;           // probability that the object is warm there, 0 to 1
+    int slots = 0;     // that the request may use
+    double warmth = 0; // probability that the object is warm there, 0 to 1
+    targets::ExpectedWarmth expectedWarmth = targets::ExpectedWarmth::NoObject;
     std::string exclusionCounts; // number of targets excluded, by reason
     // If all targets leave or are paused: when the first pause ends, or never().
     bool isUnavailable = false;
@@ -140,8 +142,8 @@
 
     void onSent(const TargetId &target, const TargetCriteria &criteria, Instant now);
     // `elapsed` is the time since the request was sent; zero excludes it from learning.
-    void onEnded(const TargetId &target, const TargetCriteria &criteria, const AttemptEnded &ended,
-                 Duration elapsed, Instant now);
+    targets::FoundWarmth onEnded(const TargetId &target, const TargetCriteria &criteria,
+                                 const AttemptEnded &ended, Duration elapsed, Instant now);
     void onCancelled(const TargetId &target, Instant now);
 
     // The limits that targets have named of late to this VM, and to another one, whose report is
@@ -155,6 +157,11 @@
     void onLeavingReported(const VmId &from, const std::vector<LeavingTarget> &reported,
                            Duration age, Instant now);
     const targets::TargetSignals &signals() const { return signals_; }
+    // The number of objects that a target of the service is taken to keep warm.
+    double warmObjectsPerTarget(const ServiceId &service) const
+    {
+        return placement_.warmObjectsPerTarget(service);
+    }
     const regions::ShareLimit &shareLimit() const { return shareLimit_; }
     void logRegionShares(Instant now)
     {
@@ -238,6 +245,8 @@
     // The probability that the requested object is warm at each candidate.
     std::vector<double> warmthAt(const TargetCriteria &criteria,
                                  const std::vector<const State *> &candidates, Instant now) const;
+    targets::ExpectedWarmth expectedWarmthAt(const State &state, const TargetCriteria &criteria,
+                                             double warmth, Instant now) const;
     std::optional<std::size_t> latestRegionOf(const TargetCriteria &criteria,
                                               const std::vector<const State *> &candidates,
                                               Instant now) const;
@@ -261,6 +270,9 @@
                                    Instant now) const;
     void recordOutcome(State &state, bool isFailed, double weight, Instant now);
     void learnRtt(const State &state, Duration connectTime);
+    targets::FoundWarmth foundWarmth(const State &state, const TargetCriteria &criteria,
+                                     const AttemptEnded &ended, Duration elapsed,
+                                     Instant now) const;
     void learnServiceTime(State &state, const TargetCriteria &criteria, Duration elapsed,
                           Instant now);
     State *findState(const TargetId &target);
--- a/bluebellshift/gateway/testing/reducertest.cpp
+++ b/bluebellshift/gateway/testing/reducertest.cpp
@@ -4,6 +4,7 @@
 #include "bluebellshift/gateway/testing/gatewaybench.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 #include <CppUTest/TestHarness.h>
@@ -525,3 +526,30 @@
     CHECK_EQUAL(1U, sent.size());
     CHECK(sent[0].request == RequestId(id));
 }
+
+// Guards against a belief about a target's load that nothing compares with the target's own report.
+TEST(Reducer, LogsTheExpectedLoadOfATargetBesideTheReportedOne)
+{
+    bench.begin(sampleConfig(), sampleTargets(2));
+    bench.request(1);
+    AttemptEnded ended;
+    ended.outcome = AttemptOutcome::Answered;
+    ended.status = 200;
+    ended.isAuthentic = true;
+    ended.load = LoadReport { 2, 3, 2, std::nullopt };
+    bench.finish(1, ended);
+    const std::map<std::string, std::string> expected = { { "expectedLoad", "0.00" },
+                                                          { "reportedLoad", "2.50" },
+                                                          { "expectedWarmth", "no-object" },
+                                                          { "foundWarmth", "unknown" } };
+    std::map<std::string, std::string> logged;
+    for (const core::LogRecord &record : bench.logs()) {
+        if (record.event.number != core::log::requestAnswered.number)
+            continue;
+        for (const core::LogField &field : record.fields) {
+            if (expected.count(field.name) > 0)
+                logged[field.name] = field.value;
+        }
+    }
+    CHECK(logged == expected);
+}
--- a/bluebellshift/gatewayd/gateway.cpp
+++ b/bluebellshift/gatewayd/gateway.cpp
@@ -435,6 +435,11 @@
     http_.closeIdle(forget.target.text());
 }
 
+void Gateway::perform(const gateway::ObserveTarget &observe)
+{
+    metrics_.observeTargetState(observe.observation);
+}
+
 void Gateway::perform(const gateway::CloseConnections &)
 {
     callerServer_.beginDrain();
--- a/bluebellshift/gatewayd/gateway.h
+++ b/bluebellshift/gatewayd/gateway.h
@@ -84,6 +84,7 @@
     void perform(const gateway::SetPeers &peers);
     void perform(const gateway::ForgetTarget &forget);
     void perform(const gateway::WriteLog &log) { writeLog(log.record); }
+    void perform(const gateway::ObserveTarget &observe);
     void perform(const gateway::CloseConnections &);
     void perform(const gateway::Exit &);
 
--- a/bluebellshift/gatewayd/metrics.cpp
+++ b/bluebellshift/gatewayd/metrics.cpp
@@ -15,6 +15,9 @@
 const prometheus::Histogram::BucketBoundaries latencyBuckets = { 0.005, 0.02, 0.05, 0.1, 0.2, 0.3,
                                                                  0.4,   0.6,  0.8,  1.2, 2,   4 };
 
+// In requests for each slot of a target. Most targets reject what would make it 4.
+const prometheus::Histogram::BucketBoundaries loadBuckets = { 0, 0.25, 0.5, 0.75, 1, 1.5, 2, 3, 4 };
+
 std::string fieldOf(const core::LogRecord &record, const std::string &name)
 {
     for (const core::LogField &field : record.fields) {
@@ -66,6 +69,17 @@
                         .Help("How late timers of the event loop were handled.")
                         .Register(registry)
                         .Add({}, latencyBuckets))
+        , placements(prometheus::BuildCounter()
+                         .Name("bluebellshift_target_warmth_total")
+                         .Help("Ended attempts, by the expected and the found state of the object.")
+                         .Register(registry))
+        , loads(prometheus::BuildHistogram()
+                    .Name("bluebellshift_target_load")
+                    .Help("Requests for each slot of a target, as expected and as reported.")
+                    .Register(registry))
+        , expectedLoad(loads.Add({ { "source", "expected" } }, loadBuckets))
+        , reportedLoad(loads.Add({ { "source", "reported" } }, loadBuckets))
+        , reportedQueue(loads.Add({ { "source", "reported-waiting" } }, loadBuckets))
     {
     }
 
@@ -83,6 +97,11 @@
     prometheus::Histogram &queue;
     prometheus::Histogram &target;
     prometheus::Histogram &loopDelay;
+    prometheus::Family<prometheus::Counter> &placements;
+    prometheus::Family<prometheus::Histogram> &loads;
+    prometheus::Histogram &expectedLoad;
+    prometheus::Histogram &reportedLoad;
+    prometheus::Histogram &reportedQueue;
     // Caches the counters by event number, as a look-up by labels costs more than the count.
     std::unordered_map<int, prometheus::Counter *> eventCounters;
 };
@@ -133,6 +152,19 @@
     families_->loopDelay.Observe(delay.toSeconds());
 }
 
+void Metrics::observeTargetState(const gateway::targets::TargetObservation &observation)
+{
+    families_->placements
+        .Add({ { "expected", toText(observation.expectedWarmth) },
+               { "found", toText(observation.foundWarmth) } })
+        .Increment();
+    families_->expectedLoad.Observe(observation.expectedLoad);
+    if (observation.reportedLoad)
+        families_->reportedLoad.Observe(*observation.reportedLoad);
+    if (observation.reportedQueue)
+        families_->reportedQueue.Observe(*observation.reportedQueue);
+}
+
 std::string Metrics::text(const MetricsReadings &readings)
 {
     Families &families = *families_;
--- a/bluebellshift/gatewayd/metrics.h
+++ b/bluebellshift/gatewayd/metrics.h
@@ -48,6 +48,8 @@
     void observeQueue(core::Duration queueTime);
     void observeTarget(core::Duration targetTime);
     void observeLoopDelay(core::Duration delay);
+    // What was expected of a target beside what its response shows.
+    void observeTargetState(const gateway::targets::TargetObservation &observation);
     std::string text(const MetricsReadings &readings);
 
 private:
