--- a/bluebellshift/gateway/testing/regionwalk.h
+++ b/bluebellshift/gateway/testing/regionwalk.h
@@ -18,7 +18,9 @@
 
 #include <fmt/format.h>
 
+#include "bluebellshift/gateway/hashing.h"
 #include "bluebellshift/gateway/testing/fleetwalk.h"
+#include "bluebellshift/gateway/testing/regionshape.h"
 
 namespace bluebellshift::gateway::testing {
 
@@ -27,32 +29,8 @@
 inline constexpr Duration bin = Duration::millis(100); // by which windows slide
 // Windows with fewer requests say little about shares.
 inline constexpr std::size_t minRequests = 100;
-inline constexpr int slots = 6;
-inline constexpr int maxQueue = 18;              // of a target, which rejects what is beyond it
 inline constexpr double maxRetryShare = 1.0 / 3; // of the time left, that a caller waits to return
 
-inline constexpr double warmTimeFactor = 0.3; // of the service time, with a warm object
-
-struct WalkRoute
-{
-    double share = 1; // of the slot time that is offered
-    Duration serviceTime = Duration::millis(1000);
-    Duration objective = Duration::millis(800);
-    Duration timeout = Duration::seconds(5);
-    int priority = 2;
-    int objects = 0; // that its requests name; 0: none
-};
-
-struct RegionShape
-{
-    std::size_t vmCount = 24;
-    std::vector<int> targets; // in each region
-    std::vector<WalkRoute> routes { WalkRoute() };
-    double load = 1; // offered slot time, as a share of all slots, evenly from all regions
-    std::uint64_t seed = 1;
-    std::size_t warmObjects = 12; // that a target keeps
-};
-
 class RegionWalk
 {
 public:
@@ -89,7 +67,7 @@
             fleet_.vm(i).putConfig(config);
         }
         for (const WalkRoute &route : shape.routes) {
-            perSecond_.push_back(shape.load * route.share * all * slots
+            perSecond_.push_back(shape.load * route.share * all * shape.slots
                                  / route.serviceTime.toSeconds()
                                  / static_cast<double>(shape.targets.size()));
         }
@@ -212,6 +190,9 @@
     {
         std::size_t vm = 0;
         std::uint64_t request = 0;
+        std::size_t route = 0;
+        int object = 0;
+        std::uint64_t number = 0; // of this attempt
     };
     struct SimulatedTarget
     {
@@ -221,8 +202,10 @@
         std::deque<Work> queue;
         std::deque<std::pair<std::size_t, int>> warm; // routes and objects, latest last
         bool isLost = false;
+        std::set<std::uint64_t> started; // attempts
+        std::set<std::uint64_t> cancelled;
     };
-    enum class Step { Arrives, Ends, Responds, Returns };
+    enum class Step { Arrives, Ends, Responds, Returns, Cancelled };
     struct Due
     {
         Step step = Step::Arrives;
@@ -246,7 +229,7 @@
         target.failureDomain = FailureDomainId(fmt::format(
             "domain-{}",
             region * domainsPerRegion + static_cast<std::size_t>(number) % domainsPerRegion));
-        target.slots = slots;
+        target.slots = shape_.slots;
         targets_[target.id] = std::move(simulated);
     }
 
@@ -314,12 +297,31 @@
     void takeEffects(std::size_t vm)
     {
         for (const SendAttempt &sent : fleet_.vm(vm).takeSent())
-            schedule(delay(vm, targets_.at(sent.target)),
-                     { Step::Arrives, { vm, sent.request.number() }, sent.target, false, {} });
+            onSent(vm, sent);
+        for (const RequestId cancelled : fleet_.vm(vm).takeCancelled())
+            onCancelled(vm, cancelled);
         for (const Ended &ended : fleet_.vm(vm).takeEnded())
             onEnded(ended);
     }
 
+    void onSent(std::size_t vm, const SendAttempt &sent)
+    {
+        const Caller &caller = callers_.at(sent.request.number());
+        const Work work { vm, sent.request.number(), caller.route, caller.object, ++lastAttempt_ };
+        sent_[work.request] = { sent.target, work };
+        schedule(delay(vm, targets_.at(sent.target)),
+                 { Step::Arrives, work, sent.target, false, {} });
+    }
+
+    void onCancelled(std::size_t vm, RequestId request)
+    {
+        const auto found = sent_.find(request.number());
+        if (!shape_.dropsCancelled || found == sent_.end())
+            return;
+        const auto &[target, work] = found->second;
+        schedule(delay(vm, targets_.at(target)), { Step::Cancelled, work, target, false, {} });
+    }
+
     void onEnded(const Ended &ended)
     {
         const std::uint64_t id = ended.request.number();
@@ -333,11 +335,13 @@
         }
         if (!returns) {
             callers_.erase(id);
+            sent_.erase(id);
             return;
         }
         Caller returning = caller;
         returning.hasReturned = true;
         callers_.erase(id);
+        sent_.erase(id);
         callers_[++lastRequest_] = returning;
         schedule(ended.retryAfter,
                  { Step::Returns, { returning.vm, lastRequest_ }, {}, false, {} });
@@ -363,6 +367,9 @@
             case Step::Returns:
                 request(due.work.request);
                 break;
+            case Step::Cancelled:
+                drop(targets_.at(due.target), due.work);
+                break;
             }
         }
     }
@@ -375,12 +382,13 @@
             schedule(delay(work.vm, target), std::move(due));
             return;
         }
-        if (target.running == slots && target.queue.size() == maxQueue) {
+        if (target.running == shape_.slots
+            && target.queue.size() == static_cast<std::size_t>(shape_.maxQueue)) {
             answer(target, work, true);
             return;
         }
         count(regionOfVm(work.vm), target.region);
-        if (target.running < slots)
+        if (target.running < shape_.slots)
             start(target, work);
         else
             target.queue.push_back(work);
@@ -389,21 +397,54 @@
     void start(SimulatedTarget &target, const Work &work)
     {
         ++target.running;
+        target.started.insert(work.number);
         std::uniform_real_distribution<double> spread(0.6, 1.4);
-        const double micros = serviceMicros(target, work) * spread(random_);
+        const double micros =
+            serviceMicros(target, work) * spread(random_) * machineFactor(target) * longFactor();
         schedule(Duration::micros(static_cast<std::int64_t>(micros)),
                  { Step::Ends, work, target.target.id, false, {} });
     }
 
+    // Takes back a request whose connection was closed.
+    void drop(SimulatedTarget &target, const Work &work)
+    {
+        if (target.started.count(work.number) > 0) {
+            target.cancelled.insert(work.number);
+            endWork(target, work);
+            return;
+        }
+        const auto waiting =
+            std::find_if(target.queue.begin(), target.queue.end(),
+                         [&](const Work &one) { return one.number == work.number; });
+        if (waiting != target.queue.end())
+            target.queue.erase(waiting);
+    }
+
+    double longFactor()
+    {
+        if (shape_.longShare <= 0)
+            return 1;
+        std::bernoulli_distribution isLong(shape_.longShare);
+        return isLong(random_) ? shape_.longFactor : 1;
+    }
+
+    double machineFactor(const SimulatedTarget &target)
+    {
+        if (shape_.busyShare <= 0)
+            return 1;
+        const auto period =
+            static_cast<std::uint64_t>(now().toMicros() / shape_.busyTime.toMicros());
+        const std::uint64_t hash =
+            mixHashes(hashText(target.target.id.text()), period + shape_.seed);
+        return toFraction(hash) < shape_.busyShare ? shape_.busyFactor : 1;
+    }
+
     double serviceMicros(SimulatedTarget &target, const Work &work)
     {
-        const auto found = callers_.find(work.request);
-        const std::size_t route = found == callers_.end() ? 0 : found->second.route;
-        const int object = found == callers_.end() ? 0 : found->second.object;
-        const auto micros = static_cast<double>(shape_.routes[route].serviceTime.toMicros());
-        if (object == 0)
+        const auto micros = static_cast<double>(shape_.routes[work.route].serviceTime.toMicros());
+        if (work.object == 0)
             return micros;
-        const std::pair<std::size_t, int> key { route, object };
+        const std::pair<std::size_t, int> key { work.route, work.object };
         const auto known = std::find(target.warm.begin(), target.warm.end(), key);
         const bool isWarm = known != target.warm.end();
         if (isWarm)
@@ -422,20 +463,31 @@
             schedule(delay(work.vm, target), std::move(due));
             return;
         }
-        --target.running;
+        if (target.cancelled.erase(work.number) > 0)
+            return;
         ++served_;
+        endWork(target, work);
+        answer(target, work, false);
+    }
+
+    // Frees the slot and begins the next request.
+    void endWork(SimulatedTarget &target, const Work &work)
+    {
+        --target.running;
+        target.started.erase(work.number);
         if (!target.queue.empty()) {
             const Work next = target.queue.front();
             target.queue.pop_front();
             start(target, next);
         }
-        answer(target, work, false);
     }
 
     void answer(const SimulatedTarget &target, const Work &work, bool isRejected)
     {
-        const LoadReport load { target.running, static_cast<int>(target.queue.size()), slots,
-                                std::nullopt };
+        LoadReport load { target.running, static_cast<int>(target.queue.size()), shape_.slots,
+                          std::nullopt };
+        if (shape_.busyShare > 0)
+            load.workPercent = static_cast<int>(100 * machineFactor(target));
         schedule(delay(work.vm, target),
                  { Step::Responds, work, target.target.id, isRejected, load });
     }
@@ -509,6 +561,8 @@
     std::vector<std::vector<std::vector<std::size_t>>> ran_;
     Instant startedAt_;
     std::uint64_t lastRequest_ = 0;
+    std::uint64_t lastAttempt_ = 0;
+    std::map<std::uint64_t, std::pair<TargetId, Work>> sent_; // the latest attempt of each request
     std::size_t offered_ = 0;
     std::size_t served_ = 0;
 };
