--- a/bluebellshift/core/logevent.h
+++ b/bluebellshift/core/logevent.h
@@ -77,6 +77,7 @@
 inline constexpr LogEvent targetPaused { 517, LogLevel::Warning, "target-paused" };
 inline constexpr LogEvent callerLimited { 518, LogLevel::Warning, "caller-limited" };
 inline constexpr LogEvent regionShares { 519, LogLevel::Info, "region-shares" };
+inline constexpr LogEvent regionPlanned { 521, LogLevel::Info, "region-planned" };
 inline constexpr LogEvent faultNoticed { 520, LogLevel::Info, "fault-noticed" };
 // 6xx: steering
 inline constexpr LogEvent snapshotPublished { 601, LogLevel::Info, "snapshot-published" };
--- a/bluebellshift/core/vmreport.h
+++ b/bluebellshift/core/vmreport.h
@@ -79,9 +79,10 @@
     // Requests that may run in any region, sent within the latest window of ShareLimit to each
     // region, in the order of their names.
     std::vector<std::uint32_t> regionRequests;
-    std::uint32_t failedRequests = 0; // that ended without a response within that window
-    bool hasNoticedFault = false;     // of a target, a VM or the store, of late
-    std::uint32_t faultAgeMillis = 0; // since its latest sign
+    std::uint32_t failedRequests = 0;  // that ended without a response within that window
+    bool hasNoticedFault = false;      // of a target, a VM or the store, of late
+    std::uint32_t faultAgeMillis = 0;  // since its latest sign
+    std::uint32_t arrivedRequests = 0; // that it admitted within the latest window of ShareLimit
 };
 
 // A report that another VM passes on.
--- a/bluebellshift/gateway/dispatcher.cpp
+++ b/bluebellshift/gateway/dispatcher.cpp
@@ -173,6 +173,7 @@
     pending.deadline = std::min(pending.callerDeadline, pending.arrivedAt + pending.route->timeout);
     if (!admitTeam(pending, now))
         return false;
+    pool_.onArrived(now);
     pending.service = split_.next(*pending.route);
     retryBudgets_.try_emplace(pending.service, options_.bounds, startedAt_)
         .first->second.recordRequest(now);
@@ -226,6 +227,7 @@
     criteria.reservedShare = pending.reservedShare;
     criteria.foundFreeSlot = pending.foundFreeSlot;
     criteria.targetStart = pending.targetStart;
+    criteria.plannedRegion = pending.plannedRegion;
     return criteria;
 }
 
@@ -233,6 +235,10 @@
 {
     const TargetSelection selection =
         pool_.select(criteriaFor(pending), mixHashes(random, pending.sequence), now);
+    if (!pending.plannedRegion && selection.plannedRegion) {
+        pending.plannedRegion = selection.plannedRegion;
+        pool_.onPlanned(pending.service, *pending.plannedRegion, now);
+    }
     const Duration waited = now - pending.arrivedAt;
     // What waits at a target delays the more urgent requests that come after it.
     const bool mayQueueAtTarget = pending.reservedShare <= 0;
--- a/bluebellshift/gateway/dispatcher.h
+++ b/bluebellshift/gateway/dispatcher.h
@@ -15,6 +15,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -115,8 +116,9 @@
         std::int64_t targetStart = 0; // Unix milliseconds
         int attempts = 0;             // number of targets it was sent to
         int connectFailures = 0;
-        bool foundFreeSlot = false;             // at its last target, when it was sent
-        targets::TargetObservation observation; // of its last target
+        std::optional<std::size_t> plannedRegion; // by the first selection that named one
+        bool foundFreeSlot = false;               // at its last target, when it was sent
+        targets::TargetObservation observation;   // of its last target
         std::vector<TargetId> tried;
         bool mayHaveRun = false; // an attempt ended in an unknown state
         bool hasAnswer = false;  // the last attempt returned one that may be forwarded
--- a/bluebellshift/gateway/fleet.cpp
+++ b/bluebellshift/gateway/fleet.cpp
@@ -259,6 +259,16 @@
     return requests;
 }
 
+std::map<RegionId, double> Fleet::requestsByRegion(Instant now) const
+{
+    std::map<RegionId, double> requests;
+    for (const auto &[id, peer] : entries_) {
+        if (isLive(peer, now))
+            requests[peer.entry.region] += peer.report.arrivedRequests;
+    }
+    return requests;
+}
+
 double Fleet::failedRequests(Instant now) const
 {
     double failed = 0;
@@ -269,12 +279,13 @@
     return failed;
 }
 
-double Fleet::regionShare() const
+std::map<RegionId, double> Fleet::regionShares() const
 {
-    const auto others = std::count_if(entries_.begin(), entries_.end(), [&](const auto &entry) {
-        return entry.second.entry.region == options_.vm.region;
-    });
-    return static_cast<double>(others + 1) / static_cast<double>(vmCount());
+    const double one = 1.0 / static_cast<double>(vmCount());
+    std::map<RegionId, double> shares { { options_.vm.region, one } };
+    for (const auto &[id, peer] : entries_)
+        shares[peer.entry.region] += one;
+    return shares;
 }
 
 std::size_t Fleet::rankFor(std::uint64_t seed, Instant now) const
--- a/bluebellshift/gateway/fleet.h
+++ b/bluebellshift/gateway/fleet.h
@@ -86,12 +86,15 @@
     // Requests that the other live VMs of this VM's region sent to each region, according to their
     // latest reports.
     std::vector<double> regionRequests(Instant now) const;
+    // Requests that arrived at the other live VMs of each region, according to their latest
+    // reports.
+    std::map<RegionId, double> requestsByRegion(Instant now) const;
     // The requests of all other live VMs that ended without a response.
     double failedRequests(Instant now) const;
     // Number of live VMs in this VM's region, including itself.
     std::size_t liveVmsInRegion(Instant now) const;
-    // Share of all registered VMs that are in this VM's region.
-    double regionShare() const;
+    // Each region's share of all registered VMs.
+    std::map<RegionId, double> regionShares() const;
     // This VM's rank, from 0, among the live VMs by rendezvous hashing with the seed.
     std::size_t rankFor(std::uint64_t seed, Instant now) const;
     // The same among the VMs that may send to a cold target. A registered VM that is not live, or
--- a/bluebellshift/gateway/objectcount.cpp
+++ b/bluebellshift/gateway/objectcount.cpp
@@ -24,8 +24,7 @@
         return;
     seen_.insert(object);
     ++requests_;
-    const bool canEstimate = estimate_ <= 1 || requests_ >= minRequests;
-    if (canEstimate && requests_ % std::max<std::size_t>(1, requests_ / 8) == 0)
+    if (requests_ >= minRequests && requests_ % std::max<std::size_t>(1, requests_ / 8) == 0)
         estimate_ = estimateObjects(requests_, seen_.size());
 }
 
--- a/bluebellshift/gateway/objectcount.h
+++ b/bluebellshift/gateway/objectcount.h
@@ -23,7 +23,7 @@
     // How long requests are counted. Meanwhile the previous generation's estimate applies.
     static constexpr core::Duration generation = core::Duration::seconds(10);
     static constexpr std::size_t maxObjects = 4096; // counted in one generation
-    static constexpr std::size_t minRequests = 40;  // until a generation replaces the estimate
+    static constexpr std::size_t minRequests = 40;  // until a generation has an estimate
 
     void record(std::uint64_t object, core::Instant now);
     double estimate() const { return estimate_; }
--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -192,8 +192,9 @@
                   return fleet_.senderRank(target, region, now);
               },
               [this](Instant now) { return fleet_.liveVmsInRegion(now); },
-              [this] { return fleet_.regionShare(); },
+              [this] { return fleet_.regionShares(); },
               [this](Instant now) { return fleet_.regionRequests(now); },
+              [this](Instant now) { return fleet_.requestsByRegion(now); },
               [this](core::LogRecord record) { log(std::move(record)); } })
     , limits_(options_, fleet_,
               { [this](const SendSpending &spending) { exchange_.sendSpending(spending); },
@@ -655,6 +656,7 @@
         report.hasNoticedFault = true;
         report.faultAgeMillis = static_cast<std::uint32_t>(age->toMillis());
     }
+    report.arrivedRequests = pool_.arrivedRequests(now_);
     return report;
 }
 
--- a/bluebellshift/gateway/targetpool.cpp
+++ b/bluebellshift/gateway/targetpool.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <tuple>
 
 #include <fmt/format.h>
 
@@ -54,7 +55,7 @@
     , shareLimit_(options,
                   { hooks_.regionRequests, [this](Instant now) { return faults_.isNear(now); },
                     [this](Instant now) { return slotsByRegion(now); }, hooks_.vmsInRegion,
-                    hooks_.regionShare })
+                    [this] { return ownRegionShare(); } })
     , limits_(options.vm.id, { hooks_.senderRank, hooks_.log })
     , signals_(hooks_.log)
 {
@@ -166,9 +167,17 @@
     TargetSelection best;
     ExclusionCounts counts {};
     const std::vector<const State *> candidates = candidatesFor(criteria, &counts, now);
-    const std::vector<double> warmth = warmthAt(criteria, candidates, now);
+    int bestRank = 0;
     double bestScore = 0;
     const Congestion &congestion = congestionOf(criteria.service, now);
+    std::vector<Exclusion> exclusions;
+    exclusions.reserve(candidates.size());
+    for (const State *state : candidates)
+        exclusions.push_back(currentExclusion(*state, criteria, now));
+    const std::vector<targets::PlacedTarget> placed =
+        placedTargets(criteria, candidates, exclusions, congestion, now);
+    const std::optional<std::size_t> homeRegion =
+        homeRegionFor(criteria, placed, exclusions, congestion);
     std::map<RegionId, double> penaltiesMs;
     for (const auto &[domain, region] : options_.regionOf)
         penaltiesMs.emplace(region, 0);
@@ -176,14 +185,18 @@
         penaltyMs = flow_.penaltyMs(region, now);
     const regions::ShareLimit::Open openRegions =
         mayRunAnywhere(criteria) ? shareLimit_.openRegions(now) : regions::ShareLimit::Open();
-    // A request that follows the earlier ones for its object shifts nothing.
-    const std::optional<std::size_t> latestRegion = latestRegionOf(criteria, candidates, now);
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const State &state = *candidates[i];
-        const bool isOpen =
-            shareLimit_.isOpen(openRegions, state.regionIndex) || state.regionIndex == latestRegion;
-        const Exclusion exclusion =
-            isOpen ? currentExclusion(state, criteria, now) : Exclusion::Shift;
+        const double warmth = placed.empty() ? 0 : placed[i].warmth;
+        const bool isHome = !placed.empty() && placed[i].isHome;
+        const bool isPreferred = isHome && state.regionIndex == homeRegion;
+        // The shares of preferred targets change with the plan only, which limits the change.
+        const bool isOpen = isPreferred
+            || (isHome && homeRegion ? congestion.plan.mayTakeOver(state.regionIndex, now)
+                                     : shareLimit_.isOpen(openRegions, state.regionIndex));
+        Exclusion exclusion = isOpen ? exclusions[i] : Exclusion::Shift;
+        if (exclusion == Exclusion::None && homeRegion && !isHome)
+            exclusion = Exclusion::NotHome;
         ++counts[static_cast<std::size_t>(exclusion)];
         if (exclusion == Exclusion::Paused) {
             const Instant end = *signals_.pauseEnd(startOf(state.target), now);
@@ -193,39 +206,48 @@
         if (exclusion != Exclusion::None)
             continue;
         const int others = othersAt(state, congestion, now);
-        const double serviceTimeMs = serviceTimeMsAt(state, criteria, warmth[i], now);
+        const double serviceTimeMs = serviceTimeMsAt(state, criteria, warmth, now);
         const Duration timeToFinish = timeToFinishAt(state, criteria, others, serviceTimeMs, now);
         double score = millis(timeToFinish) + congestion.level * serviceTimeMs
             + failureRateOf(state, now) * millis(failureCost);
-        score += penaltiesMs[state.region];
+        if (!isPreferred)
+            score += penaltiesMs[state.region];
         if (state.target.failureDomain != options_.vm.failureDomain)
             score +=
                 crossDomainMillisPerKilobyte * (1 + static_cast<double>(criteria.bodyBytes) / 1000);
         // Breaks ties at random. Otherwise all VMs would select the same one of equal targets.
         score += 4 * toFraction(mixHashes(state.hash, random));
-        if (best.target != nullptr && score >= bestScore)
+        const int slots =
+            admission::UrgentRoom::slotsFor(state.target.slots, criteria.reservedShare);
+        // A home in another region is used only if those in the planned one have no free slot.
+        const bool hasSlot = state.inFlight + others < slots;
+        const int rank = !homeRegion ? 0 : (hasSlot ? 0 : 2) + (isPreferred ? 0 : 1);
+        if (best.target != nullptr && std::tie(rank, score) >= std::tie(bestRank, bestScore))
             continue;
+        bestRank = rank;
         bestScore = score;
         best.target = &state.target;
         best.timeToFinish = timeToFinish;
         best.ownInFlight = state.inFlight;
         best.othersInFlight = others;
-        best.slots = admission::UrgentRoom::slotsFor(state.target.slots, criteria.reservedShare);
-        best.warmth = warmth[i];
-        best.expectedWarmth = expectedWarmthAt(state, criteria, warmth[i], now);
+        best.slots = slots;
+        best.warmth = warmth;
+        best.expectedWarmth = expectedWarmthAt(state, criteria, isHome, now);
     }
+    best.plannedRegion = homeRegion;
     best.exclusionCounts =
         fmt::format("draining:{},evacuated:{},region:{},tried:{},avoided:{},cold:{},limited:{},"
-                    "leaving:{},paused:{},shift:{}",
+                    "leaving:{},paused:{},shift:{},notHome:{}",
                     counts[1], counts[2], counts[3], counts[4], counts[5], counts[6], counts[7],
-                    counts[8], counts[9], counts[10]);
+                    counts[8], counts[9], counts[10], counts[11]);
     const int signalled = counts[static_cast<std::size_t>(Exclusion::Leaving)]
         + counts[static_cast<std::size_t>(Exclusion::Paused)];
     const int temporary = counts[static_cast<std::size_t>(Exclusion::Tried)]
         + counts[static_cast<std::size_t>(Exclusion::Ejected)]
         + counts[static_cast<std::size_t>(Exclusion::Cold)]
         + counts[static_cast<std::size_t>(Exclusion::Limited)]
-        + counts[static_cast<std::size_t>(Exclusion::Shift)];
+        + counts[static_cast<std::size_t>(Exclusion::Shift)]
+        + counts[static_cast<std::size_t>(Exclusion::NotHome)];
     best.isUnavailable = best.target == nullptr && signalled > 0 && temporary == 0;
     return best;
 }
@@ -250,55 +272,66 @@
     return candidates;
 }
 
-std::vector<double> TargetPool::warmthAt(const TargetCriteria &criteria,
-                                         const std::vector<const State *> &candidates,
-                                         Instant now) const
+std::vector<targets::PlacedTarget> TargetPool::placedTargets(
+    const TargetCriteria &criteria, const std::vector<const State *> &candidates,
+    const std::vector<Exclusion> &exclusions, const Congestion &congestion, Instant now) const
 {
-    std::vector<double> warmth(candidates.size(), 0);
-    if (criteria.object == 0)
-        return warmth;
     std::vector<targets::PlacedTarget> placed;
+    if (criteria.object == 0)
+        return placed;
     placed.reserve(candidates.size());
-    for (const State *state : candidates) {
-        placed.push_back({ mixHashes(state->hash, criteria.object),
-                           state->region == options_.vm.region,
-                           wasSentRecently(*state, criteria.object, now) });
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const State &state = *candidates[i];
+        targets::PlacedTarget target;
+        target.hash = mixHashes(state.hash, criteria.object);
+        target.region = state.regionIndex;
+        target.slots = state.target.slots;
+        target.isUsable = canBeHome(state, exclusions[i], now);
+        placed.push_back(target);
     }
-    placement_.estimateWarmth(criteria.service, placed);
-    for (std::size_t i = 0; i < placed.size(); ++i)
-        warmth[i] = placed[i].warmth;
-    return warmth;
+    placement_.place(criteria.service,
+                     { criteria.object,
+                       demandByRegion(now)[shareLimit_.indexOf(options_.vm.region)],
+                       congestion.plan.homeShares(), congestion.utilization },
+                     placed);
+    return placed;
+}
+
+// A target that was tried keeps its objects; a retry needs no substitute for it. One that fails, or
+// takes longer than others with a cold object, needs one.
+bool TargetPool::canBeHome(const State &state, Exclusion exclusion, Instant now) const
+{
+    return (exclusion == Exclusion::None || exclusion == Exclusion::Tried)
+        && failureRateOf(state, now) < maxHomeFailureRate
+        && slownessOf(state) * warmServiceTimeFactor < 1;
+}
+
+// The region whose homes the request is to use, if any of them may take it.
+std::optional<std::size_t> TargetPool::homeRegionFor(
+    const TargetCriteria &criteria, const std::vector<targets::PlacedTarget> &placed,
+    const std::vector<Exclusion> &exclusions, const Congestion &congestion) const
+{
+    std::vector<bool> isUsable(congestion.plan.shares().size(), false);
+    for (std::size_t i = 0; i < placed.size(); ++i) {
+        if (placed[i].isHome && exclusions[i] == Exclusion::None
+            && placed[i].region < isUsable.size())
+            isUsable[placed[i].region] = true;
+    }
+    if (criteria.plannedRegion && *criteria.plannedRegion < isUsable.size()
+        && isUsable[*criteria.plannedRegion])
+        return criteria.plannedRegion;
+    return congestion.plan.next([&](std::size_t region) { return isUsable[region]; });
 }
 
 targets::ExpectedWarmth TargetPool::expectedWarmthAt(const State &state,
-                                                     const TargetCriteria &criteria, double warmth,
+                                                     const TargetCriteria &criteria, bool isHome,
                                                      Instant now) const
 {
     if (criteria.object == 0)
         return targets::ExpectedWarmth::NoObject;
     if (wasSentRecently(state, criteria.object, now))
         return targets::ExpectedWarmth::SentRecently;
-    return warmth > 0 ? targets::ExpectedWarmth::Preferred : targets::ExpectedWarmth::Cold;
-}
-
-// The region to which this VM sent the object latest, if that was recently.
-std::optional<std::size_t> TargetPool::latestRegionOf(const TargetCriteria &criteria,
-                                                      const std::vector<const State *> &candidates,
-                                                      Instant now) const
-{
-    std::optional<std::size_t> region;
-    if (criteria.object == 0)
-        return region;
-    Instant latest = now - recentObjectAge;
-    for (const State *state : candidates) {
-        for (const auto &[object, at] : state->objects) {
-            if (object != criteria.object || at <= latest)
-                continue;
-            latest = at;
-            region = state->regionIndex;
-        }
-    }
-    return region;
+    return isHome ? targets::ExpectedWarmth::Preferred : targets::ExpectedWarmth::Cold;
 }
 
 TargetPool::Exclusion
@@ -398,7 +431,8 @@
 // free, and the load expected from other VMs.
 const TargetPool::Congestion &TargetPool::congestionOf(const ServiceId &service, Instant now) const
 {
-    Congestion &congestion = congestion_[service];
+    Congestion &congestion =
+        congestion_.try_emplace(service, hashText(options_.vm.id.text())).first->second;
     const auto targets = byService_.find(service);
     if (now - congestion.at < congestionInterval || targets == byService_.end())
         return congestion;
@@ -413,13 +447,92 @@
         slots += usable;
         used += std::min<double>(usable, state->inFlight + othersAt(*state, congestion, now));
     }
-    const double utilization = slots > 0 ? used / slots : 0;
-    congestion.level = std::clamp((utilization - minCongestedUtilization)
+    congestion.utilization = slots > 0 ? used / slots : 0;
+    const auto reported = utilizations_.find(service);
+    if (reported != utilizations_.end())
+        congestion.utilization = reported->second.estimate(now).value_or(congestion.utilization);
+    updatePlan(service, targets->second, congestion, now);
+    congestion.level = std::clamp((congestion.utilization - minCongestedUtilization)
                                       / (fullCongestedUtilization - minCongestedUtilization),
                                   0.0, 1.0);
     return congestion;
 }
 
+void TargetPool::updatePlan(const ServiceId &service, const std::vector<State *> &targets,
+                            Congestion &congestion, Instant now) const
+{
+    const std::vector<RegionId> &regions = shareLimit_.regions();
+    regions::RegionValues slots(regions.size(), 0);
+    for (const State *state : targets) {
+        if (state->regionIndex < slots.size() && !state->target.isDraining
+            && evacuated_.count(state->target.failureDomain) == 0)
+            slots[state->regionIndex] += state->target.slots;
+    }
+    const regions::RegionValues &demand = demandByRegion(now);
+    const std::size_t own = shareLimit_.indexOf(options_.vm.region);
+    std::vector<std::optional<double>> loads(regions.size());
+    if (const auto known = regionLoads_.find(service); known != regionLoads_.end()) {
+        for (std::size_t i = 0; i < loads.size(); ++i)
+            loads[i] = known->second[i].load(now);
+    }
+    congestion.plan.update(regions::RegionPlan::sharesFor(slots, demand, own), slots, loads,
+                           faults_.isNear(now), now);
+    logPlan(service, slots, demand, congestion, now);
+}
+
+// Each region's share of all requests.
+const regions::RegionValues &TargetPool::demandByRegion(Instant now) const
+{
+    if (demandAt_ != Instant::never() && now - demandAt_ < demandInterval)
+        return demand_.shares();
+    demandAt_ = now;
+    const std::vector<RegionId> &regions = shareLimit_.regions();
+    const auto valuesOf = [&](const std::map<RegionId, double> &byRegion) {
+        regions::RegionValues values(regions.size(), 0);
+        for (std::size_t i = 0; i < regions.size(); ++i) {
+            if (const auto value = byRegion.find(regions[i]); value != byRegion.end())
+                values[i] = value->second;
+        }
+        return values;
+    };
+    regions::RegionValues arrived = valuesOf(hooks_.requestsByRegion(now));
+    arrived[shareLimit_.indexOf(options_.vm.region)] += demand_.arrivedRequests(now);
+    demand_.update(valuesOf(hooks_.regionShares()), arrived, now);
+    return demand_.shares();
+}
+
+void TargetPool::logPlan(const ServiceId &service, const regions::RegionValues &slots,
+                         const regions::RegionValues &demand, Congestion &congestion,
+                         Instant now) const
+{
+    const auto text = [this](const regions::RegionValues &values) {
+        std::string list;
+        for (std::size_t i = 0; i < values.size(); ++i)
+            list += fmt::format("{}{}:{:.2f}", i == 0 ? "" : ",", shareLimit_.regions()[i].text(),
+                                values[i]);
+        return list;
+    };
+    const bool isDue = congestion.planLoggedAt == Instant::never()
+        || now - congestion.planLoggedAt >= planLogInterval;
+    const std::string shares = text(congestion.plan.shares());
+    if (!isDue || shares == congestion.loggedShares)
+        return;
+    congestion.planLoggedAt = now;
+    congestion.loggedShares = shares;
+    hooks_.log({ core::log::regionPlanned,
+                 { { "service", service.text() },
+                   { "shares", shares },
+                   { "slots", text(slots) },
+                   { "demand", text(demand) } } });
+}
+
+double TargetPool::ownRegionShare() const
+{
+    const std::map<RegionId, double> shares = hooks_.regionShares();
+    const auto own = shares.find(options_.vm.region);
+    return own == shares.end() ? 0 : own->second;
+}
+
 void TargetPool::updateExpectedOthers(const std::vector<State *> &targets, Congestion &congestion,
                                       Instant now) const
 {
@@ -473,7 +586,7 @@
 {
     const std::vector<RegionId> &regions = shareLimit_.regions();
     const regions::RegionValues shares = regions::ShareLimit::expectedShares(
-        slotsByRegion(now), shareLimit_.indexOf(options_.vm.region), hooks_.regionShare());
+        slotsByRegion(now), shareLimit_.indexOf(options_.vm.region), ownRegionShare());
     std::map<RegionId, double> expected;
     for (std::size_t i = 0; i < regions.size(); ++i)
         expected[regions[i]] = shares[i];
@@ -539,6 +652,11 @@
     return transferTime(state, criteria) + fromMillis(waitMs + crowdingMs + serviceTimeMs);
 }
 
+void TargetPool::onPlanned(const ServiceId &service, std::size_t region, Instant now)
+{
+    congestionOf(service, now).plan.onPlanned(region, now);
+}
+
 void TargetPool::onSent(const TargetId &target, const TargetCriteria &criteria, Instant now)
 {
     State *state = findState(target);
@@ -556,6 +674,9 @@
         state->coldUse.sentAt = now;
     if (criteria.object == 0)
         return;
+    if (criteria.plannedRegion && *criteria.plannedRegion != state->regionIndex)
+        congestionOf(criteria.service, now)
+            .plan.onMoved(*criteria.plannedRegion, state->regionIndex);
     placement_.recordRequest(criteria.service, criteria.object, now);
 }
 
@@ -576,6 +697,11 @@
         || (ended.outcome != AttemptOutcome::Answered && ended.outcome != AttemptOutcome::TimedOut))
         faults_.onFailure(now);
     if (ended.load) {
+        utilizations_[state->target.service].onReport(*ended.load, now);
+        auto &loads = regionLoads_[state->target.service];
+        loads.resize(shareLimit_.regions().size());
+        if (state->regionIndex < loads.size())
+            loads[state->regionIndex].onReport(*ended.load, now);
         state->reportedOthersInFlight =
             std::max(0, ended.load->running + ended.load->waiting - state->inFlight);
         state->reportedAt = now;
--- a/bluebellshift/gateway/targetpool.h
+++ b/bluebellshift/gateway/targetpool.h
@@ -28,7 +28,9 @@
 #include "bluebellshift/gateway/event.h"
 #include "bluebellshift/gateway/options.h"
 #include "bluebellshift/gateway/regionflow.h"
+#include "bluebellshift/gateway/regions/demandestimate.h"
 #include "bluebellshift/gateway/regions/faultwatch.h"
+#include "bluebellshift/gateway/regions/regionplan.h"
 #include "bluebellshift/gateway/regions/sharelimit.h"
 #include "bluebellshift/gateway/registry.h"
 #include "bluebellshift/gateway/targetlimits.h"
@@ -36,6 +38,7 @@
 #include "bluebellshift/gateway/targets/placement.h"
 #include "bluebellshift/gateway/targets/targetobservation.h"
 #include "bluebellshift/gateway/targets/targetsignals.h"
+#include "bluebellshift/gateway/targets/utilization.h"
 
 namespace bluebellshift::gateway {
 
@@ -52,6 +55,8 @@
     double reservedShare = 0;     // of each target's slots, left to more urgent requests
     bool foundFreeSlot = false;   // when it was sent: its duration contains no queueing
     std::int64_t targetStart = 0; // start time, in Unix milliseconds, of the target it was sent to
+    // Index of the region that an earlier selection planned for it.
+    std::optional<std::size_t> plannedRegion;
 };
 
 struct TargetSelection
@@ -63,7 +68,8 @@
     int slots = 0;     // that the request may use
     double warmth = 0; // probability that the object is warm there, 0 to 1
     targets::ExpectedWarmth expectedWarmth = targets::ExpectedWarmth::NoObject;
-    std::string exclusionCounts; // number of targets excluded, by reason
+    std::string exclusionCounts;              // number of targets excluded, by reason
+    std::optional<std::size_t> plannedRegion; // whose homes of the object the request is to use
     // If all targets leave or are paused: when the first pause ends, or never().
     bool isUnavailable = false;
     Instant availableAt = Instant::never();
@@ -80,18 +86,22 @@
     std::function<SenderRank(TargetHash target, const RegionId &region, Instant now)> senderRank;
     // Number of live VMs in this VM's region, including itself.
     std::function<std::size_t(Instant now)> vmsInRegion;
-    // This region's share of all registered VMs, taken as its share of all requests.
-    std::function<double()> regionShare;
+    // Each region's share of all registered VMs.
+    std::function<std::map<RegionId, double>()> regionShares;
     // Requests that the other VMs of this VM's region reported that they sent to each region.
     std::function<std::vector<double>(Instant now)> regionRequests;
+    // Requests that arrived at the other VMs of each region, according to their latest reports.
+    std::function<std::map<RegionId, double>(Instant now)> requestsByRegion;
     std::function<void(core::LogRecord)> log;
 };
 
 class TargetPool
 {
 public:
-    static constexpr double coldServiceTimeFactor = 2;   // cold target against a warm one
-    static constexpr double ownObjectShare = 0.6;        // that this VM remembers sending
+    static constexpr double coldServiceTimeFactor = 2; // cold target against a warm one
+    static constexpr double ownObjectShare = 0.6;      // that this VM remembers sending
+    // A home of an object that fails more often gets a substitute.
+    static constexpr double maxHomeFailureRate = 0.5;
     static constexpr double warmServiceTimeFactor = 0.3; // against a cold object
     static constexpr Duration recentObjectAge = Duration::seconds(15);
     static constexpr Duration initialServiceTime = Duration::millis(600); // until measured
@@ -111,6 +121,8 @@
     static constexpr double minCongestedUtilization = 0.5; // of all slots
     static constexpr double fullCongestedUtilization = 0.9;
     static constexpr Duration congestionInterval = Duration::millis(100);
+    static constexpr Duration demandInterval = Duration::millis(500);
+    static constexpr Duration planLogInterval = Duration::seconds(1);
     static constexpr double congestionSmoothing = 0.2; // weight of the newest sample
     // Round trip times until one has been measured by a connection.
     static constexpr Duration defaultRttInRegion = Duration::millis(8);
@@ -156,6 +168,11 @@
     std::vector<LeavingTarget> leavingReports(Instant now) const { return signals_.reports(now); }
     void onLeavingReported(const VmId &from, const std::vector<LeavingTarget> &reported,
                            Duration age, Instant now);
+    // Call once for each request with the first region that was planned for it.
+    void onPlanned(const ServiceId &service, std::size_t region, Instant now);
+    // Call for each request that is admitted.
+    void onArrived(Instant now) { demand_.onArrived(now); }
+    std::uint32_t arrivedRequests(Instant now) const { return demand_.arrivedRequests(now); }
     const targets::TargetSignals &signals() const { return signals_; }
     // The number of objects that a target of the service is taken to keep warm.
     double warmObjectsPerTarget(const ServiceId &service) const
@@ -200,8 +217,17 @@
     };
     struct Congestion
     {
+        explicit Congestion(std::uint64_t seed)
+            : plan(seed)
+        {
+        }
+
         Instant at = Instant::never();
-        double level = 0; // weight of the additional service time, 0 to 1
+        double utilization = 0;           // of the service's slots
+        double level = 0;                 // weight of the additional service time, 0 to 1
+        mutable regions::RegionPlan plan; // for the requests of this VM's region
+        Instant planLoggedAt = Instant::never();
+        std::string loggedShares;
         // Requests that the other VMs of this region have in flight at each target of a
         // region that names no limit, assuming that they behave like this VM. In a large fleet
         // their reports are too old to rely on alone.
@@ -219,9 +245,10 @@
         Limited,
         Leaving,
         Paused,
-        Shift
+        Shift,
+        NotHome // of the object, and one of its homes may take the request
     };
-    static constexpr std::size_t exclusionCount = 11;
+    static constexpr std::size_t exclusionCount = 12;
     using ExclusionCounts = std::array<int, exclusionCount>;
 
     // Why a target must not be used, and why it must not be used at this moment.
@@ -240,16 +267,27 @@
     }
     double slotsOf(const State &state) const;
     int othersAt(const State &state, const Congestion &congestion, Instant now) const;
+    double ownRegionShare() const;
+    void updatePlan(const ServiceId &service, const std::vector<State *> &targets,
+                    Congestion &congestion, Instant now) const;
+    const regions::RegionValues &demandByRegion(Instant now) const;
+    void logPlan(const ServiceId &service, const regions::RegionValues &slots,
+                 const regions::RegionValues &demand, Congestion &congestion, Instant now) const;
     std::vector<const State *> candidatesFor(const TargetCriteria &criteria,
                                              ExclusionCounts *counts, Instant now) const;
-    // The probability that the requested object is warm at each candidate.
-    std::vector<double> warmthAt(const TargetCriteria &criteria,
-                                 const std::vector<const State *> &candidates, Instant now) const;
+    // Where the requested object is kept warm; empty if the request names none.
+    std::vector<targets::PlacedTarget> placedTargets(const TargetCriteria &criteria,
+                                                     const std::vector<const State *> &candidates,
+                                                     const std::vector<Exclusion> &exclusions,
+                                                     const Congestion &congestion,
+                                                     Instant now) const;
+    bool canBeHome(const State &state, Exclusion exclusion, Instant now) const;
+    std::optional<std::size_t> homeRegionFor(const TargetCriteria &criteria,
+                                             const std::vector<targets::PlacedTarget> &placed,
+                                             const std::vector<Exclusion> &exclusions,
+                                             const Congestion &congestion) const;
     targets::ExpectedWarmth expectedWarmthAt(const State &state, const TargetCriteria &criteria,
-                                             double warmth, Instant now) const;
-    std::optional<std::size_t> latestRegionOf(const TargetCriteria &criteria,
-                                              const std::vector<const State *> &candidates,
-                                              Instant now) const;
+                                             bool isHome, Instant now) const;
     const Congestion &congestionOf(const ServiceId &service, Instant now) const;
     void updateExpectedOthers(const std::vector<State *> &targets, Congestion &congestion,
                               Instant now) const;
@@ -283,6 +321,8 @@
     TrafficConfigPointer config_;
     RegionFlow flow_;
     regions::ShareLimit shareLimit_;
+    mutable regions::DemandEstimate demand_; // updated every demandInterval
+    mutable Instant demandAt_ = Instant::never();
     targets::Placement placement_;
     TargetLimits limits_;
     targets::TargetSignals signals_;
@@ -294,6 +334,8 @@
     std::unordered_map<std::string, double> serviceTimesMs_;       // cold object, by route
     std::unordered_map<ServiceId, double> meanTimesMs_;            // of all requests, at the target
     mutable std::unordered_map<ServiceId, Congestion> congestion_; // cached for congestionInterval
+    std::unordered_map<ServiceId, targets::Utilization> utilizations_;
+    std::unordered_map<ServiceId, std::vector<targets::Utilization>> regionLoads_; // by region
 };
 
 } // namespace bluebellshift::gateway
--- a/bluebellshift/gateway/targets/placement.cpp
+++ b/bluebellshift/gateway/targets/placement.cpp
@@ -1,18 +1,31 @@
-// A hash of target and object orders the targets, separately for the VM's own region and the
-// others, and the first of each are the object's preferred targets. Their number is such
-// that all objects together fill what the targets keep warm. All VMs of a region compute
-// the same preferred targets, independent of what each has observed, and use the first
-// ones first, so that few targets have to load a rarely requested object.
+// Weighted rendezvous hashing: each target draws an exponentially distributed value, whose mean is
+// the reciprocal of its weight, from its hash with the object. The lowest values win. A target that
+// leaves moves only its own objects.
+//
+// With homes in one region only, the share of the requests that a region serves would vary with
+// what objects are asked for. With homes in several, the region of a request is chosen first
+// (RegionPlan), and the object finds a home there.
+//
+// While a home can't be used, the next target in the order stands in for it at all VMs, so that
+// only one more target has to load the object.
 #include "bluebellshift/gateway/targets/placement.h"
 
 #include <algorithm>
 #include <cmath>
 
+#include "bluebellshift/gateway/hashing.h"
+
 namespace bluebellshift::gateway::targets {
 
 using core::Instant;
 using core::ServiceId;
 
+namespace {
+
+constexpr std::uint64_t homeSeed = 0x686f6d65; // arbitrary, but the same on every VM
+
+} // namespace
+
 void Placement::recordRequest(const ServiceId &service, std::uint64_t object, Instant now)
 {
     objects_[service].requested.record(object, now);
@@ -37,38 +50,75 @@
     return found == objects_.end() ? initialWarmObjects : found->second.warmObjects;
 }
 
-// Sets the probability that the requested object is warm at each candidate.
-void Placement::estimateWarmth(const ServiceId &service,
-                               std::vector<PlacedTarget> &candidates) const
+// The number of homes for each object that the targets have room for, if every region's callers ask
+// for objects of their own and a region's objects get room in proportion to its requests.
+double Placement::copiesOf(const ServiceId &service, double ownRequestShare,
+                           std::size_t targets) const
+{
+    return warmObjectsPerTarget(service) * static_cast<double>(targets) * ownRequestShare
+        / requestedObjects(service);
+}
+
+double Placement::drawn(const PlacedTarget &target)
+{
+    return -std::log(std::max(1e-12, toFraction(target.hash))) / std::max(1, target.slots);
+}
+
+void Placement::place(const ServiceId &service, const ServiceUse &use,
+                      std::vector<PlacedTarget> &candidates) const
 {
-    std::vector<PlacedTarget *> inRegion;
-    std::vector<PlacedTarget *> elsewhere;
-    for (PlacedTarget &candidate : candidates)
-        (candidate.isLocal ? inRegion : elsewhere).push_back(&candidate);
-    const double share = warmObjectsPerTarget(service) / requestedObjects(service);
-    setPreferredWarmth(inRegion, share * localRegionShare);
-    setPreferredWarmth(elsewhere, share * (1 - localRegionShare));
+    std::vector<std::vector<Ranked>> byRegion(use.regionShares.size());
     for (PlacedTarget &candidate : candidates) {
-        if (candidate.wasSentRecently)
-            candidate.warmth = warmthWhereSentRecently;
+        if (candidate.region < byRegion.size())
+            byRegion[candidate.region].push_back({ drawn(candidate), &candidate });
     }
+    const std::vector<std::size_t> counts =
+        homeCounts(use, copiesOf(service, use.ownRequestShare, candidates.size()));
+    const double drop = idleWarmthDrop * std::max(0.0, 1 - use.utilization / evenUtilization);
+    bool isPlaced = false;
+    for (std::size_t region = 0; region < byRegion.size(); ++region)
+        isPlaced |= placeIn(byRegion[region], counts[region], drop);
+    if (isPlaced)
+        return;
+    for (std::vector<Ranked> &targets : byRegion)
+        placeIn(targets, 1, drop);
 }
 
-// Sets the warmth of the object's preferred targets: the first of the group by rank.
-void Placement::setPreferredWarmth(std::vector<PlacedTarget *> &group, double share)
+// The number of the object's homes in each region. The regions' shares are laid end to end and
+// stretched to the number of homes; a point drawn for the object, and those at a distance of 1 from
+// it, each name the region of a home.
+std::vector<std::size_t> Placement::homeCounts(const ServiceUse &use, double copies)
 {
-    if (group.empty())
-        return;
-    const auto wanted = static_cast<std::size_t>(
-        std::lround(std::min(1.0, share) * static_cast<double>(group.size())));
-    const std::size_t preferred = std::clamp<std::size_t>(wanted, 1, group.size());
-    std::partial_sort(
-        group.begin(), group.begin() + static_cast<std::ptrdiff_t>(preferred), group.end(),
-        [](const PlacedTarget *a, const PlacedTarget *b) { return a->rank < b->rank; });
-    for (std::size_t i = 0; i < preferred; ++i) {
-        const double lost = warmthDropPerRank * static_cast<double>(i);
-        group[i]->warmth = std::max(0.0, warmthAtFirstPreferred - lost);
+    std::vector<std::size_t> counts(use.regionShares.size(), 0);
+    const double homes = std::clamp(copies, 1.0, static_cast<double>(maxHomes));
+    double point = toFraction(mixHashes(use.object, homeSeed));
+    double end = 0;
+    for (std::size_t region = 0; region < counts.size(); ++region) {
+        end += use.regionShares[region] * homes;
+        for (; point < end; point += 1)
+            ++counts[region];
+    }
+    return counts;
+}
+
+// Chooses the object's homes in one region. Returns whether there is any.
+bool Placement::placeIn(std::vector<Ranked> &targets, std::size_t count, double drop)
+{
+    std::size_t chosen = 0;
+    for (std::size_t i = 0; i < targets.size() && chosen < count; ++i) {
+        const auto rest = targets.begin() + static_cast<std::ptrdiff_t>(i);
+        std::iter_swap(rest,
+                       std::min_element(rest, targets.end(), [](const Ranked &a, const Ranked &b) {
+                           return a.key < b.key;
+                       }));
+        PlacedTarget &target = *targets[i].target;
+        if (!target.isUsable)
+            continue;
+        target.isHome = true;
+        target.warmth = i < count ? homeWarmth - drop * static_cast<double>(i) : substituteWarmth;
+        ++chosen;
     }
+    return chosen > 0;
 }
 
 } // namespace bluebellshift::gateway::targets
--- a/bluebellshift/gateway/testing/partstest.cpp
+++ b/bluebellshift/gateway/testing/partstest.cpp
@@ -31,13 +31,19 @@
 public:
     explicit SamplePool(const GatewayOptions &options, std::size_t vmsInRegion = 1,
                         double regionShare = 0.5)
-        : TargetPool(
-            options, faults,
-            { [](std::uint32_t, Instant) { return 0; },
-              [](std::uint64_t, Instant) { return ColdSenderRank(); },
-              [](TargetHash, const RegionId &, Instant) { return SenderRank(); },
-              [vmsInRegion](Instant) { return vmsInRegion; }, [regionShare] { return regionShare; },
-              [](Instant) { return std::vector<double>(); }, [](const core::LogRecord &) {} })
+        : TargetPool(options, faults,
+                     { [](std::uint32_t, Instant) { return 0; },
+                       [](std::uint64_t, Instant) { return ColdSenderRank(); },
+                       [](TargetHash, const RegionId &, Instant) { return SenderRank(); },
+                       [vmsInRegion](Instant) { return vmsInRegion; },
+                       [own = options.vm.region, regionShare] {
+                           const RegionId other(own == RegionId("near") ? "far" : "near");
+                           return std::map<RegionId, double> { { own, regionShare },
+                                                               { other, 1 - regionShare } };
+                       },
+                       [](Instant) { return std::vector<double>(); },
+                       [](Instant) { return std::map<RegionId, double>(); },
+                       [](const core::LogRecord &) {} })
     {
         setConfig(sampleConfig());
     }
--- a/bluebellshift/shell/messagefields.h
+++ b/bluebellshift/shell/messagefields.h
@@ -146,7 +146,7 @@
         &T::sequence, &T::isReady, &T::isLeaving, &T::configVersion, &T::uses, &T::readsStore,
         &T::storeAgeMillis, &T::registryRevisions, &T::isYoung, &T::admissions, &T::evacuated,
         &T::isUrgent, &T::wantsReports, &T::targetLimits, &T::leavingTargets, &T::regionRequests,
-        &T::failedRequests, &T::hasNoticedFault, &T::faultAgeMillis);
+        &T::failedRequests, &T::hasNoticedFault, &T::faultAgeMillis, &T::arrivedRequests);
 };
 template<> struct Fields<core::RelayedReport>
 {
--- a/bluebellshift/shell/testing/messagefuzztest.cpp
+++ b/bluebellshift/shell/testing/messagefuzztest.cpp
@@ -40,6 +40,7 @@
     report.failedRequests = 2;
     report.hasNoticedFault = true;
     report.faultAgeMillis = 300;
+    report.arrivedRequests = 41;
     return report;
 }
 
