--- a/bluebellshift/gateway/fleet.cpp
+++ b/bluebellshift/gateway/fleet.cpp
@@ -236,6 +236,19 @@
     return found == inFlight_.end() ? 0 : found->second;
 }
 
+Duration Fleet::meanReportAge(Instant now) const
+{
+    std::int64_t micros = 0;
+    std::int64_t reports = 0;
+    for (const auto &[id, peer] : entries_) {
+        if (!isLive(peer, now))
+            continue;
+        micros += (now - peer.reportedAt).toMicros();
+        ++reports;
+    }
+    return Duration::micros(micros / std::max<std::int64_t>(1, reports));
+}
+
 std::size_t Fleet::liveVmsInRegion(Instant now) const
 {
     return 1
--- a/bluebellshift/gateway/fleet.h
+++ b/bluebellshift/gateway/fleet.h
@@ -83,6 +83,8 @@
     std::uint64_t changeRevision(std::size_t registry, Instant now) const;
 
     int othersInFlight(std::uint32_t target) const;
+    // The mean age of the latest reports of all other live VMs; zero if there is none.
+    Duration meanReportAge(Instant now) const;
     // Requests that the other live VMs of this VM's region sent to each region, according to their
     // latest reports.
     std::vector<double> regionRequests(Instant now) const;
--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -185,6 +185,7 @@
                 [this](core::LogRecord record) { log(std::move(record)); } })
     , pool_(options_, faults_,
             { [this](std::uint32_t target, Instant) { return fleet_.othersInFlight(target); },
+              [this](Instant now) { return fleet_.meanReportAge(now); },
               [this](std::uint64_t target, Instant now) {
                   return fleet_.coldSenderRank(target, now);
               },
--- a/bluebellshift/gateway/targetpool.cpp
+++ b/bluebellshift/gateway/targetpool.cpp
@@ -205,7 +205,8 @@
         }
         if (exclusion != Exclusion::None)
             continue;
-        const int others = othersAt(state, congestion, now);
+        const int others = criteria.object != 0 ? agedOthersAt(state, congestion, now)
+                                                : othersAt(state, congestion, now);
         const double serviceTimeMs = serviceTimeMsAt(state, criteria, warmth, now);
         const Duration timeToFinish = timeToFinishAt(state, criteria, others, serviceTimeMs, now);
         double score = millis(timeToFinish) + congestion.level * serviceTimeMs
@@ -426,6 +427,26 @@
     return std::max(reported, state.reportedOthersInFlight);
 }
 
+// The requests of other VMs at a target that has the object warm, from the newest report. What a
+// report shows ends within the time that a request takes, so that a report counts for less the
+// older it is: an old one would send requests away from the target at random.
+int TargetPool::agedOthersAt(const State &state, const Congestion &congestion, Instant now) const
+{
+    if (!congestion.isReported)
+        return othersAt(state, congestion, now);
+    Duration age = congestion.reportAge;
+    int reported = 0;
+    if (state.reportedAt != Instant::never() && now - state.reportedAt < age) {
+        age = now - state.reportedAt;
+        reported = state.reportedOthersInFlight;
+    } else {
+        reported = hooks_.othersInFlight(static_cast<std::uint32_t>(state.hash), now);
+    }
+    const auto mean = meanTimesMs_.find(state.target.service);
+    const double meanMs = mean == meanTimesMs_.end() ? millis(initialServiceTime) : mean->second;
+    return static_cast<int>(reported * std::exp(-millis(age) / meanMs));
+}
+
 // Utilization of the service's targets, recomputed at most every congestionInterval: the
 // weight of service time that delays waiting requests, which is zero while many slots are
 // free, and the load expected from other VMs.
@@ -449,8 +470,10 @@
     }
     congestion.utilization = slots > 0 ? used / slots : 0;
     const auto reported = utilizations_.find(service);
-    if (reported != utilizations_.end())
+    congestion.isReported = reported != utilizations_.end();
+    if (congestion.isReported)
         congestion.utilization = reported->second.estimate(now).value_or(congestion.utilization);
+    congestion.reportAge = hooks_.reportAge(now);
     updatePlan(service, targets->second, congestion, now);
     congestion.level = std::clamp((congestion.utilization - minCongestedUtilization)
                                       / (fullCongestedUtilization - minCongestedUtilization),
--- a/bluebellshift/gateway/targetpool.h
+++ b/bluebellshift/gateway/targetpool.h
@@ -79,6 +79,8 @@
 {
     // Requests that the other VMs have in flight at a target, according to their latest reports.
     std::function<int(std::uint32_t target, Instant now)> othersInFlight;
+    // The mean age of these reports.
+    std::function<Duration(Instant now)> reportAge;
     // This VM's rank among those that may send to a cold target. All VMs compute the same ranks
     // without exchanging messages.
     std::function<ColdSenderRank(std::uint64_t target, Instant now)> coldSenderRank;
@@ -223,6 +225,8 @@
         }
 
         Instant at = Instant::never();
+        bool isReported = false;          // the targets report their load
+        Duration reportAge;               // of the other VMs' reports, on average
         double utilization = 0;           // of the service's slots
         double level = 0;                 // weight of the additional service time, 0 to 1
         mutable regions::RegionPlan plan; // for the requests of this VM's region
@@ -267,6 +271,7 @@
     }
     double slotsOf(const State &state) const;
     int othersAt(const State &state, const Congestion &congestion, Instant now) const;
+    int agedOthersAt(const State &state, const Congestion &congestion, Instant now) const;
     double ownRegionShare() const;
     void updatePlan(const ServiceId &service, const std::vector<State *> &targets,
                     Congestion &congestion, Instant now) const;
--- a/bluebellshift/gateway/testing/partstest.cpp
+++ b/bluebellshift/gateway/testing/partstest.cpp
@@ -32,7 +32,7 @@
     explicit SamplePool(const GatewayOptions &options, std::size_t vmsInRegion = 1,
                         double regionShare = 0.5)
         : TargetPool(options, faults,
-                     { [](std::uint32_t, Instant) { return 0; },
+                     { [](std::uint32_t, Instant) { return 0; }, [](Instant) { return Duration(); },
                        [](std::uint64_t, Instant) { return ColdSenderRank(); },
                        [](TargetHash, const RegionId &, Instant) { return SenderRank(); },
                        [vmsInRegion](Instant) { return vmsInRegion; },
