--- a/bluebellshift/gateway/targetpool.cpp
+++ b/bluebellshift/gateway/targetpool.cpp
@@ -759,7 +759,7 @@
     if (!isAnswered || ended.saysNotRun || ended.status >= 400)
         return targets::FoundWarmth::Unknown;
     const targets::FoundWarmth found = foundWarmth(*state, criteria, ended, elapsed, now);
-    learnServiceTime(*state, criteria, elapsed, now);
+    learnServiceTime(*state, criteria, ended, found, elapsed, now);
     if (elapsed <= Duration())
         return found;
     double &meanMs = meanTimesMs_.emplace(criteria.service, millis(elapsed)).first->second;
@@ -830,24 +830,28 @@
 
 // Updates the route's service time with a cold object, the target's slowness and the number
 // of objects that a target keeps warm. A response that is much faster than usual is taken
-// to have had a warm object.
-void TargetPool::learnServiceTime(State &state, const TargetCriteria &criteria, Duration elapsed,
-                                  Instant now)
+// to have had a warm object. The pace that the target reports of its machine is left out: it
+// changes before the next request.
+void TargetPool::learnServiceTime(State &state, const TargetCriteria &criteria,
+                                  const AttemptEnded &ended, targets::FoundWarmth found,
+                                  Duration elapsed, Instant now)
 {
     const bool wasExpectedWarm =
         criteria.object != 0 && wasSentRecently(state, criteria.object, now);
     recordObject(state, criteria, now);
-    if (elapsed <= Duration() || isCold(state, now) || !criteria.foundFreeSlot)
+    if (wasExpectedWarm && found != targets::FoundWarmth::Unknown)
+        placement_.recordOutcome(criteria.service, found == targets::FoundWarmth::Warm);
+    const bool mayHaveWaited = ended.load ? ended.load->waiting > 0 : !criteria.foundFreeSlot;
+    if (elapsed <= Duration() || isCold(state, now) || mayHaveWaited)
         return;
-    const double measuredMs = std::max(1.0, millis(elapsed - transferTime(state, criteria)));
+    const double work = ended.load ? ended.load->workPercent.value_or(100) / 100.0 : 1;
+    const double measuredMs = std::max(1.0, millis(elapsed - transferTime(state, criteria)) / work);
     const auto [known, isNew] = serviceTimesMs_.emplace(criteria.route, measuredMs);
     double &usualMs = known->second;
     if (isNew)
         return;
     const bool isWarm =
         criteria.object != 0 && measuredMs < warmResponseFraction * usualMs * slownessOf(state);
-    if (wasExpectedWarm)
-        placement_.recordOutcome(criteria.service, isWarm);
     const double coldMs = isWarm ? measuredMs / warmServiceTimeFactor : measuredMs;
     // A VM that joins late sees warm responses first and underestimates the cold service time,
     // so that larger samples are learned faster.
--- a/bluebellshift/gateway/targetpool.h
+++ b/bluebellshift/gateway/targetpool.h
@@ -316,8 +316,8 @@
     targets::FoundWarmth foundWarmth(const State &state, const TargetCriteria &criteria,
                                      const AttemptEnded &ended, Duration elapsed,
                                      Instant now) const;
-    void learnServiceTime(State &state, const TargetCriteria &criteria, Duration elapsed,
-                          Instant now);
+    void learnServiceTime(State &state, const TargetCriteria &criteria, const AttemptEnded &ended,
+                          targets::FoundWarmth found, Duration elapsed, Instant now);
     State *findState(const TargetId &target);
 
     const GatewayOptions &options_;
--- a/bluebellshift/gateway/testing/targetbelieftest.cpp
+++ b/bluebellshift/gateway/testing/targetbelieftest.cpp
@@ -14,6 +14,7 @@
 const ServiceId service("s");
 constexpr std::uint64_t object = 4711;
 constexpr Duration coldTime = Duration::millis(400);
+constexpr Duration warmTime = Duration::millis(120);
 constexpr int reportedInFlight = 20; // by the other VMs, at each target
 
 } // namespace
@@ -86,3 +87,18 @@
     }
     LONGS_EQUAL(0, previous);
 }
+
+// Guards against a target that is taken to have dropped an object, and is given fewer, because its
+// machine is busy.
+TEST(TargetBelief, ABusyMachineIsNotTakenForAColdObject)
+{
+    for (int i = 0; i < 20; ++i)
+        respond(TargetId("t0"), coldTime, 100);
+    const double before = pool_.warmObjectsPerTarget(service);
+    for (int i = 0; i < 20; ++i)
+        respond(TargetId("t0"), warmTime * 3, 300);
+    CHECK(pool_.warmObjectsPerTarget(service) >= before);
+    for (int i = 0; i < 20; ++i)
+        respond(TargetId("t0"), coldTime * 3, 300);
+    CHECK(pool_.warmObjectsPerTarget(service) < before);
+}
