--- a/bluebellshift/core/answer.h
+++ b/bluebellshift/core/answer.h
@@ -30,6 +30,13 @@
     std::string body;
 };
 
+// Whether a status ends an HTTP request. Those below are of interim responses, and of none below
+// 100; those above are not HTTP's.
+constexpr bool isFinalStatus(int status)
+{
+    return status >= 200 && status < 600;
+}
+
 using AnswerPointer = std::shared_ptr<const Answer>;
 
 // The codes are stable; see docs/interface.md for their HTTP status.
--- a/bluebellshift/ctl/curltransport.cpp
+++ b/bluebellshift/ctl/curltransport.cpp
@@ -8,6 +8,8 @@
 #include <curl/curl.h>
 #include <fmt/format.h>
 
+#include "bluebellshift/core/answer.h"
+
 namespace bluebellshift::ctl {
 namespace {
 
@@ -65,6 +67,8 @@
     long status = 0;
     curl_easy_getinfo(handle.get(), CURLINFO_RESPONSE_CODE, &status);
     reply.status = static_cast<int>(status);
+    if (!core::isFinalStatus(reply.status))
+        return absl::UnknownError(fmt::format("{}: status {} is none of HTTP", url, status));
     return reply;
 }
 
--- a/bluebellshift/http/forwarder.cpp
+++ b/bluebellshift/http/forwarder.cpp
@@ -70,8 +70,8 @@
     const std::string line(data, size * count);
     if (line.compare(0, 5, "HTTP/") == 0) {
         // An interim status such as 100 does not show whether the target ran the request.
-        const auto status = line.find(' ') + 1;
-        transfer->answerBegun = status < line.size() && line[status] != '1';
+        const int status = std::atoi(line.c_str() + line.find(' ') + 1);
+        transfer->answerBegun = core::isFinalStatus(status);
         transfer->answer->headers.clear();
         transfer->isLengthDelimited = false;
         return size * count;
@@ -330,7 +330,8 @@
     const CURLcode code = connection->run(isCancelled);
 
     const long status = connection->status();
-    const bool isComplete = transfer.isLengthDelimited || hasNoBody(attempt, status);
+    const bool isComplete = core::isFinalStatus(static_cast<int>(status))
+        && (transfer.isLengthDelimited || hasNoBody(attempt, status));
     result.outcome = outcomeOf(code, connection->hasSentBytes(), transfer, isComplete);
     result.answerBegun = transfer.answerBegun;
     if (result.outcome != AttemptOutcome::Answered)
--- a/bluebellshift/http/testing/forwardertest.cpp
+++ b/bluebellshift/http/testing/forwardertest.cpp
@@ -63,6 +63,10 @@
           AttemptOutcome::Cut },
         { "delimited by the end of the connection", "HTTP/1.1 200 OK\r\n\r\nok",
           AttemptOutcome::Cut },
+        { "status 000", "HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nok", AttemptOutcome::Cut },
+        { "status 099", "HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\nok", AttemptOutcome::Cut },
+        { "status 600", "HTTP/1.1 600 X\r\nContent-Length: 2\r\n\r\nok", AttemptOutcome::Cut },
+        { "status 999", "HTTP/1.1 999 X\r\nContent-Length: 2\r\n\r\nok", AttemptOutcome::Cut },
         { "no response", "", AttemptOutcome::Cut },
         { "interim response only", "HTTP/1.1 100 Continue\r\n\r\n", AttemptOutcome::Cut },
         { "too large",
@@ -80,7 +84,7 @@
         LONGS_EQUAL_TEXT(static_cast<int>(c.outcome), static_cast<int>(result.outcome), c.name);
         LONGS_EQUAL_TEXT(1, server.requestCount(), c.name);
         const bool hasFinalStatus =
-            !c.answer.empty() && c.answer.find(" 100 ") == std::string::npos;
+            !c.answer.empty() && core::isFinalStatus(std::atoi(c.answer.c_str() + 9));
         CHECK_EQUAL_TEXT(hasFinalStatus, result.answerBegun, c.name);
     }
 }
--- a/bluebellshift/load/httploop.cpp
+++ b/bluebellshift/load/httploop.cpp
@@ -17,6 +17,8 @@
 #include <array>
 #include <utility>
 
+#include "bluebellshift/core/answer.h"
+
 namespace bluebellshift::load {
 
 namespace {
@@ -217,7 +219,7 @@
         curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
         curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &bytesSent);
         result.status = static_cast<int>(status);
-        result.isComplete = code == CURLE_OK;
+        result.isComplete = code == CURLE_OK && core::isFinalStatus(result.status);
         result.isUnsent = code == CURLE_COULDNT_CONNECT && bytesSent == 0;
         curl_multi_remove_handle(multi_, easy);
         idleHandles_.push_back(easy);
--- a/bluebellshift/load/testing/httplooptest.cpp
+++ b/bluebellshift/load/testing/httplooptest.cpp
@@ -69,6 +69,24 @@
     CHECK_FALSE(listener.hasConnection());
 }
 
+// Guards against a response that counts although its status is none of HTTP's.
+TEST(HttpLoop, AResponseWithoutAFinalStatusIsNotComplete)
+{
+    for (const char *status : { "000", "099", "600", "999" }) {
+        RawListener listener;
+        std::thread server([&] {
+            RawConnection connection = listener.accept();
+            connection.readUntil("\r\n\r\n");
+            connection.send(std::string("HTTP/1.1 ") + status
+                            + " X\r\nContent-Length: 2\r\n\r\nok");
+        });
+        HttpLoop loop;
+        const bool isComplete = runCall(loop, listener.port(), true).isComplete;
+        server.join();
+        CHECK_FALSE_TEXT(isComplete, status);
+    }
+}
+
 TEST(HttpLoop, TasksRunInOrderOfTime)
 {
     HttpLoop loop;
--- a/bluebellshift/net/httpclient.cpp
+++ b/bluebellshift/net/httpclient.cpp
@@ -38,7 +38,8 @@
 constexpr std::chrono::milliseconds idleTimeoutMargin { 1000 }; // before the peer's own timeout
 constexpr std::chrono::seconds sweepInterval { 1 };
 constexpr int maxMismatchedResponses = 2; // responses to other requests
-constexpr int maxInterimResponses = 8;    // 1xx, before the final response
+constexpr int switchingProtocols = 101;
+constexpr int maxInterimResponses = 8; // 1xx, before the final response
 
 // A peer that lost power sends no acknowledgements. These settings detect that within
 // about three seconds, also while a response is awaited.
@@ -300,6 +301,10 @@
                 finish(CallOutcome::Malformed);
                 return;
             }
+            if (parser_->is_header_done() && !hasStatus()) {
+                finish(CallOutcome::Malformed);
+                return;
+            }
             if (parser_->is_done()) {
                 processResponse();
                 continue;
@@ -314,6 +319,14 @@
     // Returns whether the budget has room for the part of the response received so far.
     bool holdResponse() { return holding_.resize(parser_->get().body().size() + buffer_.size()); }
 
+    // Whether the response has a status that may follow a request which asks for no upgrade.
+    bool hasStatus() const
+    {
+        const auto status = static_cast<int>(parser_->get().result_int());
+        return core::isFinalStatus(status)
+            || (status >= 100 && status < 200 && status != switchingProtocols);
+    }
+
     // Finishes the call with the parsed response if it matches the request.
     void processResponse()
     {
--- a/bluebellshift/net/httpmessage.cpp
+++ b/bluebellshift/net/httpmessage.cpp
@@ -9,6 +9,8 @@
 namespace bluebellshift::net {
 namespace {
 
+constexpr int badGateway = 502;
+
 constexpr std::array<std::string_view, 9> hopByHopHeaders = {
     "Connection",
     "Keep-Alive",
@@ -144,13 +146,14 @@
 {
     std::string bytes;
     bytes.reserve(256 + response.body.size());
-    const auto reason = boost::beast::http::obsolete_reason(
-        static_cast<boost::beast::http::status>(response.status));
-    bytes += "HTTP/1.1 " + std::to_string(response.status) + ' ';
+    const int status = core::isFinalStatus(response.status) ? response.status : badGateway;
+    const auto reason =
+        boost::beast::http::obsolete_reason(static_cast<boost::beast::http::status>(status));
+    bytes += "HTTP/1.1 " + std::to_string(status) + ' ';
     bytes.append(reason.data(), reason.size());
     bytes += "\r\n";
     appendHeaders(response.headers, &bytes);
-    if (response.status != 204 && response.status != 304)
+    if (status != 204 && status != 304)
         bytes += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
     if (closesConnection)
         bytes += "Connection: close\r\n";
--- a/bluebellshift/net/httpmessage.h
+++ b/bluebellshift/net/httpmessage.h
@@ -41,6 +41,7 @@
 
 // Serializes a response. `omitBody` is for the response to HEAD, which carries the
 // headers only.
+// A response without a final status is written as 502.
 std::string serializeResponse(const core::Answer &response, bool closesConnection, bool omitBody);
 
 } // namespace bluebellshift::net
--- a/bluebellshift/net/testing/httpclienttest.cpp
+++ b/bluebellshift/net/testing/httpclienttest.cpp
@@ -22,6 +22,11 @@
 const std::string staleResponse =
     "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nContent-Length: 3\r\n\r\nold";
 
+std::string responseWithStatus(const std::string &status)
+{
+    return "HTTP/1.1 " + status + " X\r\nRequest-Id: r1\r\nContent-Length: 3\r\n\r\nyes";
+}
+
 enum class PeerAction { KeepOpen, ShutDownSend, Reset };
 
 // What a target sends after it has read the request, and the expected outcome.
@@ -74,6 +79,15 @@
       PeerAction::ShutDownSend, CallOutcome::Answered, "yes" },
     { "no length, ended by a reset", "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\nyes",
       PeerAction::Reset, CallOutcome::Cut, "" },
+    { "status 000", responseWithStatus("000"), PeerAction::KeepOpen, CallOutcome::Malformed, "" },
+    { "status 099", responseWithStatus("099"), PeerAction::KeepOpen, CallOutcome::Malformed, "" },
+    { "status 600", responseWithStatus("600"), PeerAction::KeepOpen, CallOutcome::Malformed, "" },
+    { "status 999", responseWithStatus("999"), PeerAction::KeepOpen, CallOutcome::Malformed, "" },
+    { "status 000, body not complete",
+      "HTTP/1.1 000 X\r\nRequest-Id: r1\r\nContent-Length: 3\r\n\r\n", PeerAction::KeepOpen,
+      CallOutcome::Malformed, "" },
+    { "status 101 that was not asked for", "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+      PeerAction::KeepOpen, CallOutcome::Malformed, "" },
     { "not HTTP at all", "SSH-2.0-x\r\n\r\n", PeerAction::KeepOpen, CallOutcome::Malformed, "" },
     { "nothing", "", PeerAction::ShutDownSend, CallOutcome::Cut, "" },
 };
@@ -135,6 +149,8 @@
     }
 };
 
+// Guards, among others, against a response whose status is none of HTTP's and that reaches the
+// caller or keeps the call waiting.
 TEST(NetHttpClient, AcceptsOnlyACompleteResponseThatMatchesTheRequest)
 {
     for (const ResponseCase &testCase : responseCases) {
--- a/bluebellshift/net/testing/httpservertest.cpp
+++ b/bluebellshift/net/testing/httpservertest.cpp
@@ -304,3 +304,12 @@
     CHECK(waitFor([&] { return busy.isEnded(); }));
     CHECK(busy.received().find("last") != std::string::npos);
 }
+
+// Guards against a response without a status of HTTP that reaches a caller.
+TEST(NetHttpServer, AStatusThatIsNoneOfHttpIsWrittenAs502)
+{
+    for (const int status : { 0, 99, 101, 600, 999 }) {
+        const std::string bytes = serializeResponse(makeResponse("x", status), false, false);
+        STRNCMP_EQUAL("HTTP/1.1 502 ", bytes.c_str(), 13);
+    }
+}
