--- a/bluebellshift/gateway/dispatcher.cpp
+++ b/bluebellshift/gateway/dispatcher.cpp
@@ -298,9 +298,7 @@
     pending.tried.push_back(target.id);
     const int inFlight = selection.ownInFlight + selection.othersInFlight;
     pending.foundFreeSlot = inFlight < target.slots;
-    pending.observation = {};
-    pending.observation.expectedLoad = static_cast<double>(inFlight) / std::max(1, target.slots);
-    pending.observation.expectedWarmth = selection.expectedWarmth;
+    pending.observation.setExpected(inFlight, target.slots, selection.expectedWarmth);
     pool_.onSent(target.id, criteriaFor(pending), now);
     log(core::log::requestRouted, pending,
         { { "target", target.id.text() },
@@ -399,25 +397,10 @@
 
 void Dispatcher::observe(Pending &pending, const AttemptEnded &ended, targets::FoundWarmth found)
 {
-    targets::TargetObservation &observation = pending.observation;
-    observation.foundWarmth = found;
-    if (ended.load && ended.load->slots > 0) {
-        const double slots = ended.load->slots;
-        observation.reportedLoad = (ended.load->running + ended.load->waiting) / slots;
-        observation.reportedQueue = ended.load->waiting / slots;
-    }
-    hooks_.perform(ObserveTarget { observation });
-}
-
-std::vector<core::LogField>
-Dispatcher::observationFields(const targets::TargetObservation &observation)
-{
-    return { { "expectedLoad", fmt::format("{:.2f}", observation.expectedLoad) },
-             { "reportedLoad",
-               observation.reportedLoad ? fmt::format("{:.2f}", *observation.reportedLoad)
-                                        : "none" },
-             { "expectedWarmth", toText(observation.expectedWarmth) },
-             { "foundWarmth", toText(observation.foundWarmth) } };
+    pending.observation.foundWarmth = found;
+    if (ended.load)
+        pending.observation.setReported(*ended.load);
+    hooks_.perform(ObserveTarget { pending.observation });
 }
 
 // Retries, forwards or refuses a request after an attempt has ended.
@@ -437,8 +420,7 @@
         { "notRun", isNotRun ? "yes" : "no" },         { "reused", ended.wasReused ? "yes" : "no" },
         { "tookMs", millisText(now - pending.sentAt) }
     };
-    for (core::LogField &field : observationFields(pending.observation))
-        fields.push_back(std::move(field));
+    pending.observation.appendTo(&fields);
     log(core::log::attemptFailed, pending, std::move(fields));
     const bool hasReachedTarget = ended.outcome != AttemptOutcome::ConnectFailed;
     if (!hasReachedTarget) {
@@ -562,8 +544,7 @@
                                            { "target", pending.target.text() },
                                            { "atTargetMs", millisText(now - pending.sentAt) },
                                            { "tookMs", millisText(now - pending.arrivedAt) } };
-    for (core::LogField &field : observationFields(pending.observation))
-        fields.push_back(std::move(field));
+    pending.observation.appendTo(&fields);
     log(core::log::requestAnswered, pending, std::move(fields));
     hooks_.perform(ForwardResponse { pending.arrived.request });
     erase(pending.arrived.request);
--- a/bluebellshift/gateway/dispatcher.h
+++ b/bluebellshift/gateway/dispatcher.h
@@ -154,9 +154,6 @@
                         Instant now);
     // Compares what was expected of the request's target with what its response shows.
     void observe(Pending &pending, const AttemptEnded &ended, targets::FoundWarmth found);
-    // Fields of log lines: the loads in requests for each slot.
-    static std::vector<core::LogField>
-    observationFields(const targets::TargetObservation &observation);
     bool takeRetry(Pending &pending, bool hasReachedTarget, Instant now);
     void expire(Pending &pending, Instant now);
     Duration retryAfterFor(const Pending &pending, Instant now) const;
--- a/bluebellshift/gateway/targetpool.cpp
+++ b/bluebellshift/gateway/targetpool.cpp
@@ -56,6 +56,10 @@
                   { hooks_.regionRequests, [this](Instant now) { return faults_.isNear(now); },
                     [this](Instant now) { return slotsByRegion(now); }, hooks_.vmsInRegion,
                     [this] { return ownRegionShare(); } })
+    , plans_(shareLimit_.regions(), shareLimit_.indexOf(options.vm.region),
+             hashText(options.vm.id.text()),
+             { hooks_.regionShares, hooks_.requestsByRegion,
+               [this](Instant now) { return faults_.isNear(now); }, hooks_.log })
     , limits_(options.vm.id, { hooks_.senderRank, hooks_.log })
     , signals_(hooks_.log)
 {
@@ -192,8 +196,9 @@
         const bool isPreferred = isHome && state.regionIndex == homeRegion;
         // The shares of preferred targets change with the plan only, which limits the change.
         const bool isOpen = isPreferred
-            || (isHome && homeRegion ? congestion.plan.mayTakeOver(state.regionIndex, now)
-                                     : shareLimit_.isOpen(openRegions, state.regionIndex));
+            || (isHome && homeRegion
+                    ? plans_.of(criteria.service).mayTakeOver(state.regionIndex, now)
+                    : shareLimit_.isOpen(openRegions, state.regionIndex));
         Exclusion exclusion = isOpen ? exclusions[i] : Exclusion::Shift;
         if (exclusion == Exclusion::None && homeRegion && !isHome)
             exclusion = Exclusion::NotHome;
@@ -291,9 +296,8 @@
         placed.push_back(target);
     }
     placement_.place(criteria.service,
-                     { criteria.object,
-                       demandByRegion(now)[shareLimit_.indexOf(options_.vm.region)],
-                       congestion.plan.homeShares(), congestion.utilization },
+                     { criteria.object, plans_.ownDemand(),
+                       plans_.of(criteria.service).homeShares(), congestion.utilization },
                      placed);
     return placed;
 }
@@ -312,7 +316,8 @@
     const TargetCriteria &criteria, const std::vector<targets::PlacedTarget> &placed,
     const std::vector<Exclusion> &exclusions, const Congestion &congestion) const
 {
-    std::vector<bool> isUsable(congestion.plan.shares().size(), false);
+    const regions::RegionPlan &plan = plans_.of(criteria.service);
+    std::vector<bool> isUsable(plan.shares().size(), false);
     for (std::size_t i = 0; i < placed.size(); ++i) {
         if (placed[i].isHome && exclusions[i] == Exclusion::None
             && placed[i].region < isUsable.size())
@@ -321,7 +326,7 @@
     if (criteria.plannedRegion && *criteria.plannedRegion < isUsable.size()
         && isUsable[*criteria.plannedRegion])
         return criteria.plannedRegion;
-    return congestion.plan.next([&](std::size_t region) { return isUsable[region]; });
+    return plan.next([&](std::size_t region) { return isUsable[region]; });
 }
 
 targets::ExpectedWarmth TargetPool::expectedWarmthAt(const State &state,
@@ -432,7 +437,7 @@
 // older it is: an old one would send requests away from the target at random.
 int TargetPool::agedOthersAt(const State &state, const Congestion &congestion, Instant now) const
 {
-    if (!congestion.isReported)
+    if (!plans_.reportsLoad(state.target.service))
         return othersAt(state, congestion, now);
     Duration age = congestion.reportAge;
     int reported = 0;
@@ -452,8 +457,7 @@
 // free, and the load expected from other VMs.
 const TargetPool::Congestion &TargetPool::congestionOf(const ServiceId &service, Instant now) const
 {
-    Congestion &congestion =
-        congestion_.try_emplace(service, hashText(options_.vm.id.text())).first->second;
+    Congestion &congestion = congestion_[service];
     const auto targets = byService_.find(service);
     if (now - congestion.at < congestionInterval || targets == byService_.end())
         return congestion;
@@ -469,84 +473,25 @@
         used += std::min<double>(usable, state->inFlight + othersAt(*state, congestion, now));
     }
     congestion.utilization = slots > 0 ? used / slots : 0;
-    const auto reported = utilizations_.find(service);
-    congestion.isReported = reported != utilizations_.end();
-    if (congestion.isReported)
-        congestion.utilization = reported->second.estimate(now).value_or(congestion.utilization);
+    congestion.utilization = plans_.utilization(service, now).value_or(congestion.utilization);
     congestion.reportAge = hooks_.reportAge(now);
-    updatePlan(service, targets->second, congestion, now);
+    plans_.update(service, plannedSlots(targets->second), now);
     congestion.level = std::clamp((congestion.utilization - minCongestedUtilization)
                                       / (fullCongestedUtilization - minCongestedUtilization),
                                   0.0, 1.0);
     return congestion;
 }
 
-void TargetPool::updatePlan(const ServiceId &service, const std::vector<State *> &targets,
-                            Congestion &congestion, Instant now) const
+// The slots of a service in each region that targets are to keep.
+regions::RegionValues TargetPool::plannedSlots(const std::vector<State *> &targets) const
 {
-    const std::vector<RegionId> &regions = shareLimit_.regions();
-    regions::RegionValues slots(regions.size(), 0);
+    regions::RegionValues slots(shareLimit_.regions().size(), 0);
     for (const State *state : targets) {
         if (state->regionIndex < slots.size() && !state->target.isDraining
             && evacuated_.count(state->target.failureDomain) == 0)
             slots[state->regionIndex] += state->target.slots;
     }
-    const regions::RegionValues &demand = demandByRegion(now);
-    const std::size_t own = shareLimit_.indexOf(options_.vm.region);
-    std::vector<std::optional<double>> loads(regions.size());
-    if (const auto known = regionLoads_.find(service); known != regionLoads_.end()) {
-        for (std::size_t i = 0; i < loads.size(); ++i)
-            loads[i] = known->second[i].load(now);
-    }
-    congestion.plan.update(regions::RegionPlan::sharesFor(slots, demand, own), slots, loads,
-                           faults_.isNear(now), now);
-    logPlan(service, slots, demand, congestion, now);
-}
-
-// Each region's share of all requests.
-const regions::RegionValues &TargetPool::demandByRegion(Instant now) const
-{
-    if (demandAt_ != Instant::never() && now - demandAt_ < demandInterval)
-        return demand_.shares();
-    demandAt_ = now;
-    const std::vector<RegionId> &regions = shareLimit_.regions();
-    const auto valuesOf = [&](const std::map<RegionId, double> &byRegion) {
-        regions::RegionValues values(regions.size(), 0);
-        for (std::size_t i = 0; i < regions.size(); ++i) {
-            if (const auto value = byRegion.find(regions[i]); value != byRegion.end())
-                values[i] = value->second;
-        }
-        return values;
-    };
-    regions::RegionValues arrived = valuesOf(hooks_.requestsByRegion(now));
-    arrived[shareLimit_.indexOf(options_.vm.region)] += demand_.arrivedRequests(now);
-    demand_.update(valuesOf(hooks_.regionShares()), arrived, now);
-    return demand_.shares();
-}
-
-void TargetPool::logPlan(const ServiceId &service, const regions::RegionValues &slots,
-                         const regions::RegionValues &demand, Congestion &congestion,
-                         Instant now) const
-{
-    const auto text = [this](const regions::RegionValues &values) {
-        std::string list;
-        for (std::size_t i = 0; i < values.size(); ++i)
-            list += fmt::format("{}{}:{:.2f}", i == 0 ? "" : ",", shareLimit_.regions()[i].text(),
-                                values[i]);
-        return list;
-    };
-    const bool isDue = congestion.planLoggedAt == Instant::never()
-        || now - congestion.planLoggedAt >= planLogInterval;
-    const std::string shares = text(congestion.plan.shares());
-    if (!isDue || shares == congestion.loggedShares)
-        return;
-    congestion.planLoggedAt = now;
-    congestion.loggedShares = shares;
-    hooks_.log({ core::log::regionPlanned,
-                 { { "service", service.text() },
-                   { "shares", shares },
-                   { "slots", text(slots) },
-                   { "demand", text(demand) } } });
+    return slots;
 }
 
 double TargetPool::ownRegionShare() const
@@ -677,7 +622,7 @@
 
 void TargetPool::onPlanned(const ServiceId &service, std::size_t region, Instant now)
 {
-    congestionOf(service, now).plan.onPlanned(region, now);
+    plans_.of(service).onPlanned(region, now);
 }
 
 void TargetPool::onSent(const TargetId &target, const TargetCriteria &criteria, Instant now)
@@ -698,8 +643,7 @@
     if (criteria.object == 0)
         return;
     if (criteria.plannedRegion && *criteria.plannedRegion != state->regionIndex)
-        congestionOf(criteria.service, now)
-            .plan.onMoved(*criteria.plannedRegion, state->regionIndex);
+        plans_.of(criteria.service).onMoved(*criteria.plannedRegion, state->regionIndex);
     placement_.recordRequest(criteria.service, criteria.object, now);
 }
 
@@ -720,11 +664,7 @@
         || (ended.outcome != AttemptOutcome::Answered && ended.outcome != AttemptOutcome::TimedOut))
         faults_.onFailure(now);
     if (ended.load) {
-        utilizations_[state->target.service].onReport(*ended.load, now);
-        auto &loads = regionLoads_[state->target.service];
-        loads.resize(shareLimit_.regions().size());
-        if (state->regionIndex < loads.size())
-            loads[state->regionIndex].onReport(*ended.load, now);
+        plans_.onReport(state->target.service, state->regionIndex, *ended.load, now);
         state->reportedOthersInFlight =
             std::max(0, ended.load->running + ended.load->waiting - state->inFlight);
         state->reportedAt = now;
--- a/bluebellshift/gateway/targetpool.h
+++ b/bluebellshift/gateway/targetpool.h
@@ -28,9 +28,8 @@
 #include "bluebellshift/gateway/event.h"
 #include "bluebellshift/gateway/options.h"
 #include "bluebellshift/gateway/regionflow.h"
-#include "bluebellshift/gateway/regions/demandestimate.h"
 #include "bluebellshift/gateway/regions/faultwatch.h"
-#include "bluebellshift/gateway/regions/regionplan.h"
+#include "bluebellshift/gateway/regions/serviceplans.h"
 #include "bluebellshift/gateway/regions/sharelimit.h"
 #include "bluebellshift/gateway/registry.h"
 #include "bluebellshift/gateway/targetlimits.h"
@@ -38,7 +37,6 @@
 #include "bluebellshift/gateway/targets/placement.h"
 #include "bluebellshift/gateway/targets/targetobservation.h"
 #include "bluebellshift/gateway/targets/targetsignals.h"
-#include "bluebellshift/gateway/targets/utilization.h"
 
 namespace bluebellshift::gateway {
 
@@ -123,8 +121,6 @@
     static constexpr double minCongestedUtilization = 0.5; // of all slots
     static constexpr double fullCongestedUtilization = 0.9;
     static constexpr Duration congestionInterval = Duration::millis(100);
-    static constexpr Duration demandInterval = Duration::millis(500);
-    static constexpr Duration planLogInterval = Duration::seconds(1);
     static constexpr double congestionSmoothing = 0.2; // weight of the newest sample
     // Round trip times until one has been measured by a connection.
     static constexpr Duration defaultRttInRegion = Duration::millis(8);
@@ -173,8 +169,8 @@
     // Call once for each request with the first region that was planned for it.
     void onPlanned(const ServiceId &service, std::size_t region, Instant now);
     // Call for each request that is admitted.
-    void onArrived(Instant now) { demand_.onArrived(now); }
-    std::uint32_t arrivedRequests(Instant now) const { return demand_.arrivedRequests(now); }
+    void onArrived(Instant now) { plans_.onArrived(now); }
+    std::uint32_t arrivedRequests(Instant now) const { return plans_.arrivedRequests(now); }
     const targets::TargetSignals &signals() const { return signals_; }
     // The number of objects that a target of the service is taken to keep warm.
     double warmObjectsPerTarget(const ServiceId &service) const
@@ -219,19 +215,10 @@
     };
     struct Congestion
     {
-        explicit Congestion(std::uint64_t seed)
-            : plan(seed)
-        {
-        }
-
         Instant at = Instant::never();
-        bool isReported = false;          // the targets report their load
-        Duration reportAge;               // of the other VMs' reports, on average
-        double utilization = 0;           // of the service's slots
-        double level = 0;                 // weight of the additional service time, 0 to 1
-        mutable regions::RegionPlan plan; // for the requests of this VM's region
-        Instant planLoggedAt = Instant::never();
-        std::string loggedShares;
+        Duration reportAge;     // of the other VMs' reports, on average
+        double utilization = 0; // of the service's slots
+        double level = 0;       // weight of the additional service time, 0 to 1
         // Requests that the other VMs of this region have in flight at each target of a
         // region that names no limit, assuming that they behave like this VM. In a large fleet
         // their reports are too old to rely on alone.
@@ -273,11 +260,7 @@
     int othersAt(const State &state, const Congestion &congestion, Instant now) const;
     int agedOthersAt(const State &state, const Congestion &congestion, Instant now) const;
     double ownRegionShare() const;
-    void updatePlan(const ServiceId &service, const std::vector<State *> &targets,
-                    Congestion &congestion, Instant now) const;
-    const regions::RegionValues &demandByRegion(Instant now) const;
-    void logPlan(const ServiceId &service, const regions::RegionValues &slots,
-                 const regions::RegionValues &demand, Congestion &congestion, Instant now) const;
+    regions::RegionValues plannedSlots(const std::vector<State *> &targets) const;
     std::vector<const State *> candidatesFor(const TargetCriteria &criteria,
                                              ExclusionCounts *counts, Instant now) const;
     // Where the requested object is kept warm; empty if the request names none.
@@ -326,8 +309,7 @@
     TrafficConfigPointer config_;
     RegionFlow flow_;
     regions::ShareLimit shareLimit_;
-    mutable regions::DemandEstimate demand_; // updated every demandInterval
-    mutable Instant demandAt_ = Instant::never();
+    mutable regions::ServicePlans plans_;
     targets::Placement placement_;
     TargetLimits limits_;
     targets::TargetSignals signals_;
@@ -339,8 +321,6 @@
     std::unordered_map<std::string, double> serviceTimesMs_;       // cold object, by route
     std::unordered_map<ServiceId, double> meanTimesMs_;            // of all requests, at the target
     mutable std::unordered_map<ServiceId, Congestion> congestion_; // cached for congestionInterval
-    std::unordered_map<ServiceId, targets::Utilization> utilizations_;
-    std::unordered_map<ServiceId, std::vector<targets::Utilization>> regionLoads_; // by region
 };
 
 } // namespace bluebellshift::gateway
--- a/bluebellshift/gateway/targets/targetobservation.h
+++ b/bluebellshift/gateway/targets/targetobservation.h
@@ -2,6 +2,10 @@
 #pragma once
 
 #include <optional>
+#include <vector>
+
+#include "bluebellshift/core/logevent.h"
+#include "bluebellshift/gateway/event.h"
 
 namespace bluebellshift::gateway::targets {
 
@@ -18,6 +22,12 @@
     std::optional<double> reportedQueue; // waiting only, in the response
     ExpectedWarmth expectedWarmth = ExpectedWarmth::NoObject;
     FoundWarmth foundWarmth = FoundWarmth::Unknown;
+
+    // Begins the observation of an attempt.
+    void setExpected(int inFlight, int slots, ExpectedWarmth warmth);
+    void setReported(const LoadReport &load);
+    // Appends the fields for the log lines of an attempt's end.
+    void appendTo(std::vector<core::LogField> *fields) const;
 };
 
 const char *toText(ExpectedWarmth warmth);
