--- a/bluebellshift/gateway/regions/regionplan.cpp
+++ b/bluebellshift/gateway/regions/regionplan.cpp
@@ -1,7 +1,8 @@
-// Shares by slots alone would send requests out of regions that have room for them. The number of a
-// region's VMs stands for its demand, which is not known before the first request, and the load
-// that targets report corrects the difference. The load is that of all targets of a region, which a
-// VM sees in some responses a second, unlike that of a single target.
+// Shares by slots alone would send requests out of regions that have room for them. Shares by the
+// load of regions alone would differ from VM to VM, and so would the homes of objects. The shares
+// for homes therefore follow slots and demand, which all VMs know alike, and the load only decides
+// which home of an object serves a request. It is the load of all targets of a region, which a VM
+// sees in some responses a second, unlike that of a single target.
 #include "bluebellshift/gateway/regions/regionplan.h"
 
 #include <algorithm>
--- a/bluebellshift/gateway/regions/sharelimit.h
+++ b/bluebellshift/gateway/regions/sharelimit.h
@@ -14,8 +14,8 @@
 // waits or is refused.
 //
 // Not limited: requests that may not run in all regions, what a region can't serve because it has
-// lost targets, and all requests while a fault is near. TargetPool also sends a request to the
-// region that got its object latest.
+// lost targets, and all requests while a fault is near. TargetPool also sends requests to the homes
+// of their objects that RegionPlan names, which limits their shares itself.
 #pragma once
 
 #include <array>
--- a/bluebellshift/gateway/targetpool.cpp
+++ b/bluebellshift/gateway/targetpool.cpp
@@ -180,8 +180,7 @@
         exclusions.push_back(currentExclusion(*state, criteria, now));
     const std::vector<targets::PlacedTarget> placed =
         placedTargets(criteria, candidates, exclusions, congestion, now);
-    const std::optional<std::size_t> homeRegion =
-        homeRegionFor(criteria, placed, exclusions, congestion);
+    const std::optional<std::size_t> homeRegion = homeRegionFor(criteria, placed, exclusions);
     std::map<RegionId, double> penaltiesMs;
     for (const auto &[domain, region] : options_.regionOf)
         penaltiesMs.emplace(region, 0);
@@ -302,8 +301,9 @@
     return placed;
 }
 
-// A target that was tried keeps its objects; a retry needs no substitute for it. One that fails, or
-// takes longer than others with a cold object, needs one.
+// Whether a target may keep its objects. One that the request has tried does, as a retry needs no
+// substitute for it. One that fails often, or is slower with a warm object than others with a cold
+// one, does not.
 bool TargetPool::canBeHome(const State &state, Exclusion exclusion, Instant now) const
 {
     return (exclusion == Exclusion::None || exclusion == Exclusion::Tried)
@@ -312,9 +312,10 @@
 }
 
 // The region whose homes the request is to use, if any of them may take it.
-std::optional<std::size_t> TargetPool::homeRegionFor(
-    const TargetCriteria &criteria, const std::vector<targets::PlacedTarget> &placed,
-    const std::vector<Exclusion> &exclusions, const Congestion &congestion) const
+std::optional<std::size_t>
+TargetPool::homeRegionFor(const TargetCriteria &criteria,
+                          const std::vector<targets::PlacedTarget> &placed,
+                          const std::vector<Exclusion> &exclusions) const
 {
     const regions::RegionPlan &plan = plans_.of(criteria.service);
     std::vector<bool> isUsable(plan.shares().size(), false);
--- a/bluebellshift/gateway/targetpool.h
+++ b/bluebellshift/gateway/targetpool.h
@@ -5,14 +5,17 @@
 //   pool.put(target, now);                       // for each entry of the registry
 //   TargetSelection selection = pool.select(criteria, random, now);
 //   if (selection.target != nullptr && selection.timeToFinish <= objective) {
+//       pool.onPlanned(service, *selection.plannedRegion, now); // the first time, if it is set
 //       pool.onSent(selection.target->id, criteria, now);
 //       ... // pool.onEnded(id, criteria, ended, elapsed, now)
 //   }
 //
-// The selected target is the one with the lowest expected completion time: the round
-// trip time, the wait for a slot, the service time, which is far shorter where the
-// request's object is warm, and the cost of recent failures there.
-// docs/design/platform.md describes the alternatives and their measured results.
+// A request for an object goes to one of the object's homes (targets/placement.h) in the region
+// that the service's plan names (regions/regionplan.h), while any may take it. Among the targets
+// that are left, the selected one has the lowest expected completion time: the round trip time, the
+// wait for a slot, the service time, which is far shorter where the object is warm, and the cost of
+// recent failures there. docs/design/platform.md describes the alternatives and their measured
+// results.
 #pragma once
 
 #include <array>
@@ -272,8 +275,7 @@
     bool canBeHome(const State &state, Exclusion exclusion, Instant now) const;
     std::optional<std::size_t> homeRegionFor(const TargetCriteria &criteria,
                                              const std::vector<targets::PlacedTarget> &placed,
-                                             const std::vector<Exclusion> &exclusions,
-                                             const Congestion &congestion) const;
+                                             const std::vector<Exclusion> &exclusions) const;
     targets::ExpectedWarmth expectedWarmthAt(const State &state, const TargetCriteria &criteria,
                                              bool isHome, Instant now) const;
     const Congestion &congestionOf(const ServiceId &service, Instant now) const;
