Tell ignored store data, eras and VMs that are behind in logs and metrics

Event 215 tells each kind of ignored data with both revisions, at most once a second for each registry, and a gauge counts them. Event 214 tells a change of the header Store-Era, which the store client passes on with every result. 207 has the era and the age of the store's last response. Event 216 is written once for each version that another VM has had in force for over a second. New gauges: config_revision, config_version_reported, store_era, store_data_ignored and the age of each registry. Results of calls also return the number of their call. No decision depends on any of it yet.

--- a/bluebellshift/core/ids.h
+++ b/bluebellshift/core/ids.h
@@ -70,7 +70,8 @@
 
 using Incarnation = NumberId<struct IncarnationTag>; // one run of a VM's daemon; 0: none
 using Revision = NumberId<struct RevisionTag>;       // of the platform's store; never decreases
-using RequestId = NumberId<struct RequestTag>;       // unique within one incarnation
+using StoreEra = NumberId<struct StoreEraTag>; // counts the restorations of the platform's store
+using RequestId = NumberId<struct RequestTag>; // unique within one incarnation
 using CallId = NumberId<struct CallTag>; // one call to the platform; unique within one incarnation
 
 } // namespace bluebellshift::core
--- a/bluebellshift/core/logevent.h
+++ b/bluebellshift/core/logevent.h
@@ -43,6 +43,9 @@
 inline constexpr LogEvent entryUnreadable { 211, LogLevel::Error, "entry-unreadable" };
 inline constexpr LogEvent storeModeChanged { 212, LogLevel::Info, "store-mode-changed" };
 inline constexpr LogEvent configRead { 213, LogLevel::Info, "config-read" };
+inline constexpr LogEvent storeEraChanged { 214, LogLevel::Warning, "store-era-changed" };
+inline constexpr LogEvent storeDataIgnored { 215, LogLevel::Info, "store-data-ignored" };
+inline constexpr LogEvent configBehind { 216, LogLevel::Warning, "config-behind" };
 // 3xx: membership
 inline constexpr LogEvent peerAlive { 301, LogLevel::Info, "peer-alive" };
 inline constexpr LogEvent peerSuspected { 302, LogLevel::Warning, "peer-suspected" };
--- a/bluebellshift/gateway/fleet.cpp
+++ b/bluebellshift/gateway/fleet.cpp
@@ -230,6 +230,16 @@
     return newest;
 }
 
+std::uint64_t Fleet::newestConfigVersion(Instant now) const
+{
+    std::uint64_t newest = 0;
+    for (const auto &[id, peer] : entries_) {
+        if (isLive(peer, now))
+            newest = std::max(newest, peer.report.configVersion);
+    }
+    return newest;
+}
+
 int Fleet::othersInFlight(std::uint32_t target) const
 {
     const auto found = inFlight_.find(target);
--- a/bluebellshift/gateway/fleet.h
+++ b/bluebellshift/gateway/fleet.h
@@ -82,6 +82,9 @@
     bool isFirstReader(std::uint64_t seed, Duration maxAge, Instant now) const;
     std::uint64_t changeRevision(std::size_t registry, Instant now) const;
 
+    // The highest version of the configuration that a live VM reported; 0: none did.
+    std::uint64_t newestConfigVersion(Instant now) const;
+
     int othersInFlight(std::uint32_t target) const;
     // The mean age of the latest reports of all other live VMs; zero if there is none.
     Duration meanReportAge(Instant now) const;
--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -53,6 +53,7 @@
 constexpr Duration staleEntryAge = Duration::seconds(90);      // without a report
 constexpr Duration maxServingAfterStop = Duration::seconds(3); // after a stop was requested
 constexpr Duration stopMargin = Duration::millis(300);         // before the process is killed
+constexpr Duration maxConfigLag = Duration::seconds(1);        // behind other VMs, without a line
 constexpr Duration defaultLookupTtl = Duration::seconds(2);
 
 // An entry without a name can't be sent on: the VMs that follow call the store themselves.
@@ -86,6 +87,8 @@
     TeamLimits limits_;
     Dispatcher dispatcher_;
     StoreLink store_;
+    Revision configRevision_; // at which config_ was received
+    Instant startedAt_;
 
     bool isReady() const;
 
@@ -122,6 +125,8 @@
     void onTarget(const RegistryEntry &entry);
     void onVm(const RegistryEntry &entry);
     void logUnreadable(Registry registry, const RegistryEntry &entry);
+    // Logs once for each version that other VMs have and this one has not after maxConfigLag.
+    void checkConfigLag();
 
     void writeOwnEntry();
     void report();
@@ -152,7 +157,8 @@
     void log(core::LogRecord record) { effects_.push_back(WriteLog { std::move(record) }); }
     void perform(Effect effect) { effects_.push_back(std::move(effect)); }
 
-    Instant startedAt_;
+    std::uint64_t missingVersion_ = 0; // in force at another VM
+    Instant missingSince_ = Instant::never();
     bool isKeyKnown_ = false;
     bool isKeyRequested_ = false;
     bool isEntryWritten_ = false;
@@ -282,6 +288,7 @@
         limits_.applyOwnAdmissions(now_);
         expediteAdmissions();
         removeStaleVms();
+        checkConfigLag();
         pool_.prune(now_);
     }
     if (limits_.nextWake() != Instant::never() && now_ >= limits_.nextWake()) {
@@ -345,9 +352,12 @@
           { { "config", std::to_string(config->version.number()) },
             { "previous", config_ ? std::to_string(config_->version.number()) : "none" },
             { "revision", std::to_string(entry.revision.number()) },
+            { "era", std::to_string(store_.era().number()) },
+            { "storeAgeMs", std::to_string((now_ - store_.lastResponseAt()).toMillis()) },
             { "teams", std::to_string(config->teams.size()) },
             { "services", std::to_string(config->services.size()) } } });
     config_ = config;
+    configRevision_ = entry.revision;
     pool_.setConfig(config_);
     limits_.setConfig(*config_, now_);
     updateLimits();
@@ -421,6 +431,28 @@
             { "problem", std::get<UnreadableEntry>(entry.value).problem } } });
 }
 
+void Reducer::State::checkConfigLag()
+{
+    const std::uint64_t version = config_ ? config_->version.number() : 0;
+    const std::uint64_t reported = fleet_.newestConfigVersion(now_);
+    if (reported <= version || reported != missingVersion_) {
+        missingVersion_ = reported > version ? reported : 0;
+        missingSince_ = now_;
+        return;
+    }
+    if (missingSince_ == Instant::never() || now_ - missingSince_ < maxConfigLag)
+        return;
+    missingSince_ = Instant::never(); // one line for each version
+    log({ core::log::configBehind,
+          { { "config", std::to_string(version) },
+            { "reported", std::to_string(reported) },
+            { "revision", std::to_string(configRevision_.number()) },
+            { "known", std::to_string(store_.revision(Registry::Traffic).number()) },
+            { "era", std::to_string(store_.era().number()) },
+            { "storeAgeMs", std::to_string((now_ - store_.lastResponseAt()).toMillis()) },
+            { "mode", toText(store_.mode()) } } });
+}
+
 void Reducer::State::writeOwnEntry()
 {
     entryDueAt_ = Instant::never();
@@ -849,6 +881,13 @@
     readings.leavingTargets = state_->pool_.signals().leavingCount();
     readings.pausedTargets = state_->pool_.signals().pausedCount(now);
     readings.configVersion = state_->config_ ? state_->config_->version.number() : 0;
+    readings.configRevision = state_->configRevision_.number();
+    readings.reportedConfigVersion = state_->fleet_.newestConfigVersion(now);
+    readings.storeEra = state_->store_.era().number();
+    readings.ignoredStoreData = state_->store_.ignoredCount();
+    for (std::size_t i = 0; i < registryCount; ++i)
+        readings.registryAges[i] = now
+            - std::max(state_->startedAt_, state_->store_.confirmedAt(static_cast<Registry>(i)));
     readings.storeAge = now - state_->store_.lastResponseAt();
     readings.isStoreLost = state_->store_.isLost();
     readings.unreadableEntries = state_->store_.unreadableCount();
--- a/bluebellshift/gateway/reducer.h
+++ b/bluebellshift/gateway/reducer.h
@@ -18,6 +18,7 @@
 // and DropRequest.
 #pragma once
 
+#include <array>
 #include <memory>
 
 #include "bluebellshift/gateway/effect.h"
@@ -60,7 +61,14 @@
         std::size_t leavingTargets = 0; // that said that they are about to stop
         std::size_t pausedTargets = 0;  // that asked for no requests for a while
         std::uint64_t configVersion = 0;
-        Duration storeAge; // since the store's last response
+        std::uint64_t configRevision = 0;        // of the store, at which it was received
+        std::uint64_t reportedConfigVersion = 0; // the highest in force at another live VM
+        std::uint64_t storeEra = 0;              // that the store's last response told
+        std::uint64_t ignoredStoreData = 0;      // lists and entries older than what is known
+        Duration storeAge;                       // since the store's last response
+        // Since each registry was last confirmed, by the store or a VM that reads it, or since the
+        // start.
+        std::array<Duration, registryCount> registryAges;
         bool isStoreLost = false;
         std::size_t unreadableEntries = 0; // of the store
     };
--- a/bluebellshift/gateway/registry.h
+++ b/bluebellshift/gateway/registry.h
@@ -15,6 +15,7 @@
 
 namespace bluebellshift::gateway {
 
+using core::CallId;
 using core::Endpoint;
 using core::Incarnation;
 using core::LeavingTarget;
@@ -23,6 +24,7 @@
 using core::RelayedSpending;
 using core::Revision;
 using core::SpendingReport;
+using core::StoreEra;
 using core::TargetLimitReport;
 using core::TargetUpdate;
 using core::TargetUse;
--- a/bluebellshift/gateway/storelink.cpp
+++ b/bluebellshift/gateway/storelink.cpp
@@ -120,9 +120,12 @@
 void StoreLink::onListed(const RegistryListed &listed, Instant now)
 {
     recordResponse(now);
+    recordEra(listed.era);
     State &state = stateOf(listed.registry);
     state.isBusy = false;
     state.dueAt = now;
+    if (state.isListed && listed.at < state.revision)
+        recordIgnored(listed.registry, "list", listed.at, state.revision, now);
     if (!isWatched(listed.registry) && state.isListed && listed.at < state.revision) {
         state.dueAt = now + pollIntervalWhileGrowing; // the list is older than what is known
         return;
@@ -140,7 +143,7 @@
         if (entry.isNamed)
             state.listedUpTo = entry.name;
         state.newestEntry = std::max(state.newestEntry, entry.revision);
-        applyListed(listed.registry, entry, listed.at);
+        applyListed(listed.registry, entry, listed.at, now);
     }
     // Without a name to continue after, the next page would be this one again.
     const bool isCutShort = listed.hasMore && state.listedUpTo == pageBegin;
@@ -229,6 +232,7 @@
 void StoreLink::onChanged(const RegistryChanged &changed, Instant now)
 {
     recordResponse(now);
+    recordEra(changed.era);
     State &state = stateOf(changed.registry);
     state.isBusy = false;
     state.confirmedAt = now;
@@ -239,7 +243,7 @@
         logResponse(core::log::configRead, changed.registry, changed.entries.size(), changed.bytes,
                     now);
     for (const RegistryEntry &entry : changed.entries) {
-        apply(changed.registry, entry, changed.at);
+        apply(changed.registry, entry, changed.at, now);
         if (entry.isNamed || changed.at <= state.revision)
             continue;
         // It may replace a known entry: the list shows which one is missing.
@@ -296,7 +300,7 @@
     if (state.mustList || !isNext)
         return; // the store is called for the missed changes
     for (const RegistryEntry &entry : changed.entries)
-        apply(changed.registry, entry, changed.at);
+        apply(changed.registry, entry, changed.at, now);
     state.listedChanges.clear();
     state.revision = changed.at;
     state.lastChange = changed.at;
@@ -314,7 +318,7 @@
         return;
     state.listedAt = revision;
     for (const RegistryEntry &entry : entries)
-        applyListed(registry, entry, revision);
+        applyListed(registry, entry, revision, now);
     removeUnlisted(registry);
     state.listedChanges.clear();
     state.revision = revision;
@@ -378,7 +382,8 @@
 
 // Passes on an entry if it is newer than the known one. A watch starts from a list's first
 // page, so that its events may be older than the last page.
-void StoreLink::apply(Registry registry, RegistryEntry entry, Revision at, bool isFromList)
+void StoreLink::apply(Registry registry, RegistryEntry entry, Revision at, Instant now,
+                      bool isFromList)
 {
     State &state = stateOf(registry);
     const std::string key = keyOf(entry);
@@ -391,8 +396,11 @@
     }
     if (known != state.known.end()
         && (entry.isGone ? entry.revision < known->second.revision
-                         : entry.revision <= known->second.revision))
+                         : entry.revision <= known->second.revision)) {
+        if (entry.revision < known->second.revision)
+            recordIgnored(registry, "entry", entry.revision, known->second.revision, now);
         return;
+    }
     if (entry.isGone) {
         rememberGone(state, key, entry.revision, at);
         if (known == state.known.end())
@@ -403,8 +411,10 @@
         // A list that is newer than the removal decides.
         const auto gone = state.gone.find(key);
         if (gone != state.gone.end() && entry.revision <= gone->second.revision
-            && (!isFromList || at <= gone->second.at))
+            && (!isFromList || at <= gone->second.at)) {
+            recordIgnored(registry, "entry", entry.revision, gone->second.revision, now);
             return;
+        }
         state.gone.erase(key);
         state.known[key] = { entry.revision, isUnreadable(entry) };
     }
@@ -413,14 +423,15 @@
         state.listedChanges.push_back(std::move(entry));
 }
 
-void StoreLink::applyListed(Registry registry, const RegistryEntry &entry, Revision at)
+void StoreLink::applyListed(Registry registry, const RegistryEntry &entry, Revision at, Instant now)
 {
     stateOf(registry).listedNames.insert(keyOf(entry));
-    apply(registry, entry, at, true);
+    apply(registry, entry, at, now, true);
 }
 
 void StoreLink::onFailed(const RegistryFailed &failed, std::uint64_t random, Instant now)
 {
+    recordEra(failed.era);
     State &state = stateOf(failed.registry);
     state.isBusy = false;
     if (failed.failure == StoreFailure::HistoryGone) {
@@ -465,6 +476,36 @@
                    { "callMs", std::to_string((now - stateOf(registry).calledAt).toMillis()) } } });
 }
 
+void StoreLink::recordEra(StoreEra era)
+{
+    if (era == StoreEra() || era == era_)
+        return;
+    if (era_ != StoreEra())
+        hooks_.log({ core::log::storeEraChanged,
+                     { { "era", std::to_string(era.number()) },
+                       { "previous", std::to_string(era_.number()) } } });
+    era_ = era;
+}
+
+void StoreLink::recordIgnored(Registry registry, const char *what, Revision ignored, Revision known,
+                              Instant now)
+{
+    ++ignoredCount_;
+    State &state = stateOf(registry);
+    ++state.ignoredSinceLogged;
+    if (state.ignoredLoggedAt != Instant::never()
+        && now - state.ignoredLoggedAt < ignoredLogInterval)
+        return;
+    state.ignoredLoggedAt = now;
+    hooks_.log({ core::log::storeDataIgnored,
+                 { { "registry", toText(registry) },
+                   { "what", what },
+                   { "revision", std::to_string(ignored.number()) },
+                   { "known", std::to_string(known.number()) },
+                   { "era", std::to_string(era_.number()) },
+                   { "count", std::to_string(std::exchange(state.ignoredSinceLogged, 0)) } } });
+}
+
 void StoreLink::recordResponse(Instant now)
 {
     consecutiveFailures_ = 0;
--- a/bluebellshift/gateway/storelink.h
+++ b/bluebellshift/gateway/storelink.h
@@ -80,6 +80,8 @@
     // Delay of the next watch after a change, since changes come in groups.
     static constexpr Duration changeBatchTime = Duration::millis(300);
     static constexpr int maxConsecutiveFailures = 2; // then the store counts as lost
+    // Between lines about ignored data of one registry.
+    static constexpr Duration ignoredLogInterval = Duration::seconds(1);
     // The number of removed entries of a registry that are remembered: more than the targets of
     // a large deployment, of which all may be replaced at once.
     static constexpr std::size_t maxGoneEntries = 1024;
@@ -124,6 +126,12 @@
     bool isLost() const { return isLost_; }
     // When the store last returned; never() if it has not been lost yet.
     Instant regainedAt() const { return regainedAt_; }
+    // The era that the store's last response told; 0: none did.
+    StoreEra era() const { return era_; }
+    // Lists and entries that were ignored because newer ones are known.
+    std::uint64_t ignoredCount() const { return ignoredCount_; }
+    // When the store, or a VM that reads it, last confirmed a registry; never() if it never did.
+    Instant confirmedAt(Registry registry) const { return stateOf(registry).confirmedAt; }
     // When the store last responded.
     Instant lastResponseAt() const { return lastResponseAt_; }
 
@@ -162,6 +170,8 @@
         std::unordered_map<std::string, Gone> gone;
         std::deque<std::pair<std::uint64_t, std::string>> goneKeys; // the oldest first
         std::uint64_t goneNumber = 0;
+        Instant ignoredLoggedAt = Instant::never();
+        std::uint64_t ignoredSinceLogged = 0;
     };
 
     State &stateOf(Registry registry) { return states_[static_cast<std::size_t>(registry)]; }
@@ -173,8 +183,9 @@
 
     void call(Registry registry, Instant now);
     // `at` is the revision of the response that contains the entry.
-    void apply(Registry registry, RegistryEntry entry, Revision at, bool isFromList = false);
-    void applyListed(Registry registry, const RegistryEntry &entry, Revision at);
+    void apply(Registry registry, RegistryEntry entry, Revision at, Instant now,
+               bool isFromList = false);
+    void applyListed(Registry registry, const RegistryEntry &entry, Revision at, Instant now);
     void finishList(Registry registry, Instant now);
     static void keepUnlisted(State &state);
     void removeUnlisted(Registry registry);
@@ -183,6 +194,10 @@
     static void rememberGone(State &state, const std::string &key, Revision revision, Revision at);
     void stopCalling(Registry registry);
     void recordResponse(Instant now);
+    void recordEra(StoreEra era);
+    // `known` is what `ignored` is older than.
+    void recordIgnored(Registry registry, const char *what, Revision ignored, Revision known,
+                       Instant now);
     void logResponse(const core::LogEvent &event, Registry registry, std::size_t entries,
                      std::size_t bytes, Instant now) const;
 
@@ -194,6 +209,8 @@
     Instant lostAt_ = Instant::never();
     Instant regainedAt_ = Instant::never();
     Instant lastResponseAt_ = Instant::never();
+    StoreEra era_;
+    std::uint64_t ignoredCount_ = 0;
 };
 
 } // namespace bluebellshift::gateway
--- a/bluebellshift/gateway/testing/gatewaybench.cpp
+++ b/bluebellshift/gateway/testing/gatewaybench.cpp
@@ -135,8 +135,8 @@
         Instant next = std::min(until, std::max(now_ + Duration::micros(1), reducer_.nextWake()));
         for (const Watch &watch : watches_)
             next = std::min(next, std::max(now_ + Duration::micros(1), watch.dueAt));
-        for (const auto &[at, registry] : failingCalls_)
-            next = std::min(next, std::max(now_ + Duration::micros(1), at));
+        for (const FailingCall &call : failingCalls_)
+            next = std::min(next, std::max(now_ + Duration::micros(1), call.at));
         for (const PendingResponse &response : responses_)
             next = std::min(next, std::max(now_ + Duration::micros(1), response.at));
         now_ = next;
@@ -150,19 +150,20 @@
 {
     for (;;) {
         const auto due = std::find_if(failingCalls_.begin(), failingCalls_.end(),
-                                      [&](const auto &call) { return call.first <= now_; });
+                                      [&](const FailingCall &call) { return call.at <= now_; });
         if (due != failingCalls_.end()) {
-            const Registry registry = due->second;
+            const FailingCall call = *due;
             failingCalls_.erase(due);
-            reduce(RegistryFailed { registry, StoreFailure::Refused });
+            reduce(RegistryFailed { call.registry, StoreFailure::Refused, StoreEra(), call.call });
             continue;
         }
         const auto watch = std::find_if(watches_.begin(), watches_.end(),
                                         [&](const Watch &one) { return one.dueAt <= now_; });
         if (watch != watches_.end()) {
-            const Registry registry = watch->registry;
+            const Watch ended = *watch;
             watches_.erase(watch);
-            reduce(RegistryChanged { registry, Revision(revision_), {} });
+            reduce(RegistryChanged {
+                ended.registry, Revision(revision_), {}, 0, StoreEra(), ended.call });
             continue;
         }
         if (responses_.empty() || responses_.front().at > now_)
@@ -196,12 +197,13 @@
 {
     ++storeCalls_;
     if (isStoreDown_) {
-        failingCalls_.emplace_back(now_ + Duration::millis(10), list.registry);
+        failingCalls_.push_back({ now_ + Duration::millis(10), list.registry, list.call });
         return;
     }
     RegistryListed listed;
     listed.registry = list.registry;
     listed.at = Revision(revision_);
+    listed.call = list.call;
     for (const RegistryEntry &entry : entries_[static_cast<std::size_t>(list.registry)]) {
         if (!entry.isGone)
             listed.entries.push_back(entry);
@@ -214,12 +216,13 @@
 {
     ++storeCalls_;
     if (isStoreDown_) {
-        failingCalls_.emplace_back(now_ + Duration::millis(10), watch.registry);
+        failingCalls_.push_back({ now_ + Duration::millis(10), watch.registry, watch.call });
         return;
     }
     RegistryChanged missed;
     missed.registry = watch.registry;
     missed.at = Revision(revision_);
+    missed.call = watch.call;
     for (const RegistryEntry &entry : changes_[static_cast<std::size_t>(watch.registry)]) {
         if (entry.revision > watch.after)
             missed.entries.push_back(entry);
@@ -227,7 +230,7 @@
     if (const std::size_t count = missed.entries.size(); count > 0)
         respond(watch.registry, count, std::move(missed));
     else
-        watches_.push_back({ watch.registry, now_ + watch.timeout, now_ + watch.wait });
+        watches_.push_back({ watch.registry, now_ + watch.timeout, now_ + watch.wait, watch.call });
 }
 
 void GatewayBench::deliver(Registry registry, RegistryEntry entry)
@@ -243,8 +246,13 @@
                                     [&](const Watch &one) { return one.registry == registry; });
     if (watch == watches_.end())
         return;
+    RegistryChanged changed;
+    changed.registry = registry;
+    changed.at = Revision(revision_);
+    changed.entries.push_back(std::move(entry));
+    changed.call = watch->call;
     watches_.erase(watch);
-    respond(registry, 1, RegistryChanged { registry, Revision(revision_), { std::move(entry) } });
+    respond(registry, 1, std::move(changed));
     serveStore();
 }
 
@@ -283,7 +291,7 @@
     if (!isDown)
         return;
     for (const Watch &watch : std::exchange(watches_, {}))
-        failingCalls_.emplace_back(now_, watch.registry);
+        failingCalls_.push_back({ now_, watch.registry, watch.call });
     serveStore();
 }
 
--- a/bluebellshift/gateway/testing/gatewaybench.h
+++ b/bluebellshift/gateway/testing/gatewaybench.h
@@ -103,6 +103,13 @@
         Registry registry;
         Instant endsAt;
         Instant dueAt; // when the store ends it without changes
+        CallId call;
+    };
+    struct FailingCall
+    {
+        Instant at;
+        Registry registry;
+        CallId call;
     };
 
     void perform(Effects &&effects);
@@ -126,7 +133,7 @@
     std::size_t linkBytesPerSecond_ = 0; // 0: responses arrive at once
     std::size_t configBytes_ = 0;
     Instant linkFreeAt_;
-    std::vector<std::pair<Instant, Registry>> failingCalls_;
+    std::vector<FailingCall> failingCalls_;
     std::uint64_t revision_ = 100;
     bool isStoreDown_ = false;
     int storeCalls_ = 0;
--- a/bluebellshift/gatewayd/metrics.cpp
+++ b/bluebellshift/gatewayd/metrics.cpp
@@ -57,6 +57,10 @@
                      .Name("bluebellshift_state")
                      .Help("What the VM holds and believes, by name.")
                      .Register(registry))
+        , registryAges(prometheus::BuildGauge()
+                           .Name("bluebellshift_registry_age_seconds")
+                           .Help("Time since a registry of the store was confirmed, by registry.")
+                           .Register(registry))
         , latencies(prometheus::BuildHistogram()
                         .Name("bluebellshift_request_seconds")
                         .Help("Times of requests, by part.")
@@ -92,6 +96,7 @@
     prometheus::Family<prometheus::Counter> &limits;
     prometheus::Family<prometheus::Gauge> &storeCalls;
     prometheus::Family<prometheus::Gauge> &gauges;
+    prometheus::Family<prometheus::Gauge> &registryAges;
     prometheus::Family<prometheus::Histogram> &latencies;
     prometheus::Histogram &total;
     prometheus::Histogram &queue;
@@ -183,6 +188,15 @@
     families.setGauge("targets_leaving", static_cast<double>(readings.gateway.leavingTargets));
     families.setGauge("targets_paused", static_cast<double>(readings.gateway.pausedTargets));
     families.setGauge("config_version", static_cast<double>(readings.gateway.configVersion));
+    families.setGauge("config_revision", static_cast<double>(readings.gateway.configRevision));
+    families.setGauge("config_version_reported",
+                      static_cast<double>(readings.gateway.reportedConfigVersion));
+    families.setGauge("store_era", static_cast<double>(readings.gateway.storeEra));
+    families.setGauge("store_data_ignored", static_cast<double>(readings.gateway.ignoredStoreData));
+    for (std::size_t i = 0; i < gateway::registryCount; ++i)
+        families.registryAges
+            .Add({ { "registry", gateway::toText(static_cast<gateway::Registry>(i)) } })
+            .Set(readings.gateway.registryAges[i].toSeconds());
     families.setGauge("store_age_seconds", readings.gateway.storeAge.toSeconds());
     families.setGauge("store_lost", readings.gateway.isStoreLost ? 1 : 0);
     families.setGauge("entries_unreadable",
