--- a/bluebellshift/gatewayd/testing/gatewayprocess.cpp
+++ b/bluebellshift/gatewayd/testing/gatewayprocess.cpp
@@ -32,13 +32,26 @@
     return other == nullptr ? GATEWAY_PROGRAM : other;
 }
 
+GatewayPlace withMemory(int megabytes)
+{
+    GatewayPlace place;
+    place.memoryMegabytes = megabytes;
+    return place;
+}
+
 } // namespace
 
 GatewayProcess::GatewayProcess(boost::asio::io_context &loop, core::Endpoint store,
                                int memoryMegabytes)
+    : GatewayProcess(loop, std::move(store), withMemory(memoryMegabytes))
+{
+}
+
+GatewayProcess::GatewayProcess(boost::asio::io_context &loop, core::Endpoint store,
+                               GatewayPlace place)
     : loop_(loop)
     , store_(std::move(store))
-    , memoryMegabytes_(memoryMegabytes)
+    , place_(std::move(place))
 {
     char folder[] = "/tmp/bluebellshift-gateway-XXXXXX";
     folder_ = mkdtemp(folder);
@@ -57,7 +70,7 @@
 bool GatewayProcess::start()
 {
     for (int i = 0; i < startTries; ++i) {
-        if (!spawn())
+        if (!launch())
             return false;
         bool hasFailed = false;
         net::testing::runUntil(loop_, [&] {
@@ -70,19 +83,24 @@
     return false;
 }
 
-bool GatewayProcess::spawn()
+bool GatewayProcess::launch()
 {
+    logBegin_ = log().size();
     for (std::uint16_t &port : ports_)
         port = net::testing::freePort(loop_);
     std::ofstream file(folder_ + "/gateway.toml");
-    file << "[vm]\nid = \"vm-1\"\nregion = \"near\"\nfailure_domain = \"near-1\"\n[listen]\n";
+    file << "[vm]\nid = \"" << place_.vm << "\"\nregion = \""
+         << place_.regionOf.at(place_.failureDomain) << "\"\nfailure_domain = \""
+         << place_.failureDomain << "\"\n[listen]\n";
     const char *names[] = { "callers", "ready", "lookups", "metrics", "peers" };
     for (int i = 0; i < 5; ++i)
         file << names[i] << " = \"127.0.0.1:" << ports_[i] << "\"\n";
     file << "[platform]\nstore = \"127.0.0.1:" << store_.port << "\"\n[limits]\n"
-         << "stop_grace_seconds = 6\nlog_lines_per_second = 200\nmemory_mb = " << memoryMegabytes_
-         << "\ndescriptors = " << limitDescriptors
-         << "\n[[failure_domain]]\nname = \"near-1\"\nregion = \"near\"\n";
+         << "stop_grace_seconds = 6\nlog_lines_per_second = " << place_.logLinesPerSecond
+         << "\nmemory_mb = " << place_.memoryMegabytes << "\ndescriptors = " << limitDescriptors
+         << '\n';
+    for (const auto &[domain, region] : place_.regionOf)
+        file << "[[failure_domain]]\nname = \"" << domain << "\"\nregion = \"" << region << "\"\n";
     file.close();
     const std::string settings = folder_ + "/gateway.toml";
     const std::string log = folder_ + "/log";
@@ -113,9 +131,9 @@
     return process_ > 0 && !hasEnded_;
 }
 
-bool GatewayProcess::isServing()
+bool GatewayProcess::isServing() const
 {
-    return log().find("name=ready-changed ready=yes") != std::string::npos;
+    return log().find("name=ready-changed ready=yes", logBegin_) != std::string::npos;
 }
 
 std::string GatewayProcess::log() const
