Model the store of a fleet in virtual time

GatewayBench served each VM from a list of entries of its own: VMs of a walk could not share a store, it had one state for ever, and a write was acknowledged without effect.

GatewayBench uses a model of its own, whose clients' writes still change nothing, or one that it shares. FleetWalk starts a fleet on a shared store and restarts VMs as their next incarnation.

--- a/bluebellshift/gateway/testing/fleetwalk.cpp
+++ b/bluebellshift/gateway/testing/fleetwalk.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <fmt/format.h>
+
 namespace bluebellshift::gateway::testing {
 namespace {
 
@@ -22,14 +24,8 @@
     return from.region == to.region ? delayInRegion : delayBetweenRegions;
 }
 
-} // namespace
-
-FleetWalk::FleetWalk(const FleetShape &shape)
-    : isDead_(shape.vmCount)
-    , sent_(shape.vmCount)
-    , received_(shape.vmCount)
-    , relayedAt_(shape.vmCount, Instant::never())
-    , isOpen_([](std::size_t, std::size_t) { return true; })
+// The options of all VMs.
+std::vector<GatewayOptions> optionsOf(const FleetShape &shape)
 {
     GatewayOptions options = sampleOptions();
     options.regionOf.clear();
@@ -39,24 +35,79 @@
     }
     std::vector<GatewayOptions> all;
     for (std::size_t i = 0; i < shape.vmCount; ++i) {
-        const std::size_t domain = i % shape.domainCount;
+        const std::size_t domain = i % std::max<std::size_t>(1, shape.domainCount);
         options.vm.id = VmId("vm-" + std::to_string(shape.seed) + "-" + std::to_string(i));
         options.vm.failureDomain = FailureDomainId("domain-" + std::to_string(domain));
         options.vm.region = RegionId(regionName(domain));
         options.vm.callers = { "10.0.0.1", static_cast<std::uint16_t>(1000 + i) };
         options.vm.peers = { "10.0.0.2", static_cast<std::uint16_t>(1000 + i) };
-        index_[options.vm.id] = i;
-        entries_.push_back(options.vm);
         all.push_back(options);
     }
+    return all;
+}
+
+std::string candidateOf(std::size_t vm, Incarnation incarnation)
+{
+    return fmt::format("{:032x}{:032x}", vm + 1, incarnation.number());
+}
+
+} // namespace
+
+FleetWalk::FleetWalk(const FleetShape &shape)
+    : sharedStore_(nullptr)
+    , options_(optionsOf(shape))
+    , isDead_(shape.vmCount)
+    , sent_(shape.vmCount)
+    , received_(shape.vmCount)
+    , relayedAt_(shape.vmCount, Instant::never())
+    , isOpen_([](std::size_t, std::size_t) { return true; })
+{
+    for (const GatewayOptions &one : options_) {
+        index_[one.vm.id] = entries_.size();
+        entries_.push_back(one.vm);
+    }
     const auto config = sampleConfig();
-    for (const GatewayOptions &one : all) {
+    for (const GatewayOptions &one : options_) {
         vms_.push_back(std::make_unique<GatewayBench>(one));
         vms_.back()->begin(config, sampleTargets(6), entries_, Duration());
     }
     now_ = vms_.front()->now();
 }
 
+FleetWalk::FleetWalk(const FleetShape &shape, StoreModel &store)
+    : sharedStore_(&store)
+    , options_(optionsOf(shape))
+    , vms_(shape.vmCount)
+    , isDead_(shape.vmCount, true)
+    , sent_(shape.vmCount)
+    , received_(shape.vmCount)
+    , relayedAt_(shape.vmCount, Instant::never())
+    , isOpen_([](std::size_t, std::size_t) { return true; })
+{
+    for (const GatewayOptions &one : options_) {
+        index_[one.vm.id] = entries_.size();
+        entries_.push_back(one.vm);
+    }
+    for (std::size_t i = 0; i < vms_.size(); ++i)
+        restart(i);
+}
+
+void FleetWalk::restart(std::size_t vm)
+{
+    GatewayOptions &options = options_[vm];
+    options.vm.incarnation = Incarnation(options.vm.incarnation.number() + 1);
+    options.peerKeyCandidate = candidateOf(vm, options.vm.incarnation);
+    entries_[vm] = options.vm;
+    for (auto &[delay, messages] : inTransit_) {
+        messages.erase(std::remove_if(messages.begin(), messages.end(),
+                                      [&](const InTransit &one) { return one.to == vm; }),
+                       messages.end());
+    }
+    vms_[vm] = std::make_unique<GatewayBench>(options, *sharedStore_, now_);
+    isDead_[vm] = false;
+    vms_[vm]->start();
+}
+
 void FleetWalk::run(Duration time)
 {
     for (Duration passed; passed < time; passed = passed + step) {
@@ -101,6 +152,7 @@
 void FleetWalk::kill(std::size_t vm, bool isNoticed)
 {
     isDead_[vm] = true;
+    vms_[vm]->store().disconnect(vms_[vm]->storeClient());
     for (std::size_t i = 0; i < vms_.size() && isNoticed; ++i) {
         const auto &peers = vms_[i]->peers();
         const auto &ownPeers = vms_[vm]->peers();
--- a/bluebellshift/gateway/testing/fleetwalk.h
+++ b/bluebellshift/gateway/testing/fleetwalk.h
@@ -3,7 +3,9 @@
 //
 //   FleetWalk walk({ /*vmCount=*/100, /*domainCount=*/9, /*seed=*/1 });
 //   walk.run(Duration::seconds(5));
-//   walk.kill(3);
+//   walk.kill(3, true);
+//
+// Each VM has a store of its own that knows all VMs, or all share one that knows what they write.
 #pragma once
 
 #include <deque>
@@ -29,16 +31,21 @@
     static constexpr Duration step = Duration::millis(20);
 
     explicit FleetWalk(const FleetShape &shape);
+    // The VMs share a store. Each starts with a candidate of its own for their secret.
+    FleetWalk(const FleetShape &shape, StoreModel &store);
 
     void run(Duration time);
     // Stops a VM. Its connections close, or are silent if it is not noticed.
     void kill(std::size_t vm, bool isNoticed);
+    // Starts a VM that has been killed, as its next incarnation. The store is shared.
+    void restart(std::size_t vm);
     // Whether a message from one VM to another is delivered.
     void setPath(std::function<bool(std::size_t from, std::size_t to)> isOpen)
     {
         isOpen_ = std::move(isOpen);
     }
 
+    Instant now() const { return now_; }
     std::size_t size() const { return vms_.size(); }
     GatewayBench &vm(std::size_t index) { return *vms_[index]; }
     const VmEntry &entry(std::size_t index) const { return entries_[index]; }
@@ -66,11 +73,13 @@
 
     void deliver();
 
+    StoreModel *const sharedStore_; // or null
+    std::vector<GatewayOptions> options_;
     std::vector<std::unique_ptr<GatewayBench>> vms_;
     std::vector<VmEntry> entries_;
     std::map<VmId, std::size_t> index_;
     std::map<Duration, std::deque<InTransit>> inTransit_; // by delay, so that each is in order
-    Instant now_;
+    Instant now_ = Instant::fromMicros(1'000'000'000);
     std::vector<bool> isDead_;
     std::vector<std::size_t> sent_;
     std::vector<std::size_t> received_;
--- a/bluebellshift/gateway/testing/gatewaybench.cpp
+++ b/bluebellshift/gateway/testing/gatewaybench.cpp
@@ -21,13 +21,19 @@
     return route;
 }
 
-RegistryEntry entryOf(const std::string &name, std::uint64_t revision, RegistryValue value)
+StoreModel::Options readOnly()
 {
-    RegistryEntry entry;
-    entry.name = name;
-    entry.revision = Revision(revision);
-    entry.value = std::move(value);
-    return entry;
+    StoreModel::Options options;
+    options.isWritable = false;
+    return options;
+}
+
+// Not sent over a link that is modelled.
+bool isWithoutContent(const EventBody &body)
+{
+    const auto *changed = std::get_if<RegistryChanged>(&body);
+    return std::holds_alternative<RegistryFailed>(body)
+        || (changed != nullptr && changed->entries.empty());
 }
 
 } // namespace
@@ -94,7 +100,24 @@
 GatewayBench::GatewayBench(const GatewayOptions &options)
     : self_(options.vm)
     , reducer_(options)
+    , ownStore_(std::make_unique<StoreModel>(readOnly()))
+    , store_(ownStore_.get())
+    , client_(store_->connect())
+{
+}
+
+GatewayBench::GatewayBench(const GatewayOptions &options, StoreModel &store, Instant now)
+    : self_(options.vm)
+    , now_(now)
+    , reducer_(options)
+    , store_(&store)
+    , client_(store_->connect())
+{
+}
+
+GatewayBench::~GatewayBench()
 {
+    store_->disconnect(client_);
 }
 
 void GatewayBench::send(const std::vector<VmId> &to, const EventBody &event)
@@ -106,20 +129,21 @@
 void GatewayBench::begin(std::shared_ptr<TrafficConfig> config, const std::vector<Target> &targets,
                          const std::vector<VmEntry> &vms, Duration settling)
 {
-    auto &traffic = entries_[static_cast<std::size_t>(Registry::Traffic)];
     if (config)
-        traffic.push_back(entryOf("main", ++revision_, TrafficConfigPointer(std::move(config))));
+        put(Registry::Traffic, "main", TrafficConfigPointer(std::move(config)));
     for (const Target &target : targets)
-        entries_[static_cast<std::size_t>(Registry::Targets)].push_back(
-            entryOf(target.id.text(), ++revision_, target));
+        put(Registry::Targets, target.id.text(), target);
     for (const VmEntry &vm : vms)
-        entries_[static_cast<std::size_t>(Registry::Vms)].push_back(
-            entryOf(vm.id.text(), ++revision_, vm));
-    entries_[static_cast<std::size_t>(Registry::PeerKeys)].push_back(
-        entryOf("current", ++revision_, PeerKeyEntry { std::string(64, 'a') }));
+        put(Registry::Vms, vm.id.text(), vm);
+    put(Registry::PeerKeys, "current", PeerKeyEntry { std::string(64, 'a') });
+    start();
+    advance(settling);
+}
+
+void GatewayBench::start()
+{
     perform(reducer_.start(now_, ++random_));
     serveStore();
-    advance(settling);
 }
 
 void GatewayBench::reduce(EventBody body)
@@ -133,10 +157,8 @@
     const Instant until = now_ + time;
     while (now_ < until) {
         Instant next = std::min(until, std::max(now_ + Duration::micros(1), reducer_.nextWake()));
-        for (const Watch &watch : watches_)
-            next = std::min(next, std::max(now_ + Duration::micros(1), watch.dueAt));
-        for (const FailingCall &call : failingCalls_)
-            next = std::min(next, std::max(now_ + Duration::micros(1), call.at));
+        if (const Instant reply = store_->nextAt(client_); reply != Instant::never())
+            next = std::min(next, std::max(now_ + Duration::micros(1), reply));
         for (const PendingResponse &response : responses_)
             next = std::min(next, std::max(now_ + Duration::micros(1), response.at));
         now_ = next;
@@ -149,23 +171,7 @@
 void GatewayBench::serveStore()
 {
     for (;;) {
-        const auto due = std::find_if(failingCalls_.begin(), failingCalls_.end(),
-                                      [&](const FailingCall &call) { return call.at <= now_; });
-        if (due != failingCalls_.end()) {
-            const FailingCall call = *due;
-            failingCalls_.erase(due);
-            reduce(RegistryFailed { call.registry, StoreFailure::Refused, StoreEra(), call.call });
-            continue;
-        }
-        const auto watch = std::find_if(watches_.begin(), watches_.end(),
-                                        [&](const Watch &one) { return one.dueAt <= now_; });
-        if (watch != watches_.end()) {
-            const Watch ended = *watch;
-            watches_.erase(watch);
-            reduce(RegistryChanged {
-                ended.registry, Revision(revision_), {}, 0, StoreEra(), ended.call });
-            continue;
-        }
+        collectReplies();
         if (responses_.empty() || responses_.front().at > now_)
             return;
         EventBody body = std::move(responses_.front().body);
@@ -180,118 +186,76 @@
     configBytes_ = configBytes;
 }
 
-void GatewayBench::respond(Registry registry, std::size_t count, EventBody body)
+void GatewayBench::collectReplies()
 {
     constexpr std::size_t entryBytes = 300;
-    linkFreeAt_ = std::max(linkFreeAt_, now_);
-    if (linkBytesPerSecond_ > 0) {
-        const std::size_t bytes =
-            count * (registry == Registry::Traffic ? configBytes_ : entryBytes);
-        linkFreeAt_ = linkFreeAt_
-            + Duration::micros(static_cast<std::int64_t>(bytes * 1'000'000 / linkBytesPerSecond_));
+    while (std::optional<StoreModel::Reply> reply = store_->take(client_, now_)) {
+        Instant at = now_;
+        if (!isWithoutContent(reply->body)) {
+            linkFreeAt_ = std::max(linkFreeAt_, now_);
+            if (linkBytesPerSecond_ > 0) {
+                const std::size_t bytes = reply->entries
+                    * (reply->registry == Registry::Traffic ? configBytes_ : entryBytes);
+                linkFreeAt_ = linkFreeAt_
+                    + Duration::micros(static_cast<std::int64_t>(bytes * 1'000'000
+                                                                 / linkBytesPerSecond_));
+            }
+            at = linkFreeAt_;
+        }
+        const auto place =
+            std::upper_bound(responses_.begin(), responses_.end(), at,
+                             [](Instant a, const PendingResponse &b) { return a < b.at; });
+        responses_.insert(place, { at, std::move(reply->body) });
     }
-    responses_.push_back({ linkFreeAt_, std::move(body) });
 }
 
-void GatewayBench::on(const ListRegistry &list)
+template<typename Call> void GatewayBench::callStore(const Call &call)
 {
-    ++storeCalls_;
-    if (isStoreDown_) {
-        failingCalls_.push_back({ now_ + Duration::millis(10), list.registry, list.call });
-        return;
-    }
-    RegistryListed listed;
-    listed.registry = list.registry;
-    listed.at = Revision(revision_);
-    listed.call = list.call;
-    for (const RegistryEntry &entry : entries_[static_cast<std::size_t>(list.registry)]) {
-        if (!entry.isGone)
-            listed.entries.push_back(entry);
-    }
-    const std::size_t count = listed.entries.size();
-    respond(list.registry, count, std::move(listed));
+    store_->call(client_, call, now_);
+    collectReplies();
 }
 
-void GatewayBench::on(const WatchRegistry &watch)
+void GatewayBench::put(Registry registry, const std::string &name, RegistryValue value)
 {
-    ++storeCalls_;
-    if (isStoreDown_) {
-        failingCalls_.push_back({ now_ + Duration::millis(10), watch.registry, watch.call });
-        return;
-    }
-    RegistryChanged missed;
-    missed.registry = watch.registry;
-    missed.at = Revision(revision_);
-    missed.call = watch.call;
-    for (const RegistryEntry &entry : changes_[static_cast<std::size_t>(watch.registry)]) {
-        if (entry.revision > watch.after)
-            missed.entries.push_back(entry);
-    }
-    if (const std::size_t count = missed.entries.size(); count > 0)
-        respond(watch.registry, count, std::move(missed));
-    else
-        watches_.push_back({ watch.registry, now_ + watch.timeout, now_ + watch.wait, watch.call });
-}
-
-void GatewayBench::deliver(Registry registry, RegistryEntry entry)
-{
-    entry.revision = Revision(++revision_);
-    auto &entries = entries_[static_cast<std::size_t>(registry)];
-    entries.erase(std::remove_if(entries.begin(), entries.end(),
-                                 [&](const auto &other) { return other.name == entry.name; }),
-                  entries.end());
-    entries.push_back(entry); // a removed entry stays, marked as gone
-    changes_[static_cast<std::size_t>(registry)].push_back(entry);
-    const auto watch = std::find_if(watches_.begin(), watches_.end(),
-                                    [&](const Watch &one) { return one.registry == registry; });
-    if (watch == watches_.end())
-        return;
-    RegistryChanged changed;
-    changed.registry = registry;
-    changed.at = Revision(revision_);
-    changed.entries.push_back(std::move(entry));
-    changed.call = watch->call;
-    watches_.erase(watch);
-    respond(registry, 1, std::move(changed));
-    serveStore();
+    store_->put(registry, name, std::move(value), now_);
 }
 
 void GatewayBench::putConfig(std::shared_ptr<TrafficConfig> config)
 {
-    deliver(Registry::Traffic, entryOf("main", 0, TrafficConfigPointer(std::move(config))));
+    put(Registry::Traffic, "main", TrafficConfigPointer(std::move(config)));
+    serveStore();
 }
 
 void GatewayBench::putTarget(const Target &target)
 {
-    deliver(Registry::Targets, entryOf(target.id.text(), 0, target));
+    put(Registry::Targets, target.id.text(), target);
+    serveStore();
 }
 
 void GatewayBench::putVm(const VmEntry &vm)
 {
-    deliver(Registry::Vms, entryOf(vm.id.text(), 0, vm));
+    put(Registry::Vms, vm.id.text(), vm);
+    serveStore();
 }
 
 void GatewayBench::removeTarget(const TargetId &target)
 {
-    RegistryEntry entry = entryOf(target.text(), 0, UnreadableEntry {});
-    entry.isGone = true;
-    deliver(Registry::Targets, std::move(entry));
+    store_->remove(Registry::Targets, target.text(), now_);
+    serveStore();
 }
 
 void GatewayBench::setEvacuated(const std::string &domain, bool isEvacuated)
 {
-    RegistryEntry entry = entryOf(domain, 0, EvacuationEntry {});
-    entry.isGone = !isEvacuated;
-    deliver(Registry::Evacuations, std::move(entry));
+    if (isEvacuated)
+        put(Registry::Evacuations, domain, EvacuationEntry {});
+    else
+        store_->remove(Registry::Evacuations, domain, now_);
+    serveStore();
 }
 
 void GatewayBench::setStoreDown(bool isDown)
 {
-    isStoreDown_ = isDown;
-    if (!isDown)
-        return;
-    for (const Watch &watch : std::exchange(watches_, {}))
-        failingCalls_.push_back({ now_, watch.registry, watch.call });
+    store_->setPath(client_, isDown ? StoreModel::Fault::Refused : StoreModel::Fault::None, now_);
     serveStore();
 }
 
@@ -343,10 +307,18 @@
 void GatewayBench::perform(Effects &&effects)
 {
     for (Effect &effect : effects) {
-        if (const auto *list = std::get_if<ListRegistry>(&effect))
-            on(*list);
-        else if (const auto *watch = std::get_if<WatchRegistry>(&effect))
-            on(*watch);
+        if (const auto *list = std::get_if<ListRegistry>(&effect)) {
+            ++storeCalls_;
+            callStore(*list);
+        } else if (const auto *watch = std::get_if<WatchRegistry>(&effect)) {
+            ++storeCalls_;
+            callStore(*watch);
+        } else if (const auto *write = std::get_if<WriteVm>(&effect))
+            callStore(*write);
+        else if (const auto *removal = std::get_if<RemoveVm>(&effect))
+            callStore(*removal);
+        else if (const auto *create = std::get_if<CreatePeerKey>(&effect))
+            callStore(*create);
         else if (const auto *attempt = std::get_if<SendAttempt>(&effect))
             on(*attempt);
         else if (const auto *pass = std::get_if<ForwardResponse>(&effect))
@@ -371,14 +343,13 @@
             send(update->to, PeerTargetUpdateReceived { self_.id, update->update });
         else if (const auto *vms = std::get_if<SendVmUpdate>(&effect))
             send(vms->to, PeerVmUpdateReceived { self_.id, vms->update });
-        else if (const auto *peers = std::get_if<SetPeers>(&effect))
+        else if (const auto *peers = std::get_if<SetPeers>(&effect)) {
             peers_ = peers->peers;
-        else if (const auto *log = std::get_if<WriteLog>(&effect))
+            secretHex_ = peers->secretHex;
+        } else if (const auto *log = std::get_if<WriteLog>(&effect))
             logs_.push_back(log->record);
         else if (std::holds_alternative<Exit>(effect))
             hasExited_ = true;
-        else if (std::holds_alternative<WriteVm>(effect))
-            respond(Registry::Vms, 0, StoreWritten { Registry::Vms });
     }
 }
 
--- a/bluebellshift/gateway/testing/gatewaybench.h
+++ b/bluebellshift/gateway/testing/gatewaybench.h
@@ -1,5 +1,5 @@
-// Runs one gateway's reducer in virtual time with a simulated store. The test provides the
-// responses of targets and the messages of other VMs.
+// Runs one gateway's reducer in virtual time with a model of the store, its own or one that it
+// shares with others. The test provides the responses of targets and the messages of other VMs.
 //
 //   GatewayBench bench;
 //   bench.begin(sampleConfig(), sampleTargets(4));   // ready to serve
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "bluebellshift/gateway/reducer.h"
+#include "bluebellshift/gateway/testing/storemodel.h"
 
 namespace bluebellshift::gateway::testing {
 
@@ -50,7 +51,13 @@
 {
 public:
     explicit GatewayBench(const GatewayOptions &options = sampleOptions());
+    // Uses a store that others use too, and whose content the test provides.
+    GatewayBench(const GatewayOptions &options, StoreModel &store, Instant now);
+    ~GatewayBench();
+    GatewayBench(const GatewayBench &) = delete;
+    GatewayBench &operator=(const GatewayBench &) = delete;
 
+    void start();
     // Starts the gateway, serves its first lists and waits for `settling`.
     void begin(std::shared_ptr<TrafficConfig> config, const std::vector<Target> &targets,
                const std::vector<VmEntry> &vms = {}, Duration settling = Duration::seconds(2));
@@ -87,6 +94,11 @@
     std::vector<Outgoing> takeOutgoing() { return std::exchange(outgoing_, {}); }
     // The VMs that this VM is connected to.
     const std::vector<VmEntry> &peers() const { return peers_; }
+    // The secret that it authenticates itself with; empty: none yet.
+    const std::string &secretHex() const { return secretHex_; }
+    StoreModel &store() { return *store_; }
+    StoreModel::Client storeClient() const { return client_; }
+    // Lists and watches.
     int storeCalls() const { return storeCalls_; }
     bool hasExited() const { return hasExited_; }
     Reducer &reducer() { return reducer_; }
@@ -98,44 +110,27 @@
         Instant at;
         EventBody body;
     };
-    struct Watch
-    {
-        Registry registry;
-        Instant endsAt;
-        Instant dueAt; // when the store ends it without changes
-        CallId call;
-    };
-    struct FailingCall
-    {
-        Instant at;
-        Registry registry;
-        CallId call;
-    };
 
     void perform(Effects &&effects);
     void send(const std::vector<VmId> &to, const EventBody &event);
-    void on(const ListRegistry &list);
-    void on(const WatchRegistry &watch);
     void on(const SendAttempt &attempt);
+    template<typename Call> void callStore(const Call &call);
     void serveStore();
-    // Queues a response with `count` entries of a registry.
-    void respond(Registry registry, std::size_t count, EventBody body);
-    void deliver(Registry registry, RegistryEntry entry);
+    // Queues the replies of the store that are due.
+    void collectReplies();
+    void put(Registry registry, const std::string &name, RegistryValue value);
 
     const VmEntry self_;
     Instant now_ = Instant::fromMicros(1'000'000'000);
     std::uint64_t random_ = 12345;
     Reducer reducer_;
-    std::vector<RegistryEntry> entries_[registryCount];
-    std::vector<Watch> watches_;
-    std::vector<RegistryEntry> changes_[registryCount]; // all since the start, in order
-    std::vector<PendingResponse> responses_;
-    std::size_t linkBytesPerSecond_ = 0; // 0: responses arrive at once
+    std::unique_ptr<StoreModel> ownStore_; // null: it is shared
+    StoreModel *const store_;
+    const StoreModel::Client client_;
+    std::vector<PendingResponse> responses_; // by time
+    std::size_t linkBytesPerSecond_ = 0;     // 0: responses arrive at once
     std::size_t configBytes_ = 0;
     Instant linkFreeAt_;
-    std::vector<FailingCall> failingCalls_;
-    std::uint64_t revision_ = 100;
-    bool isStoreDown_ = false;
     int storeCalls_ = 0;
     std::map<std::uint64_t, int> attempts_;
     std::vector<SendAttempt> sent_;
@@ -143,6 +138,7 @@
     std::vector<RequestId> cancelled_;
     std::vector<Outgoing> outgoing_;
     std::vector<VmEntry> peers_;
+    std::string secretHex_;
     std::vector<core::LogRecord> logs_;
     bool hasExited_ = false;
 };
