--- a/bluebellshift/gateway/testing/storemodel.cpp
+++ b/bluebellshift/gateway/testing/storemodel.cpp
@@ -118,7 +118,6 @@
     pending.reply.registry = pending.registry;
     pending.deadline = now + call.timeout;
     pending.noAnswer = failureOf(call, StoreFailure::NoAnswer);
-    pending.at = now + options_.responseDelay;
     const Fault fault = faultOf(state, now);
     if (fault == Fault::Silent) {
         pending.at = pending.deadline;
@@ -129,10 +128,12 @@
         pending.reply.body = failureOf(call, StoreFailure::Refused);
     } else if (!isWithinRate) {
         ++refusedByRate_;
+        pending.at = now + options_.responseDelay;
         pending.reply.body = failureOf(call, StoreFailure::Refused, era_);
     } else if constexpr (isWatch) {
         if (std::optional<Reply> reply = serve(call)) {
             pending.reply = std::move(*reply);
+            pending.at = now + takeDelay(state, pending.registry);
         } else {
             pending.isSent = false;
             pending.at = now + call.wait;
@@ -141,8 +142,9 @@
         }
     } else {
         pending.reply = serve(call, now);
+        pending.at = now + takeDelay(state, pending.registry);
     }
-    add(state, std::move(pending), now);
+    add(state, std::move(pending));
 }
 
 template void StoreModel::call(Client, const ListRegistry &, Instant);
@@ -151,13 +153,18 @@
 template void StoreModel::call(Client, const RemoveVm &, Instant);
 template void StoreModel::call(Client, const CreatePeerKey &, Instant);
 
-void StoreModel::add(ClientState &client, Pending pending, Instant now)
+Duration StoreModel::takeDelay(ClientState &client, Registry registry)
+{
+    const auto delay = client.delays.find(registry);
+    if (delay == client.delays.end())
+        return options_.responseDelay;
+    const Duration time = delay->second;
+    client.delays.erase(delay);
+    return time;
+}
+
+void StoreModel::add(ClientState &client, Pending pending)
 {
-    const auto delay = client.delays.find(pending.registry);
-    if (delay != client.delays.end() && pending.isSent) {
-        pending.at = now + delay->second;
-        client.delays.erase(delay);
-    }
     if (pending.at > pending.deadline) {
         pending.at = pending.deadline;
         pending.reply.body = pending.noAnswer;
@@ -323,17 +330,18 @@
     else
         entries[entry.name] = entry;
     state_.history.emplace_back(registry, std::move(entry));
-    if (historyLimit_)
-        limitHistory(historyLimit_);
     for (ClientState &client : clients_) {
         for (Pending &watch : client.pending) {
             if (watch.isSent || watch.registry != registry)
                 continue;
             watch.reply = changesSince(registry, watch.after, watch.call);
             watch.isSent = true;
-            watch.at = now + options_.responseDelay;
+            watch.at = now + takeDelay(client, registry);
         }
     }
+    // After the watches that wait have it, which need no history.
+    if (historyLimit_)
+        limitHistory(historyLimit_);
 }
 
 void StoreModel::limitHistory(std::optional<std::size_t> most)
--- a/bluebellshift/gateway/testing/storemodel.h
+++ b/bluebellshift/gateway/testing/storemodel.h
@@ -152,7 +152,8 @@
     bool countWrite(ClientState &client, Instant now);
     Reply changesSince(Registry registry, std::uint64_t after, CallId call) const;
     Fault faultOf(const ClientState &client, Instant now) const;
-    void add(ClientState &client, Pending pending, Instant now);
+    Duration takeDelay(ClientState &client, Registry registry);
+    void add(ClientState &client, Pending pending);
     void breakCalls(ClientState &client, Fault fault, Instant now);
     void change(Registry registry, RegistryEntry entry, Instant now);
     const State &staleState(Instant now);
