--- a/bluebellshift/core/logevent.h
+++ b/bluebellshift/core/logevent.h
@@ -46,6 +46,7 @@
 inline constexpr LogEvent storeEraChanged { 214, LogLevel::Warning, "store-era-changed" };
 inline constexpr LogEvent storeDataIgnored { 215, LogLevel::Info, "store-data-ignored" };
 inline constexpr LogEvent configBehind { 216, LogLevel::Warning, "config-behind" };
+inline constexpr LogEvent configKept { 217, LogLevel::Warning, "config-kept" };
 // 3xx: membership
 inline constexpr LogEvent peerAlive { 301, LogLevel::Info, "peer-alive" };
 inline constexpr LogEvent peerSuspected { 302, LogLevel::Warning, "peer-suspected" };
@@ -80,8 +81,9 @@
 inline constexpr LogEvent targetPaused { 517, LogLevel::Warning, "target-paused" };
 inline constexpr LogEvent callerLimited { 518, LogLevel::Warning, "caller-limited" };
 inline constexpr LogEvent regionShares { 519, LogLevel::Info, "region-shares" };
-inline constexpr LogEvent regionPlanned { 521, LogLevel::Info, "region-planned" };
 inline constexpr LogEvent faultNoticed { 520, LogLevel::Info, "fault-noticed" };
+inline constexpr LogEvent regionPlanned { 521, LogLevel::Info, "region-planned" };
+inline constexpr LogEvent targetHeld { 522, LogLevel::Info, "target-held" };
 // 6xx: steering
 inline constexpr LogEvent snapshotPublished { 601, LogLevel::Info, "snapshot-published" };
 inline constexpr LogEvent shiftStepTaken { 602, LogLevel::Info, "shift-step-taken" };
--- a/bluebellshift/core/targetupdate.h
+++ b/bluebellshift/core/targetupdate.h
@@ -8,6 +8,7 @@
 
 #include "bluebellshift/core/ids.h"
 #include "bluebellshift/core/roster.h"
+#include "bluebellshift/core/storerevision.h"
 #include "bluebellshift/core/units.h"
 
 namespace bluebellshift::core {
@@ -29,18 +30,21 @@
 struct TargetChange
 {
     std::string name; // of the entry
-    Revision revision;
+    RevisionNumber revision;
     bool isGone = false;
     std::string problem; // why the entry is unreadable; empty if readable
     TargetEntry target;  // unset if the entry is removed or unreadable
 };
 
-// All changes after the revision `after`, up to and including `upTo`.
+// All changes after the revision `after`, up to and including `upTo`, in one era of the store. If
+// it is complete, all targets as of `upTo`.
 struct TargetUpdate
 {
-    Revision after;
-    Revision upTo;
+    RevisionNumber after;
+    RevisionNumber upTo;
     std::vector<TargetChange> changes;
+    StoreEra era; // 0: the store tells none
+    bool isComplete = false;
 };
 
 } // namespace bluebellshift::core
--- a/bluebellshift/core/vmreport.h
+++ b/bluebellshift/core/vmreport.h
@@ -69,7 +69,9 @@
     std::vector<TargetUse> uses;
     bool readsStore = false;          // it watches the platform's store on behalf of other VMs too
     std::uint32_t storeAgeMillis = 0; // time since the store last confirmed all watched data
-    std::vector<std::uint64_t> registryRevisions; // last change of each watched registry
+    // Last change of each followed registry; 0: not known in storeEra.
+    std::vector<std::uint64_t> registryRevisions;
+    StoreEra storeEra;                     // the latest that the VM knows; 0: the store tells none
     bool isYoung = false;                  // its uptime is shorter than the users' quota window
     std::vector<TeamAdmission> admissions; // for the teams whose accounts it keeps
     // If it reads the store: the evacuated failure domains at the last change of that registry.
--- a/bluebellshift/core/vmupdate.h
+++ b/bluebellshift/core/vmupdate.h
@@ -7,6 +7,7 @@
 
 #include "bluebellshift/core/ids.h"
 #include "bluebellshift/core/roster.h"
+#include "bluebellshift/core/storerevision.h"
 
 namespace bluebellshift::core {
 
@@ -24,17 +25,19 @@
 struct VmChange
 {
     std::string name; // of the entry
-    Revision revision;
+    RevisionNumber revision;
     bool isGone = false;
     VmEntry vm; // unset if the entry is removed
 };
 
-// All changes after the revision `after`, up to and including `upTo`.
+// The same as TargetUpdate.
 struct VmUpdate
 {
-    Revision after;
-    Revision upTo;
+    RevisionNumber after;
+    RevisionNumber upTo;
     std::vector<VmChange> changes;
+    StoreEra era;
+    bool isComplete = false;
 };
 
 } // namespace bluebellshift::core
--- a/bluebellshift/gateway/effect.h
+++ b/bluebellshift/gateway/effect.h
@@ -19,7 +19,7 @@
     std::string after;
     bool mayBeStale = false; // allows a cheaper read that may be seconds old
     Duration timeout;
-    CallId call; // returned with the result
+    CallId call {}; // returned with the result
 };
 
 // Waits for changes after a revision. Ends with RegistryChanged or RegistryFailed.
@@ -29,7 +29,7 @@
     Revision after;
     Duration wait;    // how long the store may hold the request without changes
     Duration timeout; // how long the shell waits for the response
-    CallId call;      // returned with the result
+    CallId call {};   // returned with the result
 };
 
 // Creates or replaces a VM's entry. Ends with StoreWritten or StoreWriteFailed: Conflict if
--- a/bluebellshift/gateway/event.h
+++ b/bluebellshift/gateway/event.h
@@ -28,8 +28,8 @@
     bool hasMore = false;
     std::vector<RegistryEntry> entries; // sorted by name
     std::size_t bytes = 0;              // of the response's body
-    StoreEra era;                       // as the response tells; 0: it does not
-    CallId call;                        // that it responds to; 0: not known
+    StoreEra era {};                    // as the response tells; 0: it does not
+    CallId call {};                     // that it responds to; 0: not known
 };
 
 // A watch returned, possibly without changes.
@@ -39,29 +39,29 @@
     Revision at; // revision to continue the watch from
     std::vector<RegistryEntry> entries;
     std::size_t bytes = 0; // of the response's body
-    StoreEra era;          // as the response tells; 0: it does not
-    CallId call;           // that it responds to; 0: not known
+    StoreEra era {};       // as the response tells; 0: it does not
+    CallId call {};        // that it responds to; 0: not known
 };
 
 struct RegistryFailed
 {
     Registry registry = Registry::Traffic;
     StoreFailure failure = StoreFailure::NoAnswer;
-    StoreEra era; // as the response tells; 0: it does not, or there was none
-    CallId call;  // that failed; 0: not known
+    StoreEra era {}; // as the response tells; 0: it does not, or there was none
+    CallId call {};  // that failed; 0: not known
 };
 
 // A WriteVm, RemoveVm or CreatePeerKey succeeded or failed.
 struct StoreWritten
 {
     Registry registry = Registry::Vms;
-    StoreEra era; // as in RegistryFailed
+    StoreEra era {}; // as in RegistryFailed
 };
 struct StoreWriteFailed
 {
     Registry registry = Registry::Vms;
     StoreFailure failure = StoreFailure::NoAnswer;
-    StoreEra era; // as in RegistryFailed
+    StoreEra era {}; // as in RegistryFailed
 };
 
 // A complete request of a caller. The shell keeps its bytes.
--- a/bluebellshift/gateway/fleet.cpp
+++ b/bluebellshift/gateway/fleet.cpp
@@ -12,7 +12,7 @@
 {
 }
 
-void Fleet::put(const VmEntry &entry, Revision revision, Instant now)
+void Fleet::put(const VmEntry &entry, Revision revision, Instant now, Origin origin)
 {
     const auto [position, isNew] = entries_.try_emplace(entry.id);
     Peer &peer = position->second;
@@ -22,7 +22,7 @@
     ++version_;
     if (isNew || isRestarted) {
         peer.hash = hashText(entry.id.text());
-        peer.listedAt = now;
+        peer.listedAt = origin == Origin::Store ? now : now - newVmGrace;
         if (peer.incarnation != entry.incarnation) {
             peer.isDisconnected = false;
             peer.reportedAt = Instant::never();
@@ -121,6 +121,19 @@
     return live;
 }
 
+bool Fleet::isLive(const VmId &vm, Instant now) const
+{
+    const auto found = entries_.find(vm);
+    return found != entries_.end() && isLive(found->second, now);
+}
+
+bool Fleet::isLiveInOtherRun(const VmEntry &entry, Instant now) const
+{
+    const auto found = entries_.find(entry.id);
+    return found != entries_.end() && found->second.incarnation != entry.incarnation
+        && isLive(found->second, now);
+}
+
 bool Fleet::isUsable(const VmId &vm, Instant now) const
 {
     const auto found = entries_.find(vm);
@@ -212,6 +225,17 @@
     return end;
 }
 
+Instant Fleet::readersConfirmedAt(Instant now) const
+{
+    Instant latest = Instant::never();
+    for (const auto &[id, peer] : entries_) {
+        if (peer.report.readsStore && isLive(peer, now))
+            latest =
+                std::max(latest, peer.reportedAt - Duration::millis(peer.report.storeAgeMillis));
+    }
+    return latest;
+}
+
 bool Fleet::isFirstReader(std::uint64_t seed, Duration maxAge, Instant now) const
 {
     const std::uint64_t own = mixHashes(hashText(options_.vm.id.text()), seed);
@@ -220,12 +244,15 @@
     });
 }
 
-std::uint64_t Fleet::changeRevision(std::size_t registry, Instant now) const
+StoreRevision Fleet::changeRevision(std::size_t registry, StoreEra era, Instant now) const
 {
-    std::uint64_t newest = 0;
+    StoreRevision newest;
     for (const auto &[id, peer] : entries_) {
-        if (isLive(peer, now) && registry < peer.report.registryRevisions.size())
-            newest = std::max(newest, peer.report.registryRevisions[registry]);
+        if (!isLive(peer, now) || registry >= peer.report.registryRevisions.size())
+            continue;
+        const Revision revision(peer.report.registryRevisions[registry]);
+        const StoreEra told = peer.report.storeEra;
+        newest = core::newerOf(newest, { told == StoreEra() ? era : told, revision });
     }
     return newest;
 }
--- a/bluebellshift/gateway/fleet.h
+++ b/bluebellshift/gateway/fleet.h
@@ -40,7 +40,11 @@
 
     Fleet(const GatewayOptions &options, std::function<void(core::LogRecord)> log);
 
-    void put(const VmEntry &entry, Revision revision, Instant now);
+    enum class Origin {
+        Store,
+        RestoredStore, // it may be older than the VM's end: only a report shows that the VM lives
+    };
+    void put(const VmEntry &entry, Revision revision, Instant now, Origin origin = Origin::Store);
     void remove(const VmId &vm);
     enum class ReportResult {
         Ignored, // from a VM that is not registered, or not newer than the last one
@@ -62,6 +66,9 @@
     std::vector<VmEntry> peers() const;
     // The live VMs among them.
     std::vector<VmId> livePeers(Instant now) const;
+    bool isLive(const VmId &vm, Instant now) const;
+    // Whether the VM is live in another run than the one that the entry names.
+    bool isLiveInOtherRun(const VmEntry &entry, Instant now) const;
     // Whether a VM is live, or too new to have reported, and is not leaving.
     bool isUsable(const VmId &vm, Instant now) const;
     // The latest reports of all live VMs, for a VM that knows none.
@@ -78,9 +85,13 @@
     std::size_t freshReaders(Duration maxAge, Instant now) const;
     // When the last of them ceases to be one; never(): there is none.
     Instant freshReadersEnd(Duration maxAge, Instant now) const;
+    // The latest time at which the store confirmed all watched data to one of them, by its reports;
+    // never(): there is none.
+    Instant readersConfirmedAt(Instant now) const;
     // Whether no such VM comes before this one in the order of readers by `seed`.
     bool isFirstReader(std::uint64_t seed, Duration maxAge, Instant now) const;
-    std::uint64_t changeRevision(std::size_t registry, Instant now) const;
+    // A report that tells no era is taken for one of `era`.
+    StoreRevision changeRevision(std::size_t registry, StoreEra era, Instant now) const;
 
     // The highest version of the configuration that a live VM reported; 0: none did.
     std::uint64_t newestConfigVersion(Instant now) const;
--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -16,6 +16,9 @@
 #include "bluebellshift/gateway/fleet.h"
 #include "bluebellshift/gateway/hashing.h"
 #include "bluebellshift/gateway/regions/faultwatch.h"
+#include "bluebellshift/gateway/store/meshsecret.h"
+#include "bluebellshift/gateway/store/ownentry.h"
+#include "bluebellshift/gateway/store/registryview.h"
 #include "bluebellshift/gateway/storelink.h"
 #include "bluebellshift/gateway/targetpool.h"
 #include "bluebellshift/gateway/teamlimits.h"
@@ -39,6 +42,7 @@
 constexpr Duration maxRelayedReaderAge = Duration::millis(2200); // if relays delay the reports
 constexpr Duration followCheckInterval = Duration::millis(250);  // while no reader is known
 constexpr std::uint64_t readerRankSeed = 0x72656164; // arbitrary, but the same on every VM
+constexpr std::uint64_t secretRankSeed = 0x73656372; // the same
 constexpr std::array<Registry, 4> followedRegistries = { Registry::Traffic, Registry::Targets,
                                                          Registry::Evacuations, Registry::Vms };
 constexpr std::size_t evacuationsIndex = 2; // in followedRegistries
@@ -49,7 +53,6 @@
 // Minimum interval between reports that are sent because an admission changed.
 constexpr Duration minAdmissionInterval = Duration::millis(200);
 constexpr Duration writeTimeout = Duration::millis(1000);
-constexpr Duration writeRetry = Duration::millis(400);
 constexpr Duration staleEntryAge = Duration::seconds(90);      // without a report
 constexpr Duration maxServingAfterStop = Duration::seconds(3); // after a stop was requested
 constexpr Duration stopMargin = Duration::millis(300);         // before the process is killed
@@ -87,8 +90,11 @@
     TeamLimits limits_;
     Dispatcher dispatcher_;
     StoreLink store_;
-    Revision configRevision_; // at which config_ was received
+    StoreRevision configRevision_; // at which config_ was received
     Instant startedAt_;
+    store::OwnEntry ownEntry_;
+    store::MeshSecret secret_;
+    store::RegistryView view_;
 
     bool isReady() const;
 
@@ -98,7 +104,7 @@
     void on(const RegistryChanged &event);
     void on(const RegistryFailed &event)
     {
-        store_.onFailed(event, random_, now_);
+        store_.onFailed(event, now_);
         expediteReport(true);
     }
     void on(const StoreWritten &event);
@@ -122,8 +128,6 @@
     void onEntry(Registry registry, const RegistryEntry &entry);
     void onListed(Registry registry);
     void onConfig(const RegistryEntry &entry);
-    void onTarget(const RegistryEntry &entry);
-    void onVm(const RegistryEntry &entry);
     void logUnreadable(Registry registry, const RegistryEntry &entry);
     // Logs once for each version that other VMs have and this one has not after maxConfigLag.
     void checkConfigLag();
@@ -136,9 +140,13 @@
     void chooseStoreMode();
     // Sends the next report at once if other VMs follow this one and it has read changes.
     void expediteReport(bool hasChanges);
-    void sendTargetUpdate(const RegistryChanged &changed, Revision after);
-    void sendVmUpdate(const RegistryChanged &changed, Revision after);
+    // Sends changes since `after` to the VMs that follow this one.
+    void sendUpdate(const RegistryChanged &changed, StoreRevision after);
+    void sendTargetUpdate(const RegistryChanged &changed, StoreRevision after);
+    void sendVmUpdate(const RegistryChanged &changed, StoreRevision after);
     bool isFirstReader() const;
+    // The era of what another VM sent; one of an earlier version of the program tells none.
+    StoreEra eraOf(StoreEra told) const { return told == StoreEra() ? store_.era() : told; }
     Duration maxReaderAgeNow() const
     {
         return exchange_.usesRelays() ? maxRelayedReaderAge : maxReaderAge;
@@ -147,7 +155,6 @@
     void applyReportedEvacuations(const VmReport &report);
     void applyReportedFault(const VmReport &report, Duration age);
     void noticeFaults();
-    void removeLapsed();
     void removeStaleVms();
     void updateLimits();
     // Sends the next report early if an admission of this VM's accounts has changed much.
@@ -159,15 +166,8 @@
 
     std::uint64_t missingVersion_ = 0; // in force at another VM
     Instant missingSince_ = Instant::never();
-    bool isKeyKnown_ = false;
-    bool isKeyRequested_ = false;
-    bool isEntryWritten_ = false;
-    bool isEntryWritePending_ = false;
-    bool mustCreateEntry_ = true;
-    Instant entryDueAt_ = Instant::never();
-    bool hasEntryChanged_ = false;            // by the current event
-    std::map<TargetId, Instant> lapsedUntil_; // time by which they must register again
-    std::uint64_t knownLosses_ = 0;           // of the fleet's VMs
+    bool hasEntryChanged_ = false;  // by the current event
+    std::uint64_t knownLosses_ = 0; // of the fleet's VMs
     std::uint64_t reportSequence_ = 0;
     Instant reportAt_ = Instant::never();
     Instant reportedAt_ = Instant::never();
@@ -214,10 +214,21 @@
     , store_({ [this](Effect effect) { perform(std::move(effect)); },
                [this](Registry registry, const RegistryEntry &entry) { onEntry(registry, entry); },
                [this](Registry registry) { onListed(registry); },
-               [this](const RegistryChanged &changed, Revision after) {
-                   sendVmUpdate(changed, after);
+               [this](const RegistryChanged &changed, StoreRevision after) {
+                   sendUpdate(changed, after);
                },
+               [this] { reportBy(now_); },
                [this](core::LogRecord record) { log(std::move(record)); } })
+    , secret_(options_.peerKeyCandidate,
+              { [this](const std::string &secretHex) { exchange_.setSecret(secretHex); },
+                [this](const std::string &secretHex) {
+                    perform(CreatePeerKey { secretHex, writeTimeout });
+                },
+                [this](Instant now) { store_.refresh(Registry::PeerKeys, now); } })
+    , view_(options_, store_, pool_, fleet_, exchange_, ownEntry_,
+            { [this](Effect effect) { perform(std::move(effect)); },
+              [this] { store_.listAnew(Registry::Targets, now_); },
+              [this](core::LogRecord record) { log(std::move(record)); } })
 {
 }
 
@@ -231,7 +242,8 @@
     faults_.onSign(regions::FaultSign::VmStarted, now);
     reportAt_ = now;
     reportedAt_ = now;
-    entryDueAt_ = now;
+    ownEntry_.start(mixHashes(random, 1), now);
+    secret_.start(mixHashes(random, 2));
     store_.start(random, now);
     writeOwnEntry();
 }
@@ -251,13 +263,12 @@
 Instant Reducer::State::nextWake() const
 {
     Instant next = reportAt_;
-    for (const Instant at : { store_.nextWake(), dispatcher_.nextWake(), entryDueAt_,
-                              limits_.nextWake(), exchange_.nextWake() }) {
+    for (const Instant at :
+         { store_.nextWake(), dispatcher_.nextWake(), ownEntry_.nextWake(), secret_.nextWake(),
+           view_.nextWake(), limits_.nextWake(), exchange_.nextWake() }) {
         if (at != Instant::never())
             next = std::min(next, at);
     }
-    for (const auto &[target, until] : lapsedUntil_)
-        next = std::min(next, until);
     if (isStopping_ && !hasExited_)
         next = std::min(next, now_ < stopServingAt_ ? stopServingAt_ : forcedEndAt_);
     if (store_.mode() == StoreMode::Follows) {
@@ -277,9 +288,9 @@
 {
     exchange_.onTimer(now_);
     chooseStoreMode();
+    secret_.onTimer(now_);
     store_.onTimer(now_);
-    if (entryDueAt_ != Instant::never() && now_ >= entryDueAt_)
-        writeOwnEntry();
+    writeOwnEntry();
     if (now_ >= reportAt_) {
         report();
         pool_.logRegionShares(now_);
@@ -295,7 +306,7 @@
         limits_.onTimer(now_);
         expediteAdmissions();
     }
-    removeLapsed();
+    view_.onTimer(now_);
     dispatcher_.onTimer(random_, now_);
     if (isStopping_)
         stop();
@@ -307,37 +318,24 @@
         logUnreadable(registry, entry);
     if (!entry.isNamed)
         return; // it can't replace an entry that is in use
-    switch (registry) {
-    case Registry::Traffic:
+    if (registry == Registry::Traffic)
         onConfig(entry);
-        break;
-    case Registry::Targets:
-        onTarget(entry);
-        break;
-    case Registry::Evacuations:
-        pool_.setEvacuated(FailureDomainId(entry.name), !entry.isGone, now_);
-        break;
-    case Registry::Vms:
-        onVm(entry);
-        break;
-    case Registry::PeerKeys:
-        if (const auto *key = std::get_if<PeerKeyEntry>(&entry.value); key && !entry.isGone) {
-            isKeyKnown_ = true;
-            exchange_.setSecret(key->secretHex);
-        }
-        break;
-    }
+    else if (const auto *key = std::get_if<PeerKeyEntry>(&entry.value); key && !entry.isGone)
+        secret_.onEntry(key->secretHex);
+    else
+        view_.onEntry(registry, entry, now_);
     hasEntryChanged_ = true;
 }
 
 void Reducer::State::onListed(Registry registry)
 {
-    if (registry == Registry::Vms)
+    if (registry == Registry::Vms) {
+        view_.onVmsListed(now_);
         updateLimits();
-    if (registry == Registry::PeerKeys && !isKeyKnown_ && !isKeyRequested_) {
-        isKeyRequested_ = true;
-        perform(CreatePeerKey { options_.peerKeyCandidate, writeTimeout });
     }
+    if (registry == Registry::PeerKeys)
+        secret_.onListed(store_.knowsAny(Registry::PeerKeys), fleet_.rankFor(secretRankSeed, now_),
+                         now_);
 }
 
 void Reducer::State::onConfig(const RegistryEntry &entry)
@@ -346,8 +344,15 @@
     if (entry.isGone || value == nullptr)
         return; // the active configuration remains in force
     const TrafficConfigPointer &config = *value;
-    if (config_ && config->version <= config_->version)
+    if (config_ && config->version <= config_->version) {
+        if (config->version < config_->version)
+            log({ core::log::configKept,
+                  { { "config", std::to_string(config_->version.number()) },
+                    { "stored", std::to_string(config->version.number()) },
+                    { "revision", std::to_string(entry.revision.number()) },
+                    { "era", std::to_string(store_.era().number()) } } });
         return;
+    }
     log({ core::log::configInForce,
           { { "config", std::to_string(config->version.number()) },
             { "previous", config_ ? std::to_string(config_->version.number()) : "none" },
@@ -357,71 +362,12 @@
             { "teams", std::to_string(config->teams.size()) },
             { "services", std::to_string(config->services.size()) } } });
     config_ = config;
-    configRevision_ = entry.revision;
+    configRevision_ = { store_.era(), entry.revision };
     pool_.setConfig(config_);
     limits_.setConfig(*config_, now_);
     updateLimits();
 }
 
-void Reducer::State::onTarget(const RegistryEntry &entry)
-{
-    const TargetId id(entry.name);
-    const auto *target = std::get_if<Target>(&entry.value);
-    if (!entry.isGone && target != nullptr) {
-        lapsedUntil_.erase(id);
-        pool_.put(*target, now_);
-        return;
-    }
-    if (!entry.isGone || pool_.find(id) == nullptr) {
-        pool_.remove(id, "its entry can't be read", now_);
-        return;
-    }
-    const bool mayReturn = store_.regainedAt() != Instant::never()
-        && now_ - store_.regainedAt() < options_.bounds.reregistrationGrace;
-    if (mayReturn && !pool_.find(id)->isDraining) {
-        lapsedUntil_[id] = store_.regainedAt() + options_.bounds.reregistrationGrace;
-        log({ core::log::targetLapsed, { { "target", id.text() } } });
-        return;
-    }
-    perform(ForgetTarget { id });
-    pool_.remove(id, "its entry is gone", now_);
-}
-
-void Reducer::State::removeLapsed()
-{
-    for (auto entry = lapsedUntil_.begin(); entry != lapsedUntil_.end();) {
-        if (now_ < entry->second) {
-            ++entry;
-            continue;
-        }
-        perform(ForgetTarget { entry->first });
-        pool_.remove(entry->first, "its entry did not return within the grace period", now_);
-        entry = lapsedUntil_.erase(entry);
-    }
-}
-
-void Reducer::State::onVm(const RegistryEntry &entry)
-{
-    const VmId id(entry.name);
-    if (id == options_.vm.id) {
-        // Another VM removed this VM's entry as stale: write it again.
-        if (entry.isGone && isEntryWritten_ && !isStopping_) {
-            isEntryWritten_ = false;
-            mustCreateEntry_ = true;
-            entryDueAt_ = now_;
-        }
-        return;
-    }
-    const auto *vm = std::get_if<VmEntry>(&entry.value);
-    if (!entry.isGone && vm != nullptr) {
-        fleet_.put(*vm, entry.revision, now_);
-        exchange_.put(*vm, now_);
-    } else {
-        fleet_.remove(id);
-        exchange_.remove(id, now_);
-    }
-}
-
 void Reducer::State::logUnreadable(Registry registry, const RegistryEntry &entry)
 {
     log({ core::log::entryUnreadable,
@@ -446,8 +392,9 @@
     log({ core::log::configBehind,
           { { "config", std::to_string(version) },
             { "reported", std::to_string(reported) },
-            { "revision", std::to_string(configRevision_.number()) },
-            { "known", std::to_string(store_.revision(Registry::Traffic).number()) },
+            { "revision", std::to_string(configRevision_.number().number()) },
+            { "revisionEra", std::to_string(configRevision_.era().number()) },
+            { "known", std::to_string(store_.revision(Registry::Traffic).number().number()) },
             { "era", std::to_string(store_.era().number()) },
             { "storeAgeMs", std::to_string((now_ - store_.lastResponseAt()).toMillis()) },
             { "mode", toText(store_.mode()) } } });
@@ -455,43 +402,33 @@
 
 void Reducer::State::writeOwnEntry()
 {
-    entryDueAt_ = Instant::never();
-    if (isEntryWritten_ || isEntryWritePending_ || isStopping_)
-        return;
-    isEntryWritePending_ = true;
-    perform(WriteVm { options_.vm, mustCreateEntry_, writeTimeout });
+    if (const auto write = ownEntry_.takeDue(now_))
+        perform(WriteVm { options_.vm, *write == store::OwnEntry::Write::Create, writeTimeout });
 }
 
 void Reducer::State::on(const StoreWritten &event)
 {
+    store_.onEraTold(event.era, now_);
+    // What was acknowledged in an earlier era may be lost.
+    const bool isCurrent = event.era == StoreEra() || event.era == store_.era();
     if (event.registry == Registry::PeerKeys) {
-        store_.refresh(Registry::PeerKeys, now_);
-        return;
+        secret_.onCreated(now_);
+    } else if (isCurrent) {
+        ownEntry_.onWritten();
+        store_.refresh(Registry::Vms, now_);
+    } else {
+        ownEntry_.onWriteFailed(StoreFailure::NoAnswer, now_);
     }
-    isEntryWritePending_ = false;
-    isEntryWritten_ = true;
-    store_.refresh(Registry::Vms, now_);
     store_.onTimer(now_);
 }
 
 void Reducer::State::on(const StoreWriteFailed &event)
 {
-    if (event.registry == Registry::PeerKeys) {
-        // Another VM created it first, or the store is unreachable: the next list shows which.
-        isKeyRequested_ = false;
-        store_.refresh(Registry::PeerKeys, now_);
-        return;
-    }
-    if (!isEntryWritePending_)
-        return; // a failed removal; another VM removes the entry once it is stale
-    isEntryWritePending_ = false;
-    if (event.failure == StoreFailure::Conflict || event.failure == StoreFailure::Missing) {
-        mustCreateEntry_ = event.failure == StoreFailure::Missing;
-        entryDueAt_ = now_;
-        return;
-    }
-    entryDueAt_ = now_ + writeRetry
-        + Duration::micros(static_cast<std::int64_t>(random_ % writeRetry.toMicros()));
+    store_.onEraTold(event.era, now_);
+    if (event.registry == Registry::PeerKeys)
+        secret_.onCreateFailed(now_);
+    else if (ownEntry_.isPending()) // else a removal; another VM removes the entry once it is stale
+        ownEntry_.onWriteFailed(event.failure, now_);
 }
 
 // Chooses whether this VM reads the store for others, follows VMs that do, or watches the
@@ -532,23 +469,35 @@
 
 void Reducer::State::on(const RegistryChanged &event)
 {
-    const Revision after = store_.revision(event.registry);
-    store_.onChanged(event, now_);
+    const StoreRevision after = store_.revision(event.registry);
+    if (!store_.onChanged(event, now_))
+        return;
     const bool hasChanges = !event.entries.empty();
     if (hasChanges && event.registry == Registry::Targets)
         sendTargetUpdate(event, after);
     expediteReport(hasChanges);
 }
 
+void Reducer::State::sendUpdate(const RegistryChanged &changed, StoreRevision after)
+{
+    if (changed.registry == Registry::Vms)
+        sendVmUpdate(changed, after);
+    else
+        sendTargetUpdate(changed, after);
+    expediteReport(true);
+}
+
 // The first of the reading VMs that has the store sends changes of targets to the other VMs, before
 // the report that announces the new revision.
-void Reducer::State::sendTargetUpdate(const RegistryChanged &changed, Revision after)
+void Reducer::State::sendTargetUpdate(const RegistryChanged &changed, StoreRevision after)
 {
     if (!isFirstReader() || hasUnnamedEntry(changed))
         return;
     TargetUpdate update;
-    update.after = after;
+    update.after = after.number();
     update.upTo = changed.at;
+    update.era = store_.era();
+    update.isComplete = after.era() != update.era;
     for (const RegistryEntry &entry : changed.entries) {
         core::TargetChange change;
         change.name = entry.name;
@@ -569,14 +518,15 @@
         && fleet_.isFirstReader(readerRankSeed, maxReaderAgeNow(), now_);
 }
 
-void Reducer::State::sendVmUpdate(const RegistryChanged &changed, Revision after)
+void Reducer::State::sendVmUpdate(const RegistryChanged &changed, StoreRevision after)
 {
-    expediteReport(true);
     if (!isFirstReader() || hasUnnamedEntry(changed))
         return;
     VmUpdate update;
-    update.after = after;
+    update.after = after.number();
     update.upTo = changed.at;
+    update.era = store_.era();
+    update.isComplete = after.era() != update.era;
     for (const RegistryEntry &entry : changed.entries) {
         const auto *vm = std::get_if<VmEntry>(&entry.value);
         update.changes.push_back({ entry.name, entry.revision, entry.isGone || vm == nullptr,
@@ -590,9 +540,12 @@
     RegistryChanged changed;
     changed.registry = Registry::Vms;
     changed.at = event.update.upTo;
+    changed.era = eraOf(event.update.era);
     for (const core::VmChange &change : event.update.changes)
         changed.entries.push_back({ change.name, change.revision, change.isGone, change.vm });
-    store_.onReportedChanges(changed, event.update.after, now_);
+    store_.onEraTold(changed.era, now_);
+    store_.onReportedChanges(changed, { changed.era, event.update.after }, event.update.isComplete,
+                             now_);
     exchange_.onVmUpdate(event, now_);
 }
 
@@ -601,6 +554,7 @@
     RegistryChanged changed;
     changed.registry = Registry::Targets;
     changed.at = event.update.upTo;
+    changed.era = eraOf(event.update.era);
     for (const core::TargetChange &change : event.update.changes) {
         RegistryEntry entry;
         entry.name = change.name;
@@ -612,7 +566,9 @@
             entry.value = UnreadableEntry { change.problem };
         changed.entries.push_back(std::move(entry));
     }
-    store_.onReportedChanges(changed, event.update.after, now_);
+    store_.onEraTold(changed.era, now_);
+    store_.onReportedChanges(changed, { changed.era, event.update.after }, event.update.isComplete,
+                             now_);
     exchange_.onTargetUpdate(event, now_);
 }
 
@@ -621,21 +577,23 @@
     if (store_.mode() != StoreMode::Follows)
         return;
     for (std::size_t i = 0; i < followedRegistries.size(); ++i)
-        store_.onReportedRevision(followedRegistries[i], Revision(fleet_.changeRevision(i, now_)),
-                                  now_);
+        store_.onReportedRevision(followedRegistries[i],
+                                  fleet_.changeRevision(i, store_.era(), now_), now_);
 }
 
 // Takes over the evacuations that a VM that reads the store knows. They are the only way to
 // learn of them while this VM has no path to the store.
 void Reducer::State::applyReportedEvacuations(const VmReport &report)
 {
-    if (!report.readsStore || report.registryRevisions.size() <= evacuationsIndex)
+    if (!report.readsStore || report.registryRevisions.size() <= evacuationsIndex
+        || report.registryRevisions[evacuationsIndex] == 0)
         return;
-    const Revision revision(report.registryRevisions[evacuationsIndex]);
+    const StoreRevision revision(eraOf(report.storeEra),
+                                 Revision(report.registryRevisions[evacuationsIndex]));
     std::vector<RegistryEntry> entries;
     for (const FailureDomainId &domain : report.evacuated)
-        entries.push_back({ domain.text(), revision, false, EvacuationEntry() });
-    store_.onReportedEntries(Registry::Evacuations, entries, revision, now_);
+        entries.push_back({ domain.text(), revision.number(), false, EvacuationEntry() });
+    store_.onReportedEntries(Registry::Evacuations, std::move(entries), revision, now_);
 }
 
 // Sends a report of this VM's state to other VMs.
@@ -667,6 +625,7 @@
     const bool isReader = store_.mode() == StoreMode::Reads;
     VmReport report;
     report.sequence = ++reportSequence_;
+    report.storeEra = store_.era();
     report.isReady = isReady();
     report.isLeaving = isStopping_;
     report.configVersion = config_ ? config_->version.number() : 0;
@@ -675,9 +634,12 @@
     if (isReader) {
         const Duration age = std::min(now_ - store_.confirmedAt(), Duration::seconds(3600));
         report.storeAgeMillis = static_cast<std::uint32_t>(age.toMillis());
-        for (const Registry registry : followedRegistries)
-            report.registryRevisions.push_back(store_.lastChangeRevision(registry).number());
-        report.evacuated = pool_.evacuatedDomains();
+        for (const Registry registry : followedRegistries) {
+            const StoreRevision last = store_.lastChangeRevision(registry);
+            const bool isKnown = last.era() == store_.era(); // else it is still to be listed
+            report.registryRevisions.push_back(isKnown ? last.number().number() : 0);
+        }
+        report.evacuated = view_.evacuatedDomains();
     }
     report.isYoung = limits_.isYoung(now_);
     report.admissions = limits_.admissions(now_);
@@ -697,6 +659,7 @@
 {
     if (exchange_.onReport(event, now_) == Fleet::ReportResult::Ignored)
         return;
+    store_.onEraTold(event.report.storeEra, now_);
     limits_.onReport(event.from, event.report);
     pool_.onLimitsReported(event.from, event.report.targetLimits, Duration(), now_);
     pool_.onLeavingReported(event.from, event.report.leavingTargets, Duration(), now_);
@@ -708,6 +671,7 @@
 void Reducer::State::on(const PeerReportsRelayed &event)
 {
     for (const RelayedReport &one : exchange_.onRelayed(event, now_)) {
+        store_.onEraTold(one.report.storeEra, now_);
         limits_.onReport(one.vm, one.report);
         const Duration age = Duration::millis(one.ageMillis);
         pool_.onLimitsReported(one.vm, one.report.targetLimits, age, now_);
@@ -762,7 +726,9 @@
 // VM by rank does so.
 void Reducer::State::removeStaleVms()
 {
-    if (store_.isLost() || fleet_.rankFor(0, now_) != 0)
+    // A revision of an earlier era may be that of another change now.
+    const bool isCurrent = !store_.isLost() && !store_.isRestoring(Registry::Vms);
+    if (!isCurrent || fleet_.rankFor(0, now_) != 0)
         return;
     for (const auto &[vm, revision] : fleet_.staleEntries(staleEntryAge, now_))
         perform(RemoveVm { vm, revision, writeTimeout });
@@ -798,6 +764,7 @@
     log({ core::log::shutdownBegun,
           { { "pending", std::to_string(dispatcher_.pendingCount()) },
             { "stayMs", std::to_string((stopServingAt_ - now_).toMillis()) } } });
+    ownEntry_.stop();
     perform(CloseConnections {});
     perform(RemoveVm { options_.vm.id, Revision(), writeTimeout });
     exchange_.setLeaving();
@@ -881,7 +848,7 @@
     readings.leavingTargets = state_->pool_.signals().leavingCount();
     readings.pausedTargets = state_->pool_.signals().pausedCount(now);
     readings.configVersion = state_->config_ ? state_->config_->version.number() : 0;
-    readings.configRevision = state_->configRevision_.number();
+    readings.configRevision = state_->configRevision_.number().number();
     readings.reportedConfigVersion = state_->fleet_.newestConfigVersion(now);
     readings.storeEra = state_->store_.era().number();
     readings.ignoredStoreData = state_->store_.ignoredCount();
--- a/bluebellshift/gateway/reducer.h
+++ b/bluebellshift/gateway/reducer.h
@@ -66,8 +66,7 @@
         std::uint64_t storeEra = 0;              // that the store's last response told
         std::uint64_t ignoredStoreData = 0;      // lists and entries older than what is known
         Duration storeAge;                       // since the store's last response
-        // Since each registry was last confirmed, by the store or a VM that reads it, or since the
-        // start.
+        // Since each registry was last confirmed, by the store or a VM that reads it.
         std::array<Duration, registryCount> registryAges;
         bool isStoreLost = false;
         std::size_t unreadableEntries = 0; // of the store
--- a/bluebellshift/gateway/registry.h
+++ b/bluebellshift/gateway/registry.h
@@ -22,9 +22,10 @@
 using core::RelayedReport;
 using core::RelayedReports;
 using core::RelayedSpending;
-using core::Revision;
+using Revision = core::RevisionNumber;
 using core::SpendingReport;
 using core::StoreEra;
+using core::StoreRevision;
 using core::TargetLimitReport;
 using core::TargetUpdate;
 using core::TargetUse;
@@ -68,7 +69,7 @@
 struct RegistryEntry
 {
     std::string name;
-    Revision revision; // of the entry's last change
+    Revision revision; // of the entry's last change, in the era of its response
     bool isGone = false;
     RegistryValue value; // invalid if isGone
     // False if the name can't be read; `name` then holds its legible part, for log messages.
--- a/bluebellshift/gateway/storelink.cpp
+++ b/bluebellshift/gateway/storelink.cpp
@@ -2,9 +2,13 @@
 
 #include <algorithm>
 
+#include "bluebellshift/gateway/hashing.h"
+
 namespace bluebellshift::gateway {
 namespace {
 
+using store::KnownEntries;
+
 // In the order in which they are called, the smallest first: over a slow link a response
 // waits for the larger ones before it.
 constexpr std::array<Registry, registryCount> allRegistries = {
@@ -14,18 +18,6 @@
 // The registry that is requested to probe a lost store: a small one.
 constexpr Registry probedRegistry = Registry::Evacuations;
 
-// The key of an entry in a registry. A legible part must not hide the entry that has it as its
-// name; 0xFF occurs in no UTF-8 text.
-std::string keyOf(const RegistryEntry &entry)
-{
-    return entry.isNamed ? entry.name : '\xff' + entry.name;
-}
-
-bool isUnreadable(const RegistryEntry &entry)
-{
-    return !entry.isGone && std::holds_alternative<UnreadableEntry>(entry.value);
-}
-
 } // namespace
 
 const char *toText(StoreMode mode)
@@ -53,8 +45,11 @@
 
 void StoreLink::start(std::uint64_t random, Instant now)
 {
-    for (const Registry registry : allRegistries)
-        stateOf(registry).dueAt = now;
+    for (const Registry registry : allRegistries) {
+        State &state = stateOf(registry);
+        state.dueAt = now;
+        state.pacer = store::CallPacer(mixHashes(random, static_cast<std::uint64_t>(registry)));
+    }
     onTimer(now);
 }
 
@@ -90,49 +85,147 @@
         state.dueAt = now;
 }
 
+void StoreLink::listAnew(Registry registry, Instant now)
+{
+    State &state = stateOf(registry);
+    abandonCall(state);
+    state.mustList = true;
+    state.dueAt = now;
+}
+
 void StoreLink::call(Registry registry, Instant now)
 {
     State &state = stateOf(registry);
     state.isBusy = true;
+    state.call = CallId(++lastCall_);
     if (state.isFirstPage)
         state.calledAt = now;
     if (state.mustList || !isWatched(registry)) {
         // The first list of VMs must be current, later ones may lag behind. A key that is missing
         // from a stale list is created, and listed again if that shows that it exists.
-        const bool mayBeStale = (registry == Registry::Vms && state.isListed)
-            || (registry == Registry::PeerKeys && !state.isListed);
+        const bool mayBeStale = !state.isRestoring
+            && ((registry == Registry::Vms && state.isListed)
+                || (registry == Registry::PeerKeys && !state.isListed));
         const Duration timeout = isLost_ ? probeTimeout : callTimeout;
-        hooks_.perform(ListRegistry { registry, state.listedUpTo, mayBeStale, timeout });
+        hooks_.perform(
+            ListRegistry { registry, state.listedUpTo, mayBeStale, timeout, state.call });
         return;
     }
-    Duration wait = watchWait;
+    state.callWait = watchWait;
     Duration timeout = watchWait + watchMargin;
     if (isLost_ || mode_ == StoreMode::Follows) {
-        wait = Duration();
+        state.callWait = Duration();
         timeout = probeTimeout;
     } else if (mode_ == StoreMode::Reads) {
-        wait = readerWatchWait;
+        state.callWait = readerWatchWait;
         timeout = readerWatchWait + readerWatchMargin;
     }
-    hooks_.perform(WatchRegistry { registry, state.revision, wait, timeout });
+    hooks_.perform(
+        WatchRegistry { registry, state.revision.number(), state.callWait, timeout, state.call });
+}
+
+bool StoreLink::isCurrentCall(Registry registry, CallId call) const
+{
+    return call == CallId() || call == stateOf(registry).call;
+}
+
+void StoreLink::onEraTold(StoreEra era, Instant now)
+{
+    if (era <= era_)
+        return;
+    if (era_ == StoreEra() && !knowsRegistries())
+        era_ = era;
+    else
+        beginEra(era, now);
+}
+
+bool StoreLink::knowsRegistries() const
+{
+    return std::any_of(states_.begin(), states_.end(),
+                       [](const State &state) { return state.isListed; });
+}
+
+bool StoreLink::accept(Registry registry, CallId call, StoreEra era, Instant now)
+{
+    // What a call of the earlier era returns is of no use: a watch from a revision of that era
+    // lacks the changes that the restored store has made up to this number.
+    const bool isLater = era > era_;
+    const bool isFirst = era_ == StoreEra() && !knowsRegistries();
+    if (isLater) {
+        recordResponse(now);
+        onEraTold(era, now);
+    }
+    if ((isLater && !isFirst) || !isCurrentCall(registry, call))
+        return false;
+    if (era == StoreEra() || era == era_)
+        return true;
+    State &state = stateOf(registry);
+    recordIgnored(registry, "response", { era, Revision() }, state.revision, now);
+    state.isBusy = false;
+    restartList(state);
+    retryLater(state, maxVainDelay, now);
+    return false;
+}
+
+void StoreLink::beginEra(StoreEra era, Instant now)
+{
+    hooks_.log({ core::log::storeEraChanged,
+                 { { "era", std::to_string(era.number()) },
+                   { "previous", std::to_string(era_.number()) },
+                   { "heardMsAgo", std::to_string((now - lastResponseAt_).toMillis()) } } });
+    era_ = era;
+    restoredAt_ = now;
+    hooks_.onRestored();
+    for (const Registry registry : allRegistries) {
+        State &state = stateOf(registry);
+        abandonCall(state);
+        state.listedChanges.clear();
+        state.mustList = true;
+        state.isRestoring = state.isListed;
+        const bool isSent = registry == Registry::Targets || registry == Registry::Vms;
+        const Duration wait = state.pacer.spread(restoreSpread);
+        state.dueAt = now + (isSent && mode_ == StoreMode::Follows ? updateWait + wait : wait);
+    }
+}
+
+void StoreLink::abandonCall(State &state)
+{
+    state.isBusy = false;
+    state.call = CallId(); // a later call has another id
+    restartList(state);
+}
+
+void StoreLink::restartList(State &state)
+{
+    state.known.beginList();
+    state.listedUpTo.clear();
+    state.isFirstPage = true;
+}
+
+void StoreLink::retryLater(State &state, Duration maxWait, Instant now)
+{
+    state.dueAt = now + state.pacer.nextWait(maxWait);
 }
 
 void StoreLink::onListed(const RegistryListed &listed, Instant now)
 {
+    if (!accept(listed.registry, listed.call, listed.era, now))
+        return;
     recordResponse(now);
-    recordEra(listed.era);
     State &state = stateOf(listed.registry);
+    const StoreRevision at(era_, listed.at);
     state.isBusy = false;
     state.dueAt = now;
-    if (state.isListed && listed.at < state.revision)
-        recordIgnored(listed.registry, "list", listed.at, state.revision, now);
-    if (!isWatched(listed.registry) && state.isListed && listed.at < state.revision) {
-        state.dueAt = now + pollIntervalWhileGrowing; // the list is older than what is known
-        return;
+    if (state.isListed && state.revision.isNewerThan(at)) {
+        recordIgnored(listed.registry, "list", at, state.revision, now);
+        if (!isWatched(listed.registry)) {
+            state.dueAt = now + pollIntervalWhileGrowing + state.pacer.nextWait(pollInterval);
+            return;
+        }
     }
     if (state.isFirstPage) {
         state.isFirstPage = false;
-        state.listedAt = listed.at; // the watch then returns changes made during later pages
+        state.listedAt = at; // the watch then returns changes made during later pages
         state.listedEntries = 0;
         state.listedBytes = 0;
     }
@@ -142,79 +235,68 @@
     for (const RegistryEntry &entry : listed.entries) {
         if (entry.isNamed)
             state.listedUpTo = entry.name;
-        state.newestEntry = std::max(state.newestEntry, entry.revision);
-        applyListed(listed.registry, entry, listed.at, now);
+        state.newestEntry = core::newerOf(state.newestEntry, { era_, entry.revision });
+        apply(listed.registry, entry, at, KnownEntries::Source::List, now);
     }
     // Without a name to continue after, the next page would be this one again.
     const bool isCutShort = listed.hasMore && state.listedUpTo == pageBegin;
     if (isCutShort)
-        keepUnlisted(state);
+        state.known.keepUnlisted();
     if (!listed.hasMore || isCutShort)
         finishList(listed.registry, now);
     onTimer(now);
 }
 
-// Treats all known entries as listed, for a list whose further pages can't be requested.
-void StoreLink::keepUnlisted(State &state)
-{
-    for (const auto &[key, known] : state.known)
-        state.listedNames.insert(key);
-}
-
 // Reports the known entries that the list no longer contains as gone.
 void StoreLink::removeUnlisted(Registry registry)
 {
     State &state = stateOf(registry);
-    std::vector<std::string> gone;
-    for (const auto &[name, known] : state.known) {
-        // A list that may be stale lacks entries that are newer than it.
-        if (state.listedNames.count(name) == 0 && known.revision <= state.listedAt)
-            gone.push_back(name);
-    }
-    for (const std::string &name : gone) {
-        state.known.erase(name);
-        rememberGone(state, name, state.listedAt, state.listedAt);
+    for (const std::string &name : state.known.takeUnlisted(state.listedAt)) {
         RegistryEntry entry;
         entry.name = name;
         entry.isGone = true;
-        entry.revision = state.listedAt;
+        entry.revision = state.listedAt.number();
         hooks_.onEntry(registry, entry);
         state.listedChanges.push_back(std::move(entry));
     }
-    state.listedNames.clear();
 }
 
 void StoreLink::finishList(Registry registry, Instant now)
 {
     State &state = stateOf(registry);
     removeUnlisted(registry);
-    state.listedUpTo.clear();
-    state.isFirstPage = true;
+    restartList(state);
     state.mustList = false;
     state.isListed = true;
-    const Revision before = state.lastChange;
-    state.revision = std::max(state.revision, state.listedAt);
+    if (!state.isHistoryShort)
+        state.pacer.reset();
+    const StoreRevision before = state.lastChange;
+    state.revision = core::newerOf(state.revision, state.listedAt);
     const std::vector<RegistryEntry> changes = std::exchange(state.listedChanges, {});
     // An entry that was removed leaves no revision behind. The configuration is never removed.
     if (registry == Registry::Traffic)
         state.lastChange = state.newestEntry;
-    else if (isWatched(registry) || !changes.empty())
+    else if (isWatched(registry) || !changes.empty() || state.isRestoring)
         state.lastChange = state.revision;
     state.confirmedAt = now;
     if (isWatched(registry) && mode_ == StoreMode::Follows)
-        state.dueAt = Instant::never();
+        stopFollowedCalls(state, now);
     if (!isWatched(registry))
         state.dueAt = nextPoll(registry, !changes.empty(), now);
-    if (registry == Registry::Vms && !changes.empty())
-        hooks_.onVmsChanged({ registry, state.revision, changes }, before);
+    const bool isForOthers = (registry == Registry::Vms && !changes.empty())
+        || (registry == Registry::Targets && state.isRestoring);
+    if (isForOthers)
+        hooks_.onListChanged({ registry, state.revision.number(), changes, 0, era_, CallId() },
+                             before);
     logResponse(core::log::registryListed, registry, state.listedEntries, state.listedBytes, now);
     hooks_.onListed(registry);
+    state.isRestoring = false;
 }
 
 // When to list an unwatched registry again.
 Instant StoreLink::nextPoll(Registry registry, bool hasChanged, Instant now) const
 {
-    if (registry == Registry::PeerKeys && !stateOf(registry).known.empty())
+    if (registry == Registry::PeerKeys && !stateOf(registry).known.isEmpty())
         return Instant::never();
     if (hasChanged)
         return now + pollIntervalWhileGrowing;
@@ -229,34 +311,49 @@
     return now + pollInterval;
 }
 
-void StoreLink::onChanged(const RegistryChanged &changed, Instant now)
+bool StoreLink::onChanged(const RegistryChanged &changed, Instant now)
 {
+    if (!accept(changed.registry, changed.call, changed.era, now))
+        return false;
     recordResponse(now);
-    recordEra(changed.era);
     State &state = stateOf(changed.registry);
+    const StoreRevision at(era_, changed.at);
+    const bool isNew = at.isNewerThan(state.revision);
+    const bool isEarly = now - state.calledAt < state.callWait / 2;
     state.isBusy = false;
     state.confirmedAt = now;
-    state.dueAt = changed.entries.empty() ? now : now + changeBatchTime;
-    if (mode_ == StoreMode::Follows)
-        state.dueAt = Instant::never(); // until a newer revision is reported
+    if (changed.entries.empty() ? isEarly : !isNew) {
+        retryLater(state, maxVainDelay, now); // it told nothing new, at once
+    } else {
+        state.pacer.reset();
+        state.isHistoryShort = false;
+        state.dueAt = now;
+    }
+    if (!changed.entries.empty())
+        state.dueAt = std::max(state.dueAt, now + changeBatchTime);
     if (changed.registry == Registry::Traffic && !changed.entries.empty())
         logResponse(core::log::configRead, changed.registry, changed.entries.size(), changed.bytes,
                     now);
+    bool hasUnnamed = false;
     for (const RegistryEntry &entry : changed.entries) {
-        apply(changed.registry, entry, changed.at, now);
-        if (entry.isNamed || changed.at <= state.revision)
-            continue;
+        apply(changed.registry, entry, at, KnownEntries::Source::Watch, now);
+        hasUnnamed = hasUnnamed || !entry.isNamed;
+    }
+    state.revision = core::newerOf(state.revision, at);
+    if (mode_ == StoreMode::Follows)
+        stopFollowedCalls(state, now);
+    if (hasUnnamed && isNew) {
         // It may replace a known entry: the list shows which one is missing.
         state.mustList = true;
         state.dueAt = now + changeBatchTime;
     }
-    state.revision = std::max(state.revision, changed.at);
     if (!changed.entries.empty()) {
         state.lastChange = state.revision;
         if (changed.registry == Registry::Traffic)
             readNewest(state); // more may have followed
     }
     onTimer(now);
+    return true;
 }
 
 void StoreLink::setMode(StoreMode mode, Instant now)
@@ -268,7 +365,7 @@
         readNewest(stateOf(Registry::Traffic)); // it may have missed several
     for (const Registry registry : allRegistries) {
         State &state = stateOf(registry);
-        if (registry == Registry::PeerKeys || state.isBusy)
+        if (registry == Registry::PeerKeys || state.isBusy || state.isRestoring)
             continue;
         if (mode != StoreMode::Follows)
             state.dueAt = now;
@@ -277,10 +374,11 @@
     }
 }
 
-void StoreLink::onReportedRevision(Registry registry, Revision revision, Instant now)
+void StoreLink::onReportedRevision(Registry registry, StoreRevision revision, Instant now)
 {
     State &state = stateOf(registry);
-    if (mode_ != StoreMode::Follows || state.isBusy || revision <= state.revision)
+    state.reported = core::newerOf(state.reported, revision);
+    if (mode_ != StoreMode::Follows || state.isBusy || !revision.isNewerThan(state.revision))
         return;
     if (state.dueAt != Instant::never())
         return;
@@ -293,38 +391,58 @@
     state.dueAt = std::max(updateDueAt, batchedAt);
 }
 
-void StoreLink::onReportedChanges(const RegistryChanged &changed, Revision after, Instant now)
+void StoreLink::onReportedChanges(const RegistryChanged &changed, StoreRevision after,
+                                  bool isComplete, Instant now)
 {
     State &state = stateOf(changed.registry);
-    const bool isNext = after <= state.revision && state.revision < changed.at;
-    if (state.mustList || !isNext)
+    const StoreRevision at(changed.era, changed.at);
+    if (changed.era != era_ || !at.isNewerThan(state.revision))
+        return;
+    if (isComplete) {
+        onReportedEntries(changed.registry, changed.entries, at, now);
+        return;
+    }
+    if (state.mustList || after.isNewerThan(state.revision))
         return; // the store is called for the missed changes
     for (const RegistryEntry &entry : changed.entries)
-        apply(changed.registry, entry, changed.at, now);
+        apply(changed.registry, entry, at, KnownEntries::Source::Watch, now);
     state.listedChanges.clear();
-    state.revision = changed.at;
-    state.lastChange = changed.at;
+    state.revision = at;
+    state.lastChange = at;
     if (mode_ != StoreMode::Follows)
         return; // its own watch goes on
     state.confirmedAt = now;
     stopCalling(changed.registry);
 }
 
-void StoreLink::onReportedEntries(Registry registry, const std::vector<RegistryEntry> &entries,
-                                  Revision revision, Instant now)
+void StoreLink::onReportedEntries(Registry registry, std::vector<RegistryEntry> entries,
+                                  StoreRevision revision, Instant now)
 {
     State &state = stateOf(registry);
-    if (state.mustList || revision <= state.revision)
+    if (revision.era() != era_ || !revision.isNewerThan(state.revision))
         return;
+    const bool isListing = state.isBusy && !state.isFirstPage;
+    if (!state.isListed || isListing || (state.mustList && !state.isRestoring))
+        return; // the store's own list decides
+    state.known.beginList();
     state.listedAt = revision;
-    for (const RegistryEntry &entry : entries)
-        applyListed(registry, entry, revision, now);
+    for (RegistryEntry &entry : entries) {
+        if (!entry.isGone)
+            apply(registry, std::move(entry), revision, KnownEntries::Source::List, now);
+    }
     removeUnlisted(registry);
     state.listedChanges.clear();
     state.revision = revision;
     state.lastChange = revision;
+    if (std::exchange(state.isRestoring, false)) {
+        // A VM that does not follow lists the registry itself as soon as it reaches the store.
+        state.mustList = mode_ != StoreMode::Follows;
+        hooks_.onListed(registry);
+    }
     if (mode_ != StoreMode::Follows)
         return; // its own watch goes on
+    if (state.isBusy)
+        abandonCall(state);
     state.confirmedAt = now;
     stopCalling(registry);
 }
@@ -336,6 +454,15 @@
         stateOf(registry).dueAt = Instant::never();
 }
 
+// A change that was reported while a call was in progress may be missing from its response.
+void StoreLink::stopFollowedCalls(State &state, Instant now)
+{
+    if (state.reported.isNewerThan(state.revision))
+        retryLater(state, maxVainDelay, now);
+    else
+        state.dueAt = Instant::never(); // until a newer revision is reported
+}
+
 // Makes the next call return the newest state of a registry. A watch would return each version
 // since its revision: a configuration is large, and a superseded one only delays the newest.
 void StoreLink::readNewest(State &state)
@@ -354,90 +481,45 @@
     return oldest;
 }
 
-std::size_t StoreLink::unreadableCount() const
+Instant StoreLink::returnedAt() const
 {
-    std::size_t count = 0;
-    for (const State &state : states_) {
-        for (const auto &[key, known] : state.known)
-            count += known.isUnreadable ? 1 : 0;
-    }
-    return count;
+    return std::max(regainedAt_, restoredAt_);
 }
 
-void StoreLink::rememberGone(State &state, const std::string &key, Revision revision, Revision at)
+std::size_t StoreLink::unreadableCount() const
 {
-    Gone &gone = state.gone[key];
-    gone.revision = std::max(gone.revision, revision);
-    gone.at = std::max(gone.at, at);
-    gone.number = ++state.goneNumber;
-    state.goneKeys.emplace_back(gone.number, key);
-    while (state.goneKeys.size() > maxGoneEntries) {
-        const auto &[number, oldest] = state.goneKeys.front();
-        const auto found = state.gone.find(oldest);
-        if (found != state.gone.end() && found->second.number == number)
-            state.gone.erase(found);
-        state.goneKeys.pop_front();
-    }
+    std::size_t count = 0;
+    for (const State &state : states_)
+        count += state.known.unreadableCount();
+    return count;
 }
 
-// Passes on an entry if it is newer than the known one. A watch starts from a list's first
-// page, so that its events may be older than the last page.
-void StoreLink::apply(Registry registry, RegistryEntry entry, Revision at, Instant now,
-                      bool isFromList)
+void StoreLink::apply(Registry registry, RegistryEntry entry, StoreRevision at,
+                      KnownEntries::Source source, Instant now)
 {
     State &state = stateOf(registry);
-    const std::string key = keyOf(entry);
-    const auto known = state.known.find(key);
-    if (isUnreadable(entry) && entry.revision == Revision()) {
-        // Its revision can't be read either. It replaces what is known, once.
-        if (known != state.known.end() && known->second.isUnreadable)
-            return;
-        entry.revision = at;
-    }
-    if (known != state.known.end()
-        && (entry.isGone ? entry.revision < known->second.revision
-                         : entry.revision <= known->second.revision)) {
-        if (entry.revision < known->second.revision)
-            recordIgnored(registry, "entry", entry.revision, known->second.revision, now);
+    const KnownEntries::Outcome outcome = state.known.apply(entry, at, source);
+    if (outcome.verdict == KnownEntries::Verdict::Outdated)
+        recordIgnored(registry, "entry", { at.era(), entry.revision }, outcome.known, now);
+    if (outcome.verdict != KnownEntries::Verdict::Changed)
         return;
-    }
-    if (entry.isGone) {
-        rememberGone(state, key, entry.revision, at);
-        if (known == state.known.end())
-            return;
-        state.known.erase(known);
-    } else {
-        // A late response of a watch or an older update of a reader must not bring back an entry.
-        // A list that is newer than the removal decides.
-        const auto gone = state.gone.find(key);
-        if (gone != state.gone.end() && entry.revision <= gone->second.revision
-            && (!isFromList || at <= gone->second.at)) {
-            recordIgnored(registry, "entry", entry.revision, gone->second.revision, now);
-            return;
-        }
-        state.gone.erase(key);
-        state.known[key] = { entry.revision, isUnreadable(entry) };
-    }
     hooks_.onEntry(registry, entry);
-    if (!isWatched(registry))
+    if (!isWatched(registry) || state.isRestoring)
         state.listedChanges.push_back(std::move(entry));
 }
 
-void StoreLink::applyListed(Registry registry, const RegistryEntry &entry, Revision at, Instant now)
-{
-    stateOf(registry).listedNames.insert(keyOf(entry));
-    apply(registry, entry, at, now, true);
-}
-
-void StoreLink::onFailed(const RegistryFailed &failed, std::uint64_t random, Instant now)
+void StoreLink::onFailed(const RegistryFailed &failed, Instant now)
 {
-    recordEra(failed.era);
+    onEraTold(failed.era, now); // which abandons the calls of an earlier era
+    if (!isCurrentCall(failed.registry, failed.call))
+        return;
     State &state = stateOf(failed.registry);
     state.isBusy = false;
     if (failed.failure == StoreFailure::HistoryGone) {
         recordResponse(now);
         state.mustList = true;
-        state.dueAt = now;
+        state.isHistoryShort = true;
+        retryLater(state, maxVainDelay, now);
         onTimer(now);
         return;
     }
@@ -453,16 +535,9 @@
         if (!probed.isBusy && probed.dueAt == Instant::never())
             probed.dueAt = now;
     }
-    // Exponential backoff up to maxRetryDelay, half of it random.
-    const int doublings = std::min(consecutiveFailures_, 8);
-    const Duration full = std::min(maxRetryDelay, initialRetryDelay * (1LL << doublings));
-    const auto half = static_cast<std::uint64_t>(full.toMicros() / 2 + 1);
-    state.dueAt = now + full / 2 + Duration::micros(static_cast<std::int64_t>(random % half));
-    if (state.mustList) { // restart the list: its pages may be inconsistent
-        state.listedNames.clear();
-        state.listedUpTo.clear();
-        state.isFirstPage = true;
-    }
+    retryLater(state, maxRetryDelay, now);
+    if (state.mustList)
+        restartList(state); // its pages may be inconsistent
 }
 
 void StoreLink::logResponse(const core::LogEvent &event, Registry registry, std::size_t entries,
@@ -476,19 +551,8 @@
                    { "callMs", std::to_string((now - stateOf(registry).calledAt).toMillis()) } } });
 }
 
-void StoreLink::recordEra(StoreEra era)
-{
-    if (era == StoreEra() || era == era_)
-        return;
-    if (era_ != StoreEra())
-        hooks_.log({ core::log::storeEraChanged,
-                     { { "era", std::to_string(era.number()) },
-                       { "previous", std::to_string(era_.number()) } } });
-    era_ = era;
-}
-
-void StoreLink::recordIgnored(Registry registry, const char *what, Revision ignored, Revision known,
-                              Instant now)
+void StoreLink::recordIgnored(Registry registry, const char *what, StoreRevision ignored,
+                              StoreRevision known, Instant now)
 {
     ++ignoredCount_;
     State &state = stateOf(registry);
@@ -500,9 +564,10 @@
     hooks_.log({ core::log::storeDataIgnored,
                  { { "registry", toText(registry) },
                    { "what", what },
-                   { "revision", std::to_string(ignored.number()) },
-                   { "known", std::to_string(known.number()) },
-                   { "era", std::to_string(era_.number()) },
+                   { "revision", std::to_string(ignored.number().number()) },
+                   { "era", std::to_string(ignored.era().number()) },
+                   { "known", std::to_string(known.number().number()) },
+                   { "knownEra", std::to_string(known.era().number()) },
                    { "count", std::to_string(std::exchange(state.ignoredSinceLogged, 0)) } } });
 }
 
--- a/bluebellshift/gateway/storelink.h
+++ b/bluebellshift/gateway/storelink.h
@@ -9,7 +9,13 @@
 // A registry is listed once and then watched. If the history that a watch needs has been
 // discarded, the registry is listed again. After maxConsecutiveFailures the store counts as
 // lost: then one call at a time probes whether it has returned, so that an outage causes
-// little load. While the store is lost, all known entries are kept.
+// little load. While the store is lost, all known entries are kept. A call that fails or tells
+// nothing new is followed by a wait that grows (store/callpacer.h).
+//
+// When a response of the store, or a report of another VM, tells a later era, the store has been
+// restored from an older copy. All registries are then listed again. Known entries stay in use
+// until the list of their registry is complete; isRestoring() tells which are still to come, and
+// which entries come from such a list. Responses of earlier eras are dropped.
 //
 // A watch returns each version since its revision. The configuration is therefore listed wherever
 // several may have been missed: after a change, after the store was lost, and by a VM that begins
@@ -21,14 +27,14 @@
 #pragma once
 
 #include <array>
-#include <deque>
 #include <functional>
 #include <string>
-#include <unordered_map>
-#include <unordered_set>
+#include <vector>
 
 #include "bluebellshift/gateway/effect.h"
 #include "bluebellshift/gateway/event.h"
+#include "bluebellshift/gateway/store/callpacer.h"
+#include "bluebellshift/gateway/store/knownentries.h"
 
 namespace bluebellshift::gateway {
 
@@ -48,8 +54,11 @@
     std::function<void(Registry, const RegistryEntry &)> onEntry;
     // Called when a registry has been listed completely.
     std::function<void(Registry)> onListed;
-    // Called when a list of VMs differs from the one before, with the differences.
-    std::function<void(const RegistryChanged &, Revision after)> onVmsChanged;
+    // Called when a list of VMs differs from the one before, with the differences since `after`;
+    // and with all entries of targets or VMs when they have been listed in a later era.
+    std::function<void(const RegistryChanged &, StoreRevision after)> onListChanged;
+    // Called when the store has told a later era; its lists follow.
+    std::function<void()> onRestored;
     std::function<void(core::LogRecord)> log;
 };
 
@@ -82,34 +91,44 @@
     static constexpr int maxConsecutiveFailures = 2; // then the store counts as lost
     // Between lines about ignored data of one registry.
     static constexpr Duration ignoredLogInterval = Duration::seconds(1);
-    // The number of removed entries of a registry that are remembered: more than the targets of
-    // a large deployment, of which all may be replaced at once.
-    static constexpr std::size_t maxGoneEntries = 1024;
+    // The longest wait between calls for a registry whose calls succeed and tell nothing new, as
+    // when the store keeps too little history for its watches. Half of what a change may take.
+    static constexpr Duration maxVainDelay = Duration::millis(1000);
+    // Within this time after a new era all registries are listed, so that the VMs of a large fleet
+    // stay below the store's rate.
+    static constexpr Duration restoreSpread = Duration::millis(500);
 
     explicit StoreLink(StoreLinkHooks hooks);
 
     void start(std::uint64_t random, Instant now);
     void onListed(const RegistryListed &listed, Instant now);
-    void onChanged(const RegistryChanged &changed, Instant now);
-    void onFailed(const RegistryFailed &failed, std::uint64_t random, Instant now);
+    // Returns whether the changes were taken; those of an earlier era or an abandoned call are not.
+    bool onChanged(const RegistryChanged &changed, Instant now);
+    void onFailed(const RegistryFailed &failed, Instant now);
+    // Call when a response to a write, or another VM, has told the store's era.
+    void onEraTold(StoreEra era, Instant now);
     void onTimer(Instant now);
     Instant nextWake() const;
 
     void setMode(StoreMode mode, Instant now);
     StoreMode mode() const { return mode_; }
     // Call when a VM that reads has reported a revision.
-    void onReportedRevision(Registry registry, Revision revision, Instant now);
-    // Call when a VM that reads has sent the changes after a revision. They are applied even
-    // while the store is lost.
-    void onReportedChanges(const RegistryChanged &changed, Revision after, Instant now);
+    void onReportedRevision(Registry registry, StoreRevision revision, Instant now);
+    // Call when a VM that reads has sent the changes after a revision, or all entries if
+    // `isComplete`. They are applied even while the store is lost.
+    void onReportedChanges(const RegistryChanged &changed, StoreRevision after, bool isComplete,
+                           Instant now);
     // Call when a VM that reads has sent all entries of a registry as of its last change.
     // Nothing older than what is known is applied.
-    void onReportedEntries(Registry registry, const std::vector<RegistryEntry> &entries,
-                           Revision revision, Instant now);
+    void onReportedEntries(Registry registry, std::vector<RegistryEntry> entries,
+                           StoreRevision revision, Instant now);
     // The revision from which the registry's watch continues.
-    Revision revision(Registry registry) const { return stateOf(registry).revision; }
+    StoreRevision revision(Registry registry) const { return stateOf(registry).revision; }
     // The revision of the last change that was received.
-    Revision lastChangeRevision(Registry registry) const { return stateOf(registry).lastChange; }
+    StoreRevision lastChangeRevision(Registry registry) const
+    {
+        return stateOf(registry).lastChange;
+    }
     // The earliest of the times at which the store last confirmed each watched registry.
     Instant confirmedAt() const;
 
@@ -117,17 +136,29 @@
     std::size_t unreadableCount() const;
 
     // The number of removed entries of a registry that are remembered.
-    std::size_t goneCount(Registry registry) const { return stateOf(registry).gone.size(); }
+    std::size_t goneCount(Registry registry) const { return stateOf(registry).known.goneCount(); }
+    bool knowsAny(Registry registry) const { return !stateOf(registry).known.isEmpty(); }
+    bool knows(Registry registry, const std::string &name) const
+    {
+        return stateOf(registry).known.contains(name);
+    }
 
     // Lists a registry that isn't watched again as soon as possible.
     void refresh(Registry registry, Instant now);
+    // Lists a registry from now on, in place of a call in progress.
+    void listAnew(Registry registry, Instant now);
 
     bool isListed(Registry registry) const { return stateOf(registry).isListed; }
+    // Whether a registry is known from an earlier era only, or its first list of this era is being
+    // applied.
+    bool isRestoring(Registry registry) const { return stateOf(registry).isRestoring; }
     bool isLost() const { return isLost_; }
-    // When the store last returned; never() if it has not been lost yet.
-    Instant regainedAt() const { return regainedAt_; }
-    // The era that the store's last response told; 0: none did.
+    // When the store last returned or told a later era; never() if it did neither.
+    Instant returnedAt() const;
+    // The latest era that the store or another VM told; 0: none did.
     StoreEra era() const { return era_; }
+    // The time of that, if it was not the first one; never(): it was.
+    Instant restoredAt() const { return restoredAt_; }
     // Lists and entries that were ignored because newer ones are known.
     std::uint64_t ignoredCount() const { return ignoredCount_; }
     // When the store, or a VM that reads it, last confirmed a registry; never() if it never did.
@@ -136,40 +167,30 @@
     Instant lastResponseAt() const { return lastResponseAt_; }
 
 private:
-    struct Known
-    {
-        Revision revision;
-        bool isUnreadable = false;
-    };
-    struct Gone
-    {
-        Revision revision; // of the removal, or of the entry's last change
-        Revision at;       // of the response that showed the removal
-        std::uint64_t number = 0;
-    };
     struct State
     {
         bool isListed = false;
         bool isBusy = false;              // a call is in progress
+        CallId call;                      // the latest one; responses to others are dropped
+        Duration callWait;                // for how long the store may hold it
         Instant dueAt = Instant::never(); // time of the next call, if not busy; never(): none
         Instant calledAt;                 // of the latest call; of a list, its first page
         bool mustList = true;
-        std::string listedUpTo; // last legible name of the pages received so far
+        bool isRestoring = false;    // see isRestoring()
+        bool isHistoryShort = false; // a watch failed for that, and none has succeeded since
+        std::string listedUpTo;      // last legible name of the pages received so far
         bool isFirstPage = true;
-        Revision listedAt;             // of the first page
+        StoreRevision listedAt;        // of the first page
         std::size_t listedEntries = 0; // in the pages received so far
         std::size_t listedBytes = 0;
-        Revision newestEntry; // of the entries listed so far
-        Revision revision;    // to watch from
-        Revision lastChange;  // revision of the last change
+        StoreRevision newestEntry; // of the entries listed so far
+        StoreRevision revision;    // to watch from
+        StoreRevision lastChange;  // revision of the last change
+        StoreRevision reported;    // the newest that another VM reported
         Instant confirmedAt = Instant::never();
-        std::unordered_set<std::string> listedNames;  // keys in the current list
-        std::vector<RegistryEntry> listedChanges;     // of the current list, against the known
-        std::unordered_map<std::string, Known> known; // by keyOf
-        // Removed entries, so that an outdated response does not bring them back.
-        std::unordered_map<std::string, Gone> gone;
-        std::deque<std::pair<std::uint64_t, std::string>> goneKeys; // the oldest first
-        std::uint64_t goneNumber = 0;
+        std::vector<RegistryEntry> listedChanges; // of the current list, against the known
+        store::KnownEntries known;
+        store::CallPacer pacer;
         Instant ignoredLoggedAt = Instant::never();
         std::uint64_t ignoredSinceLogged = 0;
     };
@@ -182,22 +203,31 @@
     static bool isWatched(Registry registry);
 
     void call(Registry registry, Instant now);
-    // `at` is the revision of the response that contains the entry.
-    void apply(Registry registry, RegistryEntry entry, Revision at, Instant now,
-               bool isFromList = false);
-    void applyListed(Registry registry, const RegistryEntry &entry, Revision at, Instant now);
+    // Whether a response is one to use: of the current call and of the current era. A later era
+    // than the known one begins with it.
+    bool accept(Registry registry, CallId call, StoreEra era, Instant now);
+    bool isCurrentCall(Registry registry, CallId call) const;
+    // Whether any registry has been listed.
+    bool knowsRegistries() const;
+    void beginEra(StoreEra era, Instant now);
+    // Drops the call in progress and the pages of its list.
+    static void abandonCall(State &state);
+    static void restartList(State &state);
+    // Schedules the next call for a registry after one that told nothing new.
+    void retryLater(State &state, Duration maxWait, Instant now);
+    // Applies an entry of a response as of `at`; returns whether it changed what is known.
+    void apply(Registry registry, RegistryEntry entry, StoreRevision at,
+               store::KnownEntries::Source source, Instant now);
     void finishList(Registry registry, Instant now);
-    static void keepUnlisted(State &state);
     void removeUnlisted(Registry registry);
+    void stopFollowedCalls(State &state, Instant now);
     Instant nextPoll(Registry registry, bool hasChanged, Instant now) const;
     static void readNewest(State &state);
-    static void rememberGone(State &state, const std::string &key, Revision revision, Revision at);
     void stopCalling(Registry registry);
     void recordResponse(Instant now);
-    void recordEra(StoreEra era);
     // `known` is what `ignored` is older than.
-    void recordIgnored(Registry registry, const char *what, Revision ignored, Revision known,
-                       Instant now);
+    void recordIgnored(Registry registry, const char *what, StoreRevision ignored,
+                       StoreRevision known, Instant now);
     void logResponse(const core::LogEvent &event, Registry registry, std::size_t entries,
                      std::size_t bytes, Instant now) const;
 
@@ -210,6 +240,8 @@
     Instant regainedAt_ = Instant::never();
     Instant lastResponseAt_ = Instant::never();
     StoreEra era_;
+    Instant restoredAt_ = Instant::never();
+    std::uint64_t lastCall_ = 0;
     std::uint64_t ignoredCount_ = 0;
 };
 
--- a/bluebellshift/gateway/testing/storelinktest.cpp
+++ b/bluebellshift/gateway/testing/storelinktest.cpp
@@ -65,7 +65,8 @@
                 inUse[entry.name] = entry.revision.number();
         };
         hooks.onListed = [](Registry) {};
-        hooks.onVmsChanged = [](const RegistryChanged &, Revision) {};
+        hooks.onListChanged = [](const RegistryChanged &, StoreRevision) {};
+        hooks.onRestored = [] {};
         hooks.log = [](const core::LogRecord &) {};
         link = std::make_unique<StoreLink>(hooks);
         link->start(1, now);
@@ -82,7 +83,7 @@
     void update(std::uint64_t after, std::uint64_t at, std::vector<RegistryEntry> entries)
     {
         link->onReportedChanges({ Registry::Targets, Revision(at), std::move(entries) },
-                                Revision(after), now);
+                                { StoreEra(), Revision(after) }, false, now);
     }
     bool isInUse(const std::string &name) const
     {
@@ -208,14 +209,14 @@
 {
     list(1, {});
     std::uint64_t revision = 1;
-    for (std::size_t i = 0; i < 3 * StoreLink::maxGoneEntries; ++i) {
+    for (std::size_t i = 0; i < 3 * store::KnownEntries::maxGoneEntries; ++i) {
         const std::string name = "t" + std::to_string(i);
         change(++revision, { put(name, revision) });
         change(++revision, { gone(name, revision) });
         change(++revision, { put("again", revision) });
         change(++revision, { gone("again", revision) });
     }
-    CHECK(link->goneCount(Registry::Targets) <= StoreLink::maxGoneEntries);
+    CHECK(link->goneCount(Registry::Targets) <= store::KnownEntries::maxGoneEntries);
     change(revision, { put("again", revision - 1) });
     CHECK_FALSE(isInUse("again"));
 }
--- a/bluebellshift/gateway/testing/storeobservationtest.cpp
+++ b/bluebellshift/gateway/testing/storeobservationtest.cpp
@@ -66,28 +66,30 @@
 TEST(StoreObservation, OlderDataIsCountedAndLoggedOnceASecond)
 {
     for (int i = 0; i < 10; ++i)
-        bench.reduce(targetsAsOf(5, StoreEra(1)));
+        bench.reduce(targetsAsOf(5, StoreEra()));
     const auto lines = linesOf(bench, core::log::storeDataIgnored);
     CHECK_EQUAL(1, lines.size());
     STRCMP_EQUAL("targets", field(lines[0], "registry").c_str());
     STRCMP_EQUAL("5", field(lines[0], "revision").c_str());
-    STRCMP_EQUAL("1", field(lines[0], "era").c_str());
+    STRCMP_EQUAL("0", field(lines[0], "era").c_str());
+    STRCMP_EQUAL("0", field(lines[0], "knownEra").c_str());
     CHECK(std::stoull(field(lines[0], "known")) > 5);
     CHECK(bench.reducer().readings(bench.now()).ignoredStoreData >= 10);
     bench.advance(StoreLink::ignoredLogInterval);
-    bench.reduce(targetsAsOf(5, StoreEra(1)));
+    bench.reduce(targetsAsOf(5, StoreEra()));
     CHECK_EQUAL(2, linesOf(bench, core::log::storeDataIgnored).size());
 }
 
 TEST(StoreObservation, AChangedEraIsLoggedAndRead)
 {
-    bench.reduce(targetsAsOf(500, StoreEra(3)));
     CHECK_EQUAL(0, linesOf(bench, core::log::storeEraChanged).size());
-    bench.reduce(targetsAsOf(501, StoreEra(4)));
+    bench.reduce(targetsAsOf(501, StoreEra(3)));
+    bench.reduce(targetsAsOf(501, StoreEra(3)));
+    bench.reduce(targetsAsOf(90, StoreEra(4)));
     const auto lines = linesOf(bench, core::log::storeEraChanged);
-    CHECK_EQUAL(1, lines.size());
-    STRCMP_EQUAL("4", field(lines[0], "era").c_str());
-    STRCMP_EQUAL("3", field(lines[0], "previous").c_str());
+    CHECK_EQUAL(2, lines.size());
+    STRCMP_EQUAL("4", field(lines[1], "era").c_str());
+    STRCMP_EQUAL("3", field(lines[1], "previous").c_str());
     CHECK_EQUAL(4, bench.reducer().readings(bench.now()).storeEra);
 }
 
--- a/bluebellshift/gateway/vmexchange.cpp
+++ b/bluebellshift/gateway/vmexchange.cpp
@@ -144,18 +144,20 @@
 void VmExchange::onTargetUpdate(const PeerTargetUpdateReceived &event, Instant now)
 {
     std::vector<VmId> leaves = overlay_.leaves(now);
-    if (leaves.empty() || event.update.upTo <= targetsForwardedUpTo_)
+    const StoreRevision upTo(event.update.era, event.update.upTo);
+    if (leaves.empty() || !upTo.isNewerThan(targetsForwardedUpTo_))
         return;
-    targetsForwardedUpTo_ = event.update.upTo;
+    targetsForwardedUpTo_ = upTo;
     hooks_.perform(SendTargetUpdate { std::move(leaves), event.update });
 }
 
 void VmExchange::onVmUpdate(const PeerVmUpdateReceived &event, Instant now)
 {
     std::vector<VmId> leaves = overlay_.leaves(now);
-    if (leaves.empty() || event.update.upTo <= vmsForwardedUpTo_)
+    const StoreRevision upTo(event.update.era, event.update.upTo);
+    if (leaves.empty() || !upTo.isNewerThan(vmsForwardedUpTo_))
         return;
-    vmsForwardedUpTo_ = event.update.upTo;
+    vmsForwardedUpTo_ = upTo;
     hooks_.perform(SendVmUpdate { std::move(leaves), event.update });
 }
 
--- a/bluebellshift/gateway/vmexchange.h
+++ b/bluebellshift/gateway/vmexchange.h
@@ -103,8 +103,8 @@
     Instant flushedAt_ = Instant::never();
     Instant flushAt_ = Instant::never();
     Instant overlayAt_ = Instant::never();
-    Revision targetsForwardedUpTo_; // to the leaves
-    Revision vmsForwardedUpTo_;
+    StoreRevision targetsForwardedUpTo_; // to the leaves
+    StoreRevision vmsForwardedUpTo_;
 };
 
 } // namespace bluebellshift::gateway
--- a/bluebellshift/gatewayd/gateway.cpp
+++ b/bluebellshift/gatewayd/gateway.cpp
@@ -388,12 +388,18 @@
 
 void Gateway::perform(const gateway::SetPeers &peers)
 {
+    std::vector<shell::PeerKey> keys = {
+        { peerKeyId, shell::fromHex(peers.secretHex).value_or(std::string()) }
+    };
+    if (mesh_ && peers.secretHex != meshSecretHex_)
+        mesh_->setKeys(keys);
+    meshSecretHex_ = peers.secretHex;
     if (!mesh_) {
         shell::PeerMeshOptions options;
         options.vm = settings_.gateway.vm.id;
         options.incarnation = settings_.gateway.vm.incarnation;
         options.listen = settings_.gateway.vm.peers;
-        options.keys = { { peerKeyId, shell::fromHex(peers.secretHex).value_or(std::string()) } };
+        options.keys = std::move(keys);
         options.tickInterval = peerTickInterval;
         options.loop = &loop_;
         shell::PeerMeshHooks hooks;
--- a/bluebellshift/gatewayd/gateway.h
+++ b/bluebellshift/gatewayd/gateway.h
@@ -123,6 +123,7 @@
     std::unique_ptr<net::HttpServer> readinessServer_;
     std::unique_ptr<net::HttpServer> metricsServer_;
     std::unique_ptr<shell::PeerMesh> mesh_;
+    std::string meshSecretHex_; // that mesh_ uses
     boost::asio::steady_timer timer_;
     core::Instant timerAt_ = core::Instant::never();
     std::mt19937_64 random_; // for load spreading only, not for secrets
--- a/bluebellshift/shell/messagefields.h
+++ b/bluebellshift/shell/messagefields.h
@@ -146,7 +146,8 @@
         &T::sequence, &T::isReady, &T::isLeaving, &T::configVersion, &T::uses, &T::readsStore,
         &T::storeAgeMillis, &T::registryRevisions, &T::isYoung, &T::admissions, &T::evacuated,
         &T::isUrgent, &T::wantsReports, &T::targetLimits, &T::leavingTargets, &T::regionRequests,
-        &T::failedRequests, &T::hasNoticedFault, &T::faultAgeMillis, &T::arrivedRequests);
+        &T::failedRequests, &T::hasNoticedFault, &T::faultAgeMillis, &T::arrivedRequests,
+        &T::storeEra);
 };
 template<> struct Fields<core::RelayedReport>
 {
@@ -185,7 +186,8 @@
 template<> struct Fields<core::TargetUpdate>
 {
     using T = core::TargetUpdate;
-    static constexpr auto list = std::make_tuple(&T::after, &T::upTo, &T::changes);
+    static constexpr auto list =
+        std::make_tuple(&T::after, &T::upTo, &T::changes, &T::era, &T::isComplete);
 };
 
 template<> struct Fields<core::VmEntry>
@@ -202,7 +204,8 @@
 template<> struct Fields<core::VmUpdate>
 {
     using T = core::VmUpdate;
-    static constexpr auto list = std::make_tuple(&T::after, &T::upTo, &T::changes);
+    static constexpr auto list =
+        std::make_tuple(&T::after, &T::upTo, &T::changes, &T::era, &T::isComplete);
 };
 
 template<> struct EnumRange<core::Run>
--- a/bluebellshift/shell/structcodec.h
+++ b/bluebellshift/shell/structcodec.h
@@ -25,6 +25,7 @@
 #include <nlohmann/json.hpp>
 
 #include "bluebellshift/core/ids.h"
+#include "bluebellshift/core/storerevision.h"
 #include "bluebellshift/core/units.h"
 
 namespace bluebellshift::shell {
@@ -53,6 +54,7 @@
 // Declared before the templates that call them.
 inline json toJson(const std::string &text);
 inline bool fromJson(const json &value, std::string *text);
+inline json toJson(core::RevisionNumber revision);
 inline json toJson(const core::Duration &duration);
 inline bool fromJson(const json &value, core::Duration *duration);
 
@@ -87,6 +89,11 @@
     return id.number();
 }
 
+inline json toJson(core::RevisionNumber revision)
+{
+    return revision.number();
+}
+
 inline json toJson(const core::Duration &duration)
 {
     return duration.toMicros();
@@ -191,6 +198,14 @@
     return true;
 }
 
+inline bool fromJson(const json &value, core::RevisionNumber *revision)
+{
+    if (!value.is_number_unsigned())
+        return false;
+    *revision = core::RevisionNumber(value.get<std::uint64_t>());
+    return true;
+}
+
 // Keeps the sum of a duration and an instant from overflowing.
 inline constexpr std::int64_t maxDurationMicros = std::int64_t { 1 } << 60;
 
--- a/bluebellshift/shell/testing/messagefuzztest.cpp
+++ b/bluebellshift/shell/testing/messagefuzztest.cpp
@@ -48,12 +48,12 @@
 {
     const Target target = sampleTargets(1).front();
     const VmEntry vm = sampleOptions("vm-3").vm;
-    const core::TargetUpdate targets { core::Revision(1),
-                                       core::Revision(9),
-                                       { { "t0", core::Revision(9), false, "", target } } };
-    const core::VmUpdate vms { core::Revision(1),
-                               core::Revision(9),
-                               { { "vm-3", core::Revision(9), false, vm } } };
+    const core::TargetUpdate targets { core::RevisionNumber(1),
+                                       core::RevisionNumber(9),
+                                       { { "t0", core::RevisionNumber(9), false, "", target } } };
+    const core::VmUpdate vms { core::RevisionNumber(1),
+                               core::RevisionNumber(9),
+                               { { "vm-3", core::RevisionNumber(9), false, vm } } };
     const core::SpendingReport spending { { { 1, 20, 10, 5 } } };
     return { core::Heartbeat(),
              core::BorrowRequest(),
