End calls of the store whose responses fall behind a minimum rate

In a trial in virtual time the gateway made no call for that registry meanwhile and kept an old configuration, while its other registries were confirmed; where the registry was the one that probes a lost store, it called the store no more at all.

Cause: once a response has started, a call's timeout no longer applies, so that a large configuration arrives over a slow link, and the read idle time-out starts again with each byte, however few they are.

A pause ends a call as before, and what arrived fast earlier allows for no longer stall.

--- a/bluebellshift/net/httpclient.cpp
+++ b/bluebellshift/net/httpclient.cpp
@@ -22,6 +22,7 @@
 #include <sys/socket.h>
 
 #include "bluebellshift/net/httpmessage.h"
+#include "bluebellshift/net/readdeadline.h"
 
 namespace bluebellshift::net {
 namespace {
@@ -129,6 +130,7 @@
     {
         call_ = call;
         options_ = options;
+        readDeadline_ = ReadDeadline(toChrono(options.readIdleTimeout), options.minBytesPerSecond);
         callback_ = std::move(callback);
         outgoing_ = std::move(bytes);
         isWritten_ = false;
@@ -255,8 +257,10 @@
             return;
         }
         result_.hasResponseStarted = true;
-        if (options_.readIdleTimeout > core::Duration())
-            setTimer(Clock::now() + toChrono(options_.readIdleTimeout), CallOutcome::TimedOut);
+        if (options_.readIdleTimeout > core::Duration()) {
+            readDeadline_.onBytes(Clock::now(), size);
+            setTimer(readDeadline_.at(), CallOutcome::TimedOut);
+        }
         buffer_.commit(size);
         parse();
         if (!isClosed_)
@@ -425,6 +429,7 @@
     std::string outgoing_;
     core::AnswerPointer response_;
     Clock::time_point deadline_;
+    ReadDeadline readDeadline_;
     Clock::time_point connectStartedAt_;
     Clock::time_point idleSince_;
     Clock::duration idleTimeout_ = maxIdleTimeout;
--- a/bluebellshift/net/httpclient.h
+++ b/bluebellshift/net/httpclient.h
@@ -66,6 +66,9 @@
     // byte, and `timeout` no longer applies, so that a large response may take longer.
     // Zero: `timeout` applies throughout.
     core::Duration readIdleTimeout;
+    // With `readIdleTimeout`, the response must arrive at this many bytes a second, and may fall
+    // behind by `readIdleTimeout`. Zero: a byte within each such time suffices.
+    std::size_t minBytesPerSecond = 0;
     // A pooled connection is reused only if it has been idle for at most this long.
     // Zero: always open a new connection.
     core::Duration maxReuseIdleTime = core::Duration::seconds(8);
--- a/bluebellshift/net/testing/httpclienttest.cpp
+++ b/bluebellshift/net/testing/httpclienttest.cpp
@@ -354,6 +354,27 @@
     CHECK(result->outcome == CallOutcome::TimedOut);
 }
 
+TEST(NetHttpClient, TimesOutWhenTheResponseFallsBehindItsMinimumRate)
+{
+    constexpr int maxPieces = 100;
+    options.readIdleTimeout = core::Duration::millis(200);
+    options.minBytesPerSecond = 1'000'000;
+    call();
+    CHECK(waitFor([&] { return hasRead(0, 1); }));
+    peers[0].send("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 1000000\r\n\r\n");
+    for (int piece = 0; piece < maxPieces && !result; ++piece) {
+        boost::asio::steady_timer pause(loop, std::chrono::milliseconds(20));
+        bool hasPassed = false;
+        pause.async_wait([&](const boost::system::error_code &) { hasPassed = true; });
+        CHECK(waitFor([&] { return hasPassed || result; }));
+        if (!result)
+            peers[0].send("x");
+    }
+    CHECK(result.has_value());
+    CHECK(result->outcome == CallOutcome::TimedOut);
+    CHECK(result->hasResponseStarted);
+}
+
 TEST(NetHttpClient, ClosesTheConnectionOfACancelledCall)
 {
     const CallId id = call();
