Test the codec of the store's eras in reports and updates

Reports (also relayed ones) and updates keep their era and whether they are complete. Without the fields, as an earlier version writes them, they are read with era 0 and as incomplete, and without an era the bytes are the earlier version's. Eras and revisions of other types are refused. The fuzz test starts from reports and updates of a later era too.

--- a/bluebellshift/shell/testing/messagecodectest.cpp
+++ b/bluebellshift/shell/testing/messagecodectest.cpp
@@ -87,6 +87,60 @@
              RelayCancel { 5 } };
 }
 
+constexpr StoreEra someEra(UINT64_MAX);
+
+VmReport reportWithEra()
+{
+    VmReport report;
+    report.sequence = 5;
+    report.registryRevisions = { 1, 2, 3 };
+    report.arrivedRequests = 41;
+    report.storeEra = someEra;
+    return report;
+}
+
+TargetUpdate targetUpdateWithEra()
+{
+    TargetUpdate update;
+    update.after = RevisionNumber(1);
+    update.upTo = RevisionNumber(9);
+    update.changes = { { "t0", RevisionNumber(9), true, "", {} } };
+    update.era = someEra;
+    update.isComplete = true;
+    return update;
+}
+
+VmUpdate vmUpdateWithEra()
+{
+    VmUpdate update;
+    update.after = RevisionNumber(1);
+    update.upTo = RevisionNumber(9);
+    update.changes = { { "vm-3", RevisionNumber(9), true, {} } };
+    update.era = someEra;
+    update.isComplete = true;
+    return update;
+}
+
+json encodedAsJson(const Message &message)
+{
+    return json::from_cbor(encodeMessage(message));
+}
+
+absl::StatusOr<Message> decodeJson(const json &value)
+{
+    const std::vector<std::uint8_t> bytes = json::to_cbor(value);
+    return decodeMessage(std::string(bytes.begin(), bytes.end()));
+}
+
+// The message as a version writes it whose struct lacks the last `fields`.
+json withoutLast(const Message &message, std::size_t fields)
+{
+    json value = encodedAsJson(message);
+    for (; fields > 0; --fields)
+        value.erase(value.size() - 1);
+    return value;
+}
+
 } // namespace
 
 TEST_GROUP(MessageCodec) {};
@@ -211,3 +265,68 @@
         CHECK_TEXT(!decoded.ok(), value.dump().c_str());
     }
 }
+
+TEST(MessageCodec, TheStoresEraOfReportsAndUpdatesRoundTrips)
+{
+    const auto report = decodeMessage(encodeMessage(reportWithEra()));
+    CHECK(std::get<VmReport>(*report).storeEra == someEra);
+    CHECK_EQUAL(41U, std::get<VmReport>(*report).arrivedRequests);
+    const RelayedReports relayed { { { VmId("vm-3"), Incarnation(7), 5, reportWithEra() } } };
+    const auto reports = decodeMessage(encodeMessage(relayed));
+    CHECK(std::get<RelayedReports>(*reports).reports[0].report.storeEra == someEra);
+    const auto targets = decodeMessage(encodeMessage(targetUpdateWithEra()));
+    CHECK(std::get<TargetUpdate>(*targets).era == someEra);
+    CHECK(std::get<TargetUpdate>(*targets).isComplete);
+    CHECK(std::get<TargetUpdate>(*targets).upTo == RevisionNumber(9));
+    const auto vms = decodeMessage(encodeMessage(vmUpdateWithEra()));
+    CHECK(std::get<VmUpdate>(*vms).era == someEra);
+    CHECK(std::get<VmUpdate>(*vms).isComplete);
+    CHECK(std::get<VmUpdate>(*vms).upTo == RevisionNumber(9));
+}
+
+// Guards against VMs of two versions that refuse each other's reports during an upgrade.
+TEST(MessageCodec, ReportsAndUpdatesWithoutTheStoresEraHaveNone)
+{
+    const auto report = decodeJson(withoutLast(reportWithEra(), 1));
+    CHECK(report.ok());
+    CHECK(std::get<VmReport>(*report).storeEra == StoreEra());
+    CHECK_EQUAL(41U, std::get<VmReport>(*report).arrivedRequests);
+    CHECK_EQUAL(3U, std::get<VmReport>(*report).registryRevisions.size());
+    for (const std::size_t lacking : { 1, 2 }) {
+        const StoreEra era = lacking == 1 ? someEra : StoreEra();
+        const auto targets = decodeJson(withoutLast(targetUpdateWithEra(), lacking));
+        CHECK(targets.ok());
+        CHECK(std::get<TargetUpdate>(*targets).era == era);
+        CHECK(!std::get<TargetUpdate>(*targets).isComplete);
+        CHECK_EQUAL(1U, std::get<TargetUpdate>(*targets).changes.size());
+        const auto vms = decodeJson(withoutLast(vmUpdateWithEra(), lacking));
+        CHECK(vms.ok());
+        CHECK(std::get<VmUpdate>(*vms).era == era);
+        CHECK(!std::get<VmUpdate>(*vms).isComplete);
+        CHECK_EQUAL(1U, std::get<VmUpdate>(*vms).changes.size());
+    }
+    // Where the store tells no era, the bytes are those of the earlier version.
+    VmUpdate update = vmUpdateWithEra();
+    update.era = StoreEra();
+    update.isComplete = false;
+    CHECK(encodedAsJson(update) == withoutLast(vmUpdateWithEra(), 2));
+}
+
+TEST(MessageCodec, ErasAndRevisionsOfWrongTypesAreRefused)
+{
+    const json wrong[] = { -1, 1.5, "7", nullptr, true, json::array({ 1 }) };
+    const Message messages[] = { reportWithEra(), targetUpdateWithEra(), vmUpdateWithEra() };
+    for (const Message &message : messages) {
+        const bool isReport = std::holds_alternative<VmReport>(message);
+        for (const json &value : wrong) {
+            json damaged = encodedAsJson(message);
+            damaged[damaged.size() - (isReport ? 1 : 2)] = value;
+            CHECK_TEXT(!decodeJson(damaged).ok(), value.dump().c_str());
+            if (isReport)
+                continue;
+            damaged = encodedAsJson(message);
+            damaged[1] = value; // `after`
+            CHECK_TEXT(!decodeJson(damaged).ok(), value.dump().c_str());
+        }
+    }
+}
--- a/bluebellshift/shell/testing/messagefuzztest.cpp
+++ b/bluebellshift/shell/testing/messagefuzztest.cpp
@@ -55,6 +55,15 @@
                                core::RevisionNumber(9),
                                { { "vm-3", core::RevisionNumber(9), false, vm } } };
     const core::SpendingReport spending { { { 1, 20, 10, 5 } } };
+    // After a restore of the store.
+    VmReport laterReport = sampleReport();
+    laterReport.storeEra = core::StoreEra(2);
+    core::TargetUpdate laterTargets = targets;
+    laterTargets.era = core::StoreEra(2);
+    laterTargets.isComplete = true;
+    core::VmUpdate laterVms = vms;
+    laterVms.era = core::StoreEra(2);
+    laterVms.isComplete = true;
     return { core::Heartbeat(),
              core::BorrowRequest(),
              core::ViewReply(),
@@ -65,7 +74,10 @@
              targets,
              core::RelayedReports { { { VmId("vm-3"), peerIncarnation, 5, sampleReport() } } },
              core::RelayedSpending { VmId("vm-1"), peer, peerIncarnation, spending },
-             vms };
+             vms,
+             laterReport,
+             laterTargets,
+             laterVms };
 }
 
 // As gatewayd does with a message of a peer.
