Ask a store whose call failed for an answer at once

Cause: the call after a failure was a watch that the store may hold for 2.8 s. The VM counted the store as lost soon after, as calls of other registries failed too, and then probes through that registry alone: its watch, accepted by the store that had returned, told nothing for 2.8 s.

Change: the call of a registry that follows a failure is not held by the store. Its response shows the store's return and era.

Measured: TheCallAfterAFailureIsNotHeldByTheStore failed before. Outside of failures no call changes.

--- a/bluebellshift/gateway/store/testing/storeeratest.cpp
+++ b/bluebellshift/gateway/store/testing/storeeratest.cpp
@@ -29,6 +29,7 @@
     std::map<Registry, CallId> lists;
     std::map<Registry, CallId> watches;
     std::map<Registry, std::uint64_t> watchedFrom;
+    std::map<Registry, Duration> waits; // for which the store may hold a watch
     int calls = 0;
     std::map<std::string, std::uint64_t> targets; // in use, with their revisions
     std::map<std::string, bool> wasRestoring;     // when the entry was passed on
@@ -46,6 +47,7 @@
             } else if (const auto *watch = std::get_if<WatchRegistry>(&effect)) {
                 watches[watch->registry] = watch->call;
                 watchedFrom[watch->registry] = watch->after.number();
+                waits[watch->registry] = watch->wait;
             }
         };
         hooks.onEntry = [this](Registry registry, const RegistryEntry &entry) {
@@ -260,6 +262,18 @@
     CHECK(calls <= (waits + 6) + 2 * (20 + 6) + 2 * 4);
 }
 
+// A watch that the store holds for its whole wait would hide that the store has returned.
+TEST(StoreEra, TheCallAfterAFailureIsNotHeldByTheStore)
+{
+    listAll(140, {});
+    CHECK(waits[Registry::Evacuations] == StoreLink::watchWait);
+    fail(Registry::Evacuations, StoreFailure::NoAnswer, watches[Registry::Evacuations]);
+    advance(StoreLink::maxRetryDelay);
+    CHECK(waits[Registry::Evacuations] == Duration());
+    CHECK(change(Registry::Evacuations, 140, {}, firstEra));
+    CHECK(waits[Registry::Evacuations] == StoreLink::watchWait);
+}
+
 TEST(StoreEra, ARevisionReportedDuringACallIsReadAfterIt)
 {
     listAll(140, {});
--- a/bluebellshift/gateway/storelink.cpp
+++ b/bluebellshift/gateway/storelink.cpp
@@ -120,6 +120,10 @@
         state.callWait = readerWatchWait;
         timeout = readerWatchWait + readerWatchMargin;
     }
+    if (!isLost_ && state.hasFailed) { // does the store respond?
+        state.callWait = Duration();
+        timeout = callTimeout;
+    }
     hooks_.perform(
         WatchRegistry { registry, state.revision.number(), state.callWait, timeout, state.call });
 }
@@ -267,6 +271,7 @@
     removeUnlisted(registry);
     restartList(state);
     state.mustList = false;
+    state.hasFailed = false;
     state.isListed = true;
     if (!state.isHistoryShort)
         state.pacer.reset();
@@ -321,6 +326,7 @@
     const bool isNew = at.isNewerThan(state.revision);
     const bool isEarly = now - state.calledAt < state.callWait / 2;
     state.isBusy = false;
+    state.hasFailed = false;
     state.confirmedAt = now;
     if (changed.entries.empty() ? isEarly : !isNew) {
         retryLater(state, maxVainDelay, now); // it told nothing new, at once
@@ -523,6 +529,7 @@
         onTimer(now);
         return;
     }
+    state.hasFailed = true;
     ++consecutiveFailures_;
     if (!isLost_ && consecutiveFailures_ >= maxConsecutiveFailures) {
         isLost_ = true;
--- a/bluebellshift/gateway/storelink.h
+++ b/bluebellshift/gateway/storelink.h
@@ -177,6 +177,7 @@
         Instant calledAt;                 // of the latest call; of a list, its first page
         bool mustList = true;
         bool isRestoring = false;    // see isRestoring()
+        bool hasFailed = false;      // the latest call; the next one is not held by the store
         bool isHistoryShort = false; // a watch failed for that, and none has succeeded since
         std::string listedUpTo;      // last legible name of the pages received so far
         bool isFirstPage = true;
