Keep a lapsed target while changes of the targets are missing

Cause: the readers' confirmation of the store was taken for one of what this VM knows, also where they had reported a change that it had not received.

Change: a reported change that is missing, or a registry that is still to be listed in the new era, leaves lapsed targets in use.

--- a/bluebellshift/gateway/store/registryview.cpp
+++ b/bluebellshift/gateway/store/registryview.cpp
@@ -146,7 +146,7 @@
 void RegistryView::removeOverdue(Instant now)
 {
     Instant confirmedAt = store_.confirmedAt(Registry::Targets);
-    if (store_.mode() == StoreMode::Follows)
+    if (store_.mode() == StoreMode::Follows && !store_.misses(Registry::Targets))
         confirmedAt = std::max(confirmedAt, fleet_.readersConfirmedAt(now));
     if (confirmedAt < overdueSince_)
         return;
--- a/bluebellshift/gateway/storelink.h
+++ b/bluebellshift/gateway/storelink.h
@@ -149,6 +149,12 @@
     void listAnew(Registry registry, Instant now);
 
     bool isListed(Registry registry) const { return stateOf(registry).isListed; }
+    // Whether another VM reported a change of a registry that this VM has not received.
+    bool misses(Registry registry) const
+    {
+        const State &state = stateOf(registry);
+        return state.isRestoring || state.reported.isNewerThan(state.revision);
+    }
     // Whether a registry is known from an earlier era only, or its first list of this era is being
     // applied.
     bool isRestoring(Registry registry) const { return stateOf(registry).isRestoring; }
