Fix: probe a lost store at once, though a watch of it goes on

After the store has been silent for 0.4 s, VMs in touch served by an older version than the one that it had acknowledged 4 s before. The watches that the silence swallowed end late and count as two failures in a row: the VM takes the store for lost, and calls only the registry that it probes. Where a watch of that registry began after the silence, no call is made until it ends, up to 2.8 s later.

A VM that takes the store for lost abandons such a watch and probes.

AVmReadsWhatItMissedInAShortSilence fails without the change (2 in force, not 3) and passes with it.

--- a/bluebellshift/gateway/storelink.cpp
+++ b/bluebellshift/gateway/storelink.cpp
@@ -538,8 +538,10 @@
                      { { "registry", toText(failed.registry) },
                        { "failure", toText(failed.failure) },
                        { "heardMsAgo", std::to_string((now - lastResponseAt_).toMillis()) } } });
-        State &probed = stateOf(probedRegistry); // a VM that follows has no call scheduled
-        if (!probed.isBusy && probed.dueAt == Instant::never())
+        State &probed = stateOf(probedRegistry);
+        if (probed.isBusy)
+            abandonCall(probed); // a watch would put the probe off for as long as it waits
+        if (probed.dueAt == Instant::never() || now < probed.dueAt)
             probed.dueAt = now;
     }
     retryLater(state, maxRetryDelay, now);
--- a/bluebellshift/gateway/testing/storeoutagetest.cpp
+++ b/bluebellshift/gateway/testing/storeoutagetest.cpp
@@ -1,7 +1,9 @@
 // What a VM learns while it has no path to the store, and in which order it catches up. Load
 // that this answers: a VM with a link of 10 Mbit/s is cut off from the store while
 // configurations of 1,800 routes follow each other and a failure domain is evacuated.
+#include "bluebellshift/gateway/storelink.h"
 #include "bluebellshift/gateway/testing/gatewaybench.h"
+#include "bluebellshift/gateway/testing/storefleet.h"
 
 #include <algorithm>
 
@@ -151,3 +153,23 @@
     reportAll(4);
     CHECK_FALSE(bench.reducer().readings(bench.now()).isStoreLost);
 }
+
+// Guards against a VM that counts the store as lost after a short silence, and then waits for a
+// watch that goes on before it calls the store again.
+TEST(StoreOutage, AVmReadsWhatItMissedInAShortSilence)
+{
+    for (std::int64_t phase = 0; phase < 3000; phase += 60) {
+        StoreFleet fleet(1, 1);
+        fleet.run(Duration::millis(6000 + phase));
+        // The watches of these begin anew right before the silence, others at another time.
+        fleet.putTarget(StoreFleet::target(StoreFleet::targetCount));
+        fleet.putConfig(2);
+        fleet.run(StoreLink::changeBatchTime + Duration::millis(40));
+        const Duration silence = Duration::millis(400);
+        fleet.store().setAway(fleet.now(), silence, StoreModel::Fault::Silent);
+        fleet.run(silence);
+        fleet.putConfig(3);
+        fleet.run(StoreFleet::contact);
+        CHECK_EQUAL(3U, fleet.versionOf(0));
+    }
+}
