Fix: notice a missing entry of a VM's own in a list that a reader sends

A VM that restarts in the seconds that a restored store has lost, or whose fleet starts in them, may learn the VMs of the new era from a reader's list. If it had not yet listed its own entry, nothing reported that as gone, and the check of the whole list was skipped, as the list no longer counted as one of a restored store. Its entry stayed missing.

The list counts as such until it has been handed on, as where the VM reads the list itself.

ADrillDuringTheStartOfTheFleetEndsWithOneSecret fails without the change on the commit before (100 VMs, 400 ms: the entry of VM 3 is missing, also 11 s after the restore) and passes with it.

--- a/bluebellshift/gateway/storelink.cpp
+++ b/bluebellshift/gateway/storelink.cpp
@@ -440,10 +440,11 @@
     state.listedChanges.clear();
     state.revision = revision;
     state.lastChange = revision;
-    if (std::exchange(state.isRestoring, false)) {
+    if (state.isRestoring) {
         // A VM that does not follow lists the registry itself as soon as it reaches the store.
         state.mustList = mode_ != StoreMode::Follows;
         hooks_.onListed(registry);
+        state.isRestoring = false;
     }
     if (mode_ != StoreMode::Follows)
         return; // its own watch goes on
