Fix: use a restored target only once the store has confirmed it since

A target that a restored store has again, though it left, is held out of use for 7 s, after which its entry shows that it runs. In a VM without the store that time passed unseen: as soon as the store returned, the target came into use, before the list that no longer has it.

Its time is over once the registry has been confirmed after it, by the store or, for a VM that follows, by a reader.

--- a/bluebellshift/gateway/store/registryview.cpp
+++ b/bluebellshift/gateway/store/registryview.cpp
@@ -142,13 +142,18 @@
         ownEntry_.onLost(OwnEntry::Loss::Replaced, OwnEntry::rewriteSpread, now);
 }
 
+Instant RegistryView::targetsConfirmedAt(Instant now) const
+{
+    const Instant confirmedAt = store_.confirmedAt(Registry::Targets);
+    return store_.mode() == StoreMode::Follows && !store_.misses(Registry::Targets)
+        ? std::max(confirmedAt, fleet_.readersConfirmedAt(now))
+        : confirmedAt;
+}
+
 // Without a confirmation the store may have been away again, and with it the entries.
 void RegistryView::removeOverdue(Instant now)
 {
-    Instant confirmedAt = store_.confirmedAt(Registry::Targets);
-    if (store_.mode() == StoreMode::Follows && !store_.misses(Registry::Targets))
-        confirmedAt = std::max(confirmedAt, fleet_.readersConfirmedAt(now));
-    if (confirmedAt < overdueSince_)
+    if (targetsConfirmedAt(now) < overdueSince_)
         return;
     for (const TargetId &id : std::exchange(overdueTargets_, {}))
         removeTarget(id, "its entry did not return within the grace period", now);
@@ -197,7 +202,8 @@
             hooks_.listTargets();
     }
     removeOverdue(now);
-    for (const Target &target : restoredTargets_.takeDue(now))
+    checkedAt_ = now;
+    for (const Target &target : restoredTargets_.takeDue(targetsConfirmedAt(now)))
         pool_.put(target, now);
     for (const FailureDomainId &domain : heldEvacuations_.takeDue(now))
         pool_.setEvacuated(domain, false, now);
@@ -216,7 +222,8 @@
         return next;
     for (const Instant at : { lapsedTargets_.next(), restoredTargets_.nextWake(),
                               heldEvacuations_.next(), heldVms_.next() }) {
-        if (at != Instant::never())
+        // A target that is due already waits for a confirmation.
+        if (at != Instant::never() && at > checkedAt_)
             next = next == Instant::never() ? at : std::min(next, at);
     }
     return next;
--- a/bluebellshift/gateway/store/registryview.h
+++ b/bluebellshift/gateway/store/registryview.h
@@ -72,6 +72,8 @@
     void removeVm(const VmId &id, Instant now);
     // Removes the overdue targets if the registry was confirmed since.
     void removeOverdue(Instant now);
+    // When the store, or a VM that reads it for this one, last confirmed the targets.
+    Instant targetsConfirmedAt(Instant now) const;
     // Whether changes of the store reach this VM, directly or through those that it follows.
     bool hasStore() const;
     // Counts all deadlines from a return of the store.
@@ -91,6 +93,7 @@
     Instant overdueSince_ = Instant::never();
     Deadlines<FailureDomainId> heldEvacuations_;
     Deadlines<VmId> heldVms_;
+    Instant checkedAt_ = Instant::never();  // when onTimer() was last called with the store
     Instant returnedAt_ = Instant::never(); // of the store, when deadlines were last postponed
 };
 
