--- a/bluebellshift/gatewayd/testing/fleethunt.cpp
+++ b/bluebellshift/gatewayd/testing/fleethunt.cpp
@@ -71,7 +71,7 @@
 void schedule(FleetRun &run)
 {
     run.every(versionInterval, [&run] {
-        run.config().publish();
+        run.publish();
         return true;
     });
     for (std::size_t i = 0; i < 4; ++i) {
--- a/bluebellshift/gatewayd/testing/fleetrun.cpp
+++ b/bluebellshift/gatewayd/testing/fleetrun.cpp
@@ -243,11 +243,18 @@
     return gateways_[vm].faults > 0;
 }
 
+void FleetRun::publish()
+{
+    if (!isStoreAway_)
+        config_.publish();
+}
+
 void FleetRun::drill(platform::testing::StoreStandin::Copy copy, Milliseconds away,
                      Milliseconds writeAgainWithin)
 {
     const auto from = TestClock::now();
     note("store away");
+    isStoreAway_ = true;
     store_.setAvailability(Availability::Resetting);
     store_.resetWatches();
     at(away, [this, from, writeAgainWithin, copy = std::move(copy)] {
@@ -255,11 +262,14 @@
              + std::to_string(copy.revision()) + " after");
         store_.restore(copy);
         store_.setAvailability(Availability::Serving);
+        isStoreAway_ = false;
         observed_.storeDisturbances.push_back({ from, TestClock::now() });
         const auto moment = [&] {
             return Milliseconds(random_() % static_cast<std::uint64_t>(writeAgainWithin.count()));
         };
         at(moment(), [this] { config_.writeAgain(); });
+        for (const std::string &domain : domains_)
+            at(moment(), [this, domain] { writeEvacuation(domain); });
         for (const auto &target : targets_)
             at(moment(), [one = target.get()] { one->writeAgain(); });
     });
@@ -325,15 +335,32 @@
 
 void FleetRun::evacuate(const std::string &failureDomain, Milliseconds time)
 {
+    if (isStoreAway_)
+        return;
     note("evacuation of " + failureDomain);
-    store_.put("evacuations", failureDomain, platform::Json::object());
-    const auto from = TestClock::now();
-    at(time, [this, failureDomain, from] {
+    evacuatedSince_[failureDomain] = {};
+    writeEvacuation(failureDomain);
+    at(time, [this, failureDomain] {
+        note("end of the evacuation of " + failureDomain);
+        observed_.evacuations.push_back(
+            { failureDomain, { evacuatedSince_[failureDomain], TestClock::now() } });
+        evacuatedSince_.erase(failureDomain);
         store_.remove("evacuations", failureDomain);
-        observed_.evacuations.push_back({ failureDomain, { from, TestClock::now() } });
     });
 }
 
+// Writes an evacuation as the operator wants it: present or removed.
+void FleetRun::writeEvacuation(const std::string &failureDomain)
+{
+    const auto evacuation = evacuatedSince_.find(failureDomain);
+    if (evacuation == evacuatedSince_.end()) {
+        store_.remove("evacuations", failureDomain);
+        return;
+    }
+    store_.put("evacuations", failureDomain, platform::Json::object());
+    evacuation->second = TestClock::now();
+}
+
 std::vector<std::size_t> FleetRun::readers() const
 {
     std::vector<std::size_t> result;
--- a/bluebellshift/gatewayd/testing/fleetrun.h
+++ b/bluebellshift/gatewayd/testing/fleetrun.h
@@ -3,7 +3,7 @@
 //
 //   FleetRun run(options);
 //   if (!run.start()) ...
-//   run.every(milliseconds(300), [&] { run.config().publish(); });
+//   run.every(milliseconds(300), [&] { run.publish(); return true; });
 //   run.at(milliseconds(2000), [&] { run.freeze(3, milliseconds(1500)); });
 //   run.runFor(milliseconds(20'000));
 //   FleetRun::Result result = run.finish();
@@ -81,6 +81,8 @@
     std::vector<std::unique_ptr<ListedTarget>> &targets() { return targets_; }
     void addTarget();
 
+    // Writes the next version, unless the store is away.
+    void publish();
     // The store is away for a moment and returns as `copy`; then the operator and the targets
     // write again, each within `writeAgainWithin`.
     void drill(platform::testing::StoreStandin::Copy copy, Milliseconds away,
@@ -122,6 +124,7 @@
     void note(const std::string &text);
     void beginFault(std::size_t vm, const std::string &name);
     void endFault(std::size_t vm);
+    void writeEvacuation(const std::string &failureDomain);
     void sendRequests(std::size_t vm);
     void sendRequest(std::size_t vm);
     // Milliseconds after the start.
@@ -143,6 +146,8 @@
     net::ByteBudget budget_ { 64 * 1024 * 1024 };
     net::HttpClient client_;
     Observed observed_;
+    bool isStoreAway_ = false;
+    std::map<std::string, TestClock::time_point> evacuatedSince_; // by failure domain, last written
     std::vector<std::string> ownEnds_;
     std::ostringstream notes_; // of faults
     bool isFinished_ = false;
--- a/bluebellshift/gatewayd/testing/storerestoreruntest.cpp
+++ b/bluebellshift/gatewayd/testing/storerestoreruntest.cpp
@@ -40,7 +40,7 @@
         return warmup > 0;
     });
     run.every(milliseconds(300), [&] {
-        run.config().publish();
+        run.publish();
         return true;
     });
     run.runFor(milliseconds(5200));
