Move the client's socket options and Keep-Alive parser out of httpclient.cpp

No other change: the options of the client's sockets move to socketoptions.{h,cpp}, the parser of Keep-Alive to httpmessage.{h,cpp}.

--- a/bluebellshift/net/httpclient.cpp
+++ b/bluebellshift/net/httpclient.cpp
@@ -18,11 +18,10 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 
 #include "bluebellshift/net/httpmessage.h"
 #include "bluebellshift/net/readdeadline.h"
+#include "bluebellshift/net/socketoptions.h"
 
 namespace bluebellshift::net {
 namespace {
@@ -42,52 +41,11 @@
 constexpr int switchingProtocols = 101;
 constexpr int maxInterimResponses = 8; // 1xx, before the final response
 
-// A peer that lost power sends no acknowledgements. These settings detect that within
-// about three seconds, also while a response is awaited.
-constexpr int tcpKeepAliveIdleSeconds = 1;
-constexpr int tcpKeepAliveIntervalSeconds = 1;
-constexpr int tcpKeepAliveProbes = 2;
-constexpr int tcpUserTimeoutMillis = 3000;
-
 std::chrono::microseconds toChrono(core::Duration duration)
 {
     return std::chrono::microseconds(duration.toMicros());
 }
 
-void setSocketOptions(asio::ip::tcp::socket &socket)
-{
-    error_code ignored; // the socket works without the options, but detects a dead peer later
-    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    socket.set_option(asio::socket_base::keep_alive(true), ignored);
-    const int handle = socket.native_handle();
-    const auto set = [handle](int option, int value) {
-        setsockopt(handle, IPPROTO_TCP, option, &value, sizeof(value));
-    };
-    set(TCP_KEEPIDLE, tcpKeepAliveIdleSeconds);
-    set(TCP_KEEPINTVL, tcpKeepAliveIntervalSeconds);
-    set(TCP_KEEPCNT, tcpKeepAliveProbes);
-    set(TCP_USER_TIMEOUT, tcpUserTimeoutMillis);
-}
-
-// Returns N of `Keep-Alive: timeout=N`, or nothing if the header is absent or N no number.
-std::optional<std::chrono::seconds> parseKeepAliveTimeout(const core::Answer &response)
-{
-    const std::string *value = findHeader(response.headers, "Keep-Alive");
-    if (value == nullptr)
-        return std::nullopt;
-    const auto at = value->find("timeout=");
-    if (at == std::string::npos)
-        return std::nullopt;
-    constexpr std::size_t nameLength = 8; // "timeout="
-    constexpr long maxSeconds = 3600;
-    const char *begin = value->c_str() + at + nameLength;
-    char *end = nullptr;
-    const long seconds = std::strtol(begin, &end, 10);
-    if (end == begin || seconds < 0)
-        return std::nullopt;
-    return std::chrono::seconds(std::min(seconds, maxSeconds));
-}
-
 } // namespace
 
 const char *toText(CallOutcome outcome)
@@ -204,7 +162,7 @@
         result_.connectTime = core::Duration::micros(
             std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - connectStartedAt_)
                 .count());
-        setSocketOptions(socket_);
+        setClientSocketOptions(socket_);
         setTimer(deadline_, CallOutcome::TimedOut);
         read();
         write();
@@ -361,7 +319,7 @@
         }
         isReusable_ = isReusable_ && keepsAlive && buffer_.size() == 0;
         idleTimeout_ = maxIdleTimeout;
-        if (const auto stated = parseKeepAliveTimeout(*response))
+        if (const auto stated = parseKeepAliveTimeout(response->headers))
             idleTimeout_ = std::min<Clock::duration>(maxIdleTimeout, *stated - idleTimeoutMargin);
         response_ = std::move(response);
         // The response may arrive before the request is fully written. The connection is
--- a/bluebellshift/net/httpmessage.cpp
+++ b/bluebellshift/net/httpmessage.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdlib>
 #include <ostream>
 
 #include <boost/beast/http/status.hpp>
@@ -110,6 +111,24 @@
     return value;
 }
 
+std::optional<std::chrono::seconds> parseKeepAliveTimeout(const Headers &headers)
+{
+    const std::string *value = findHeader(headers, "Keep-Alive");
+    if (value == nullptr)
+        return std::nullopt;
+    const auto at = value->find("timeout=");
+    if (at == std::string::npos)
+        return std::nullopt;
+    constexpr std::size_t nameLength = 8; // "timeout="
+    constexpr long maxSeconds = 3600;
+    const char *begin = value->c_str() + at + nameLength;
+    char *end = nullptr;
+    const long seconds = std::strtol(begin, &end, 10);
+    if (end == begin || seconds < 0)
+        return std::nullopt;
+    return std::chrono::seconds(std::min(seconds, maxSeconds));
+}
+
 Headers endToEndHeaders(const Headers &headers)
 {
     const bool hasConnection = findHeader(headers, "Connection") != nullptr;
--- a/bluebellshift/net/httpmessage.h
+++ b/bluebellshift/net/httpmessage.h
@@ -2,6 +2,8 @@
 // rules that distinguish hop-by-hop from end-to-end headers.
 #pragma once
 
+#include <chrono>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -31,6 +33,9 @@
 // Returns the value of a cookie from the `Cookie` headers; empty if there is none.
 std::string findCookie(const Headers &headers, std::string_view name);
 
+// Returns N of `Keep-Alive: timeout=N`, or nothing if the header is absent or N no number.
+std::optional<std::chrono::seconds> parseKeepAliveTimeout(const Headers &headers);
+
 // Returns the end-to-end headers without `Content-Length`, which the serializer of
 // the message sets again.
 Headers endToEndHeaders(const Headers &headers);
