Judge a response without a length by both directions of its connection

Callers saw a part of a response as the whole one: a target answers a long upload at once, without a length, and resets the connection while the upload is still being written.

Cause: a socket reports a reset once, to whichever call asks first. With a write under way that is the write: send() returns ECONNRESET, and the next recv() returns 0 as after a close. HttpClient ignored the error of the write and took the 0 as the end of the body.

Change: the write's error is kept, and a response that ends with its connection is judged when both directions are known. At the end of the stream the write, if not done, is cancelled; it then completes at once, with the error that it has met or as aborted, so no call waits for a peer that does not read. ECONNRESET and every other error make the response Cut. EPIPE does not: Linux gives it to the first send() after a reset only where the peer's FIN had come before, and then the response was complete. A response with a length or a last chunk is complete without the end of the stream, as before.

--- a/bluebellshift/net/httpclient.cpp
+++ b/bluebellshift/net/httpclient.cpp
@@ -7,6 +7,10 @@
 // A duplicate response may also arrive after the next request has been sent. The
 // echoed request id distinguishes it from the expected response; the connection is
 // then not reused.
+//
+// A socket reports a reset once, to the read or to the write, and the next read then meets
+// a plain end of stream. A response whose body ends with the connection is therefore
+// judged when the last write has completed too.
 #include "bluebellshift/net/httpclient.h"
 
 #include <algorithm>
@@ -32,6 +36,7 @@
 using boost::system::error_code;
 
 constexpr std::size_t readBytes = 4096;              // per read call
+constexpr std::size_t maxWriteBytes = 64 * 1024;     // per write call
 constexpr std::uint32_t maxHeaderBytes = 64 * 1024;  // of a response
 constexpr std::size_t maxIdleConnections = 8;        // per pool
 constexpr std::chrono::seconds maxIdleTimeout { 8 }; // also the default without a Keep-Alive header
@@ -92,6 +97,7 @@
         callback_ = std::move(callback);
         outgoing_ = std::move(bytes);
         isWritten_ = false;
+        writeError_.clear();
         response_.reset();
         result_ = CallResult();
         result_.isReused = isConnected_;
@@ -183,16 +189,31 @@
 
     void write()
     {
-        asio::async_write(socket_, asio::buffer(outgoing_),
-                          [self = shared_from_this(), call = call_](error_code error, std::size_t) {
-                              if (self->isClosed_ || self->call_ != call)
-                                  return;
-                              // The read reports the error too, after any response
-                              // that arrived before it.
-                              self->isWritten_ = !error;
+        isWriting_ = true;
+        // The rest of the request is of no use once the peer has closed its side after the
+        // response.
+        const auto nextBytes = [self = shared_from_this()](error_code error, std::size_t) {
+            return error || self->isStreamEnded_ ? 0 : maxWriteBytes;
+        };
+        asio::async_write(socket_, asio::buffer(outgoing_), nextBytes,
+                          [self = shared_from_this()](error_code error, std::size_t size) {
+                              self->onWritten(error, size);
                           });
     }
 
+    void onWritten(error_code error, std::size_t size)
+    {
+        isWriting_ = false;
+        if (isClosed_)
+            return;
+        // A broken connection ends the call only by the read, after any response that
+        // arrived before.
+        isWritten_ = !error && size == outgoing_.size();
+        writeError_ = error;
+        if (isStreamEnded_)
+            finishAtStreamEnd();
+    }
+
     void read()
     {
         socket_.async_read_some(buffer_.prepare(readBytes),
@@ -231,14 +252,30 @@
         if (error == asio::error::eof && parser_->got_some()) {
             parser_->put_eof(parsed);
             if (!parsed && parser_->is_done()) {
-                isReusable_ = false;
-                processResponse();
+                isStreamEnded_ = true;
+                if (!isWriting_)
+                    finishAtStreamEnd();
+                else
+                    socket_.cancel(parsed); // a write that is not done completes at once
                 return;
             }
         }
         finish(CallOutcome::Cut);
     }
 
+    // Finishes a call whose response ends with the connection.
+    void finishAtStreamEnd()
+    {
+        // EPIPE: the target had closed its side in order before it reset the connection.
+        if (writeError_ && writeError_ != asio::error::broken_pipe
+            && writeError_ != asio::error::operation_aborted) {
+            finish(CallOutcome::Cut);
+            return;
+        }
+        isReusable_ = false;
+        processResponse();
+    }
+
     void resetParser()
     {
         parser_.emplace();
@@ -385,6 +422,7 @@
     Callback callback_;
     CallResult result_;
     std::string outgoing_;
+    error_code writeError_; // of `outgoing_`
     core::AnswerPointer response_;
     Clock::time_point deadline_;
     ReadDeadline readDeadline_;
@@ -395,7 +433,9 @@
     int mismatchedResponses_ = 0;
     int interimResponses_ = 0;
     bool isConnected_ = false;
+    bool isWriting_ = false;
     bool isWritten_ = false;
+    bool isStreamEnded_ = false;
     bool isClosed_ = false;
     bool isReusable_ = true;
 };
--- a/bluebellshift/net/httpclient.h
+++ b/bluebellshift/net/httpclient.h
@@ -12,6 +12,8 @@
 //  - Only a complete, well-formed response that matches the request counts as
 //    Answered. A response with another request's id is skipped. A connection that
 //    delivered surplus bytes is not reused.
+//  - A response without a length is complete if the peer closes the connection in order
+//    after it, and Cut if the peer resets the connection instead.
 //  - A response is held whole. It ends the call as TooLarge where it exceeds the largest
 //    holding of the budget, or where the budget has no room for it.
 //  - Idle connections are pooled by pool name. One is closed as soon as the peer sends
