End a call at once when its connection ends with another request's response

A call waited until its deadline after its connection had ended, where the bytes received were the response to another request, without a length.

Cause: such a response is complete when the connection ends. It was skipped like any response to another request, but nothing can follow it, and no read was outstanding any more.

Change: the call ends as Cut after such a response.

--- a/bluebellshift/net/httpclient.cpp
+++ b/bluebellshift/net/httpclient.cpp
@@ -274,6 +274,8 @@
         }
         isReusable_ = false;
         processResponse();
+        if (!isClosed_) // it was the response to another request
+            finish(CallOutcome::Cut);
     }
 
     void resetParser()
