Test resets during an upload in the programs that use libcurl

The daemon's forwarder, bluebellctl and bluebellload read responses by libcurl.

The forwarder takes no response without a length as complete in any case.

--- a/bluebellshift/http/testing/forwardertest.cpp
+++ b/bluebellshift/http/testing/forwardertest.cpp
@@ -3,6 +3,7 @@
 #include "bluebellshift/base/clock.h"
 #include "bluebellshift/http/forwarder.h"
 #include "bluebellshift/http/testing/rawsocket.h"
+#include "bluebellshift/standin/testing/rawsocket.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -10,6 +11,7 @@
 using core::AttemptOutcome;
 using http::Forwarder;
 using http::testing::RawServer;
+using standin::EarlyReplier;
 
 namespace {
 
@@ -89,6 +91,24 @@
     }
 }
 
+// Guards against a part of a response without a length that is taken as the whole one: the target
+// resets the connection while the request is still being written.
+TEST(Forwarder, AResponseThatIsResetDuringTheUploadIsCut)
+{
+    constexpr std::size_t longBody = 16 * 1024 * 1024; // more than both sockets hold
+    constexpr std::size_t bytesBetweenTries = 256 * 1024;
+    for (std::size_t i = 0; i < 20; ++i) {
+        const std::chrono::milliseconds pause(i % 2 == 0 ? 0 : 5);
+        EarlyReplier target("HTTP/1.1 200 OK\r\n\r\npart", EarlyReplier::Ending::Reset,
+                            i * bytesBetweenTries, pause);
+        http::ForwardAttempt attempt = attemptTo(target.port(), clock);
+        attempt.body.assign(longBody, 'b');
+        const Forwarder::Result result = forwarder.send(attempt, neverCancelled);
+        LONGS_EQUAL(static_cast<int>(AttemptOutcome::Cut), static_cast<int>(result.outcome));
+        CHECK(!result.answer);
+    }
+}
+
 TEST(Forwarder, NeverSendsAfterTheLeaseExpired)
 {
     RawServer server([](const std::string &) { return std::string(); });
--- a/bluebellshift/load/testing/httplooptest.cpp
+++ b/bluebellshift/load/testing/httplooptest.cpp
@@ -14,9 +14,14 @@
 
 const char reply[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
-HttpResult runCall(HttpLoop &loop, std::uint16_t port, bool forbidsResend)
+const char unboundedReply[] = "HTTP/1.1 200 OK\r\n\r\npart"; // ends with the connection
+constexpr std::size_t longBody = 16 * 1024 * 1024;           // more than both sockets hold
+constexpr std::size_t bytesBetweenTries = 256 * 1024;
+
+HttpResult runCall(HttpLoop &loop, std::uint16_t port, bool forbidsResend, std::string body = {})
 {
     HttpCall call;
+    call.body = std::move(body);
     call.method = "POST";
     call.url = "http://127.0.0.1:" + std::to_string(port) + "/";
     call.forbidsResend = forbidsResend;
@@ -87,6 +92,28 @@
     }
 }
 
+// Guards against a part of a reply without a length that counts as the whole one: the server resets
+// the connection while the request is still being written.
+TEST(HttpLoop, AReplyThatIsResetDuringTheUploadIsNotComplete)
+{
+    for (std::size_t i = 0; i < 20; ++i) {
+        const std::chrono::milliseconds pause(i % 2 == 0 ? 0 : 5);
+        EarlyReplier server(unboundedReply, EarlyReplier::Ending::Reset, i * bytesBetweenTries,
+                            pause);
+        HttpLoop loop;
+        CHECK_FALSE(runCall(loop, server.port(), true, std::string(longBody, 'b')).isComplete);
+    }
+}
+
+TEST(HttpLoop, AReplyThatEndsWithACloseDuringTheUploadIsComplete)
+{
+    EarlyReplier server(unboundedReply, EarlyReplier::Ending::ShutDownSend, bytesBetweenTries);
+    HttpLoop loop;
+    const HttpResult result = runCall(loop, server.port(), true, std::string(longBody, 'b'));
+    CHECK_TRUE(result.isComplete);
+    STRCMP_EQUAL("part", result.body.c_str());
+}
+
 TEST(HttpLoop, TasksRunInOrderOfTime)
 {
     HttpLoop loop;
--- a/bluebellshift/standin/testing/rawsocket.cpp
+++ b/bluebellshift/standin/testing/rawsocket.cpp
@@ -15,6 +15,8 @@
 
 namespace {
 
+constexpr std::size_t readChunkBytes = 64 * 1024;
+
 sockaddr_in loopback(std::uint16_t port)
 {
     sockaddr_in address {};
@@ -74,6 +76,18 @@
     socket_ = -1;
 }
 
+void RawConnection::reset()
+{
+    const linger discard { 1, 0 };
+    setsockopt(socket_, SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
+    close();
+}
+
+void RawConnection::shutDownSend()
+{
+    shutdown(socket_, SHUT_WR);
+}
+
 void RawConnection::send(const std::string &bytes)
 {
     std::size_t sent = 0;
@@ -156,4 +170,27 @@
     return poll(&entry, 1, 0) > 0;
 }
 
+EarlyReplier::EarlyReplier(std::string reply, Ending ending, std::size_t readBodyBytes,
+                           std::chrono::milliseconds pauseBeforeEnd)
+    : thread_([this, reply = std::move(reply), ending, readBodyBytes, pauseBeforeEnd] {
+        RawConnection connection = listener_.accept();
+        connection.readUntil("\r\n\r\n");
+        connection.readBytes(readBodyBytes);
+        connection.send(reply);
+        std::this_thread::sleep_for(pauseBeforeEnd);
+        if (ending == Ending::Reset) {
+            connection.reset();
+            return;
+        }
+        connection.shutDownSend();
+        while (!connection.readBytes(readChunkBytes).empty()) { }
+    })
+{
+}
+
+EarlyReplier::~EarlyReplier()
+{
+    thread_.join();
+}
+
 } // namespace bluebellshift::standin
--- a/bluebellshift/standin/testing/rawsocket.h
+++ b/bluebellshift/standin/testing/rawsocket.h
@@ -5,8 +5,10 @@
 //   RawReply reply = connection.readReply();
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <string>
+#include <thread>
 
 namespace bluebellshift::standin {
 
@@ -39,6 +41,9 @@
     // Blocks until a byte is available. Returns false if the peer has closed.
     bool waitForBytes();
     void close();
+    // Closes with a TCP reset.
+    void reset();
+    void shutDownSend();
 
 private:
     RawConnection() = default;
@@ -66,4 +71,22 @@
     std::uint16_t port_ = 0;
 };
 
+// Accepts one connection, reads the request's head and a part of its body, replies without
+// reading the rest, and ends the connection.
+class EarlyReplier
+{
+public:
+    enum class Ending { Reset, ShutDownSend };
+
+    EarlyReplier(std::string reply, Ending ending, std::size_t readBodyBytes,
+                 std::chrono::milliseconds pauseBeforeEnd = {});
+    ~EarlyReplier(); // waits for the connection's end
+
+    std::uint16_t port() const { return listener_.port(); }
+
+private:
+    RawListener listener_;
+    std::thread thread_;
+};
+
 } // namespace bluebellshift::standin
