Test the gateway with a target that resets during an upload

The whole gateway over loopback: the target answers an upload of 12 MB early, without a length, and resets the connection. No part of the first response is passed on.

The sample configuration gets two routes and the gateway more memory, as a body of 12 MB is beyond the largest holding of the default.

--- a/bluebellshift/gatewayd/testing/gatewaytest.cpp
+++ b/bluebellshift/gatewayd/testing/gatewaytest.cpp
@@ -22,12 +22,20 @@
 namespace {
 
 constexpr char loopback[] = "127.0.0.1";
+constexpr std::size_t longBody = 12 * 1024 * 1024;      // more than both sockets hold
+constexpr std::size_t memoryBytes = 1024 * 1024 * 1024; // room for it, as a limit
 
 // A route of one attempt, on which a request waits for a slot rather than queueing at a target.
 Json sampleConfig()
 {
     return Json::parse(R"({"version":1,
         "listeners":[{"host":"h","rules":[
+            {"name":"u","route_type":"unsafe","public":true,"target_latency_s":1.2,
+             "match":{"path_prefix":"/once"},
+             "action":{"service":"s","timeout_s":10,"max_attempts":2}},
+            {"name":"a","route_type":"safe","public":true,"target_latency_s":1.2,
+             "match":{"path_prefix":"/again"},
+             "action":{"service":"s","timeout_s":10,"max_attempts":2}},
             {"name":"r","route_type":"safe","public":true,"target_latency_s":1.2,
              "match":{"path_prefix":"/"},
              "action":{"service":"s","timeout_s":10,"max_attempts":1}}]}],
@@ -51,6 +59,13 @@
         + "\r\nDeadline-Ms: " + std::to_string(deadlineMillis) + "\r\n\r\n";
 }
 
+std::string uploadText(const std::string &path, const std::string &id)
+{
+    return "PUT " + path + " HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id
+        + "\r\nDeadline-Ms: 8000\r\nContent-Length: " + std::to_string(longBody) + "\r\n\r\n"
+        + std::string(longBody, 'b');
+}
+
 std::string responseText(const std::string &id)
 {
     return "HTTP/1.1 200 OK\r\nRequest-Id: " + id
@@ -68,19 +83,23 @@
 {
     boost::asio::io_context loop;
     std::unique_ptr<StoreStandin> store;
-    std::unique_ptr<tcp::acceptor> targetAcceptor;
+    std::vector<std::unique_ptr<tcp::acceptor>> targetAcceptors;
     std::vector<RawPeer> targetConnections;
     std::unique_ptr<Gateway> gateway;
     std::uint16_t port = 0;
 
-    void begin(int slots)
+    void begin(int slots, int targets = 1)
     {
         store = std::make_unique<StoreStandin>(loop);
-        targetAcceptor = std::make_unique<tcp::acceptor>(
-            loop, tcp::endpoint(boost::asio::ip::make_address(loopback), 0));
-        acceptTarget();
         store->put("config", "main", sampleConfig());
-        store->put("servers", "t-1", targetSpec(targetAcceptor->local_endpoint().port(), slots));
+        for (int i = 1; i <= targets; ++i) {
+            targetAcceptors.push_back(std::make_unique<tcp::acceptor>(
+                loop, tcp::endpoint(boost::asio::ip::make_address(loopback), 0)));
+            tcp::acceptor &acceptor = *targetAcceptors.back();
+            acceptTarget(acceptor);
+            store->put("servers", "t-" + std::to_string(i),
+                       targetSpec(acceptor.local_endpoint().port(), slots));
+        }
         // Another process may take a free port before the gateway binds it.
         bool isStarted = false;
         for (int tries = 0; tries < 5 && !isStarted; ++tries) {
@@ -106,6 +125,7 @@
         settings.readyEndpoint = freeEndpoint();
         settings.lookupEndpoint = freeEndpoint();
         settings.metricsEndpoint = freeEndpoint();
+        settings.memoryBytes = memoryBytes;
         settings.storeEndpoint = store->endpoint();
         return settings;
     }
@@ -113,18 +133,19 @@
     {
         gateway.reset();
         targetConnections.clear();
-        targetAcceptor.reset();
+        targetAcceptors.clear();
         store.reset();
     }
 
-    void acceptTarget()
+    void acceptTarget(tcp::acceptor & acceptor)
     {
-        targetAcceptor->async_accept([this](boost::system::error_code error, tcp::socket socket) {
-            if (error)
-                return;
-            targetConnections.emplace_back(std::move(socket));
-            acceptTarget();
-        });
+        acceptor.async_accept(
+            [this, &acceptor](boost::system::error_code error, tcp::socket socket) {
+                if (error)
+                    return;
+                targetConnections.emplace_back(std::move(socket));
+                acceptTarget(acceptor);
+            });
     }
     RawPeer connectCaller()
     {
@@ -142,6 +163,17 @@
                          [&](const RawPeer &peer) { return contains(peer.received(), id); });
         return found == targetConnections.end() ? nullptr : &*found;
     }
+    // Answers the upload as soon as its head has arrived, without a length, and resets the
+    // connection.
+    void answerAndReset(const std::string &id)
+    {
+        CHECK(waitFor([&] { return findAtTarget(id) != nullptr; }));
+        RawPeer &target = *findAtTarget(id);
+        CHECK(target.received().size() < longBody);
+        target.send("HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Stamp: s\r\n\r\npart");
+        target.reset();
+        targetConnections.erase(targetConnections.begin() + (&target - targetConnections.data()));
+    }
     // Sends a request, answers it at the target and waits until the caller has the response.
     void serve(const std::string &id)
     {
@@ -188,3 +220,31 @@
     serve("next");
     CHECK(findAtTarget("abandoned") == nullptr);
 }
+
+// Guards against a part of a response that reaches the caller as the whole one: the target resets
+// the connection while the request is still being written. It may have run the request.
+TEST(Gateway, AnswersNoPartOfAResponseThatIsResetDuringTheUpload)
+{
+    begin(2);
+    RawPeer caller = connectCaller();
+    caller.sendFromLoop(uploadText("/once", "unsafe"));
+    answerAndReset("unsafe");
+    CHECK(waitFor([&] { return contains(caller.received(), "\r\n\r\n") || caller.isEnded(); }));
+    CHECK_EQUAL(0U, caller.received().find("HTTP/1.1 502 "));
+    CHECK(!contains(caller.received(), "part"));
+    CHECK(findAtTarget("unsafe") == nullptr);
+    serve("next");
+}
+
+TEST(Gateway, MaySendASafeRequestAgainAfterAResponseThatIsReset)
+{
+    begin(2, 2);
+    RawPeer caller = connectCaller();
+    caller.sendFromLoop(uploadText("/again", "safe"));
+    answerAndReset("safe");
+    CHECK(waitFor([&] { return findAtTarget("safe") != nullptr; }));
+    findAtTarget("safe")->send(responseText("safe"));
+    CHECK(waitFor([&] { return contains(caller.received(), "\r\n\r\nok"); }));
+    CHECK_EQUAL(0U, caller.received().find("HTTP/1.1 200 "));
+    CHECK(!contains(caller.received(), "part"));
+}
--- a/bluebellshift/net/testing/looptools.h
+++ b/bluebellshift/net/testing/looptools.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -57,6 +58,13 @@
     {
         boost::asio::write(state_->socket, boost::asio::buffer(bytes));
     }
+    // Sends while the loop runs, for more bytes than the sockets hold.
+    void sendFromLoop(std::string bytes)
+    {
+        const auto sending = std::make_shared<std::string>(std::move(bytes));
+        boost::asio::async_write(state_->socket, boost::asio::buffer(*sending),
+                                 [sending](const boost::system::error_code &, std::size_t) {});
+    }
     void close() { state_->socket.close(); }
     // Closes with a TCP reset.
     void reset()
