Test that no part of a request is dispatched when its connection ends

No fault was found: HttpServer closes the connection when either direction fails or ends, and never ends a body with the connection. Five parts of requests by three endings, with and without a response under way.

--- a/bluebellshift/net/testing/httpservertest.cpp
+++ b/bluebellshift/net/testing/httpservertest.cpp
@@ -313,3 +313,46 @@
         STRNCMP_EQUAL("HTTP/1.1 502 ", bytes.c_str(), 13);
     }
 }
+
+// Guards against a part of a request that is dispatched as the whole one because the caller's
+// connection ends, also where the response before it is being written and meets the end first.
+TEST(NetHttpServer, DispatchesNoPartOfARequestWhoseConnectionEnds)
+{
+    enum class Ending { Close, Reset, ShutDownSend };
+    const std::string parts[] = {
+        "GET /part HTTP/1.1\r\nHost: h\r\n",
+        "POST /part HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n",
+        "POST /part HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\npart",
+        "POST /part HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+        "POST /part HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n",
+    };
+    const std::string whole = "GET /whole HTTP/1.1\r\nHost: h\r\n\r\n";
+    const std::string longText(16 * 1024 * 1024, 'x'); // more than both sockets hold
+    for (const std::string &part : parts) {
+        for (const Ending ending : { Ending::Close, Ending::Reset, Ending::ShutDownSend }) {
+            for (const bool isWriting : { true, false }) {
+                dispatched.clear();
+                boost::asio::ip::tcp::socket caller(loop); // reads nothing
+                caller.connect({ boost::asio::ip::make_address("127.0.0.1"), port });
+                if (isWriting) {
+                    boost::asio::write(caller, boost::asio::buffer(whole));
+                    CHECK(waitFor([&] { return dispatched.size() == 1; }));
+                    server->respond(dispatched[0].id, makeResponse(longText), false);
+                    CHECK(waitFor([&] { return caller.available() > 0; }));
+                }
+                boost::asio::write(caller, boost::asio::buffer(part));
+                if (!isWriting)
+                    CHECK_TEXT(waitFor([&] { return server->isBusy(); }), part.c_str());
+                if (ending == Ending::ShutDownSend)
+                    caller.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+                if (ending == Ending::Reset)
+                    caller.set_option(boost::asio::socket_base::linger(true, 0));
+                if (ending != Ending::ShutDownSend)
+                    caller.close();
+                CHECK_TEXT(waitFor([&] { return server->connectionCount() == 0; }), part.c_str());
+                CHECK_EQUAL_TEXT(isWriting ? 1U : 0U, dispatched.size(), part.c_str());
+                CHECK_EQUAL(0U, server->pendingCount());
+            }
+        }
+    }
+}
