Test that the daemon and the stand-ins handle no part of a request

Both serve by libmicrohttpd. A connection that ends within a request, by a close of the caller's side or by a reset, must not have the part handled as the whole request: four parts by two endings for each server.

After a close the test waits until the server has closed the connection; after a reset it can't, so there it shows only that no part has been handled when the test goes on.

--- a/bluebellshift/http/testing/httpservertest.cpp
+++ b/bluebellshift/http/testing/httpservertest.cpp
@@ -1,11 +1,14 @@
+#include <atomic>
 #include <string>
 
 #include "bluebellshift/http/httpserver.h"
 #include "bluebellshift/http/testing/rawsocket.h"
+#include "bluebellshift/standin/testing/rawsocket.h"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace bluebellshift::http;
+using bluebellshift::standin::RawConnection;
 using testing::exchange;
 
 namespace {
@@ -109,3 +112,40 @@
     CHECK(contains(answer, ": a=1"));
     CHECK(contains(answer, ": b=2"));
 }
+
+// Guards against a part of a request that is handled as the whole one because its connection ends.
+TEST(HttpServer, HandlesNoPartOfARequestWhoseConnectionEnds)
+{
+    const std::string post = "POST / HTTP/1.1\r\nHost: x\r\n";
+    const std::string parts[] = {
+        post,
+        post + "Content-Length: 5\r\n\r\n",
+        post + "Content-Length: 5\r\n\r\npart",
+        post + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+    };
+    std::atomic<int> handled { 0 };
+    HttpServerOptions countedOptions = options;
+    countedOptions.listen.port = testing::freePort();
+    HttpServer counted { countedOptions,
+                         [&](const HttpRequest &request) {
+                             ++handled;
+                             return echo(request);
+                         },
+                         errorResponse };
+    CHECK(counted.start().ok());
+    for (const std::string &part : parts) {
+        RawConnection closed(countedOptions.listen.port);
+        closed.send(part);
+        closed.shutDownSend();
+        closed.waitForEnd();
+        RawConnection reset(countedOptions.listen.port);
+        reset.send(part);
+        reset.reset();
+        CHECK_EQUAL_TEXT(0, handled.load(), part.c_str());
+    }
+    STRCMP_EQUAL(
+        "200",
+        statusOf(testing::exchange(countedOptions.listen.port, post + "Content-Length: 0\r\n\r\n"))
+            .c_str());
+    CHECK_EQUAL(1, handled.load());
+}
--- a/bluebellshift/standin/testing/rawsocket.cpp
+++ b/bluebellshift/standin/testing/rawsocket.cpp
@@ -114,6 +114,11 @@
     return !buffer_.empty() || readMore();
 }
 
+void RawConnection::waitForEnd()
+{
+    while (!readBytes(readChunkBytes).empty()) { }
+}
+
 std::string RawConnection::readUntil(const std::string &end)
 {
     std::size_t found = buffer_.find(end);
@@ -183,7 +188,7 @@
             return;
         }
         connection.shutDownSend();
-        while (!connection.readBytes(readChunkBytes).empty()) { }
+        connection.waitForEnd();
     })
 {
 }
--- a/bluebellshift/standin/testing/rawsocket.h
+++ b/bluebellshift/standin/testing/rawsocket.h
@@ -40,6 +40,8 @@
     std::string readBytes(std::size_t count);
     // Blocks until a byte is available. Returns false if the peer has closed.
     bool waitForBytes();
+    // Reads and discards all that arrives before the peer closes.
+    void waitForEnd();
     void close();
     // Closes with a TCP reset.
     void reset();
--- a/bluebellshift/standin/testing/targetcontracttest.cpp
+++ b/bluebellshift/standin/testing/targetcontracttest.cpp
@@ -1,10 +1,12 @@
 // Checks the answers of a fake target on the wire, without faults and with each.
 #include <CppUTest/TestHarness.h>
 
+#include <atomic>
 #include <functional>
 #include <nlohmann/json.hpp>
 #include <thread>
 
+#include "bluebellshift/standin/httpserver.h"
 #include "bluebellshift/standin/targetserver.h"
 #include "bluebellshift/standin/testing/rawsocket.h"
 
@@ -311,3 +313,36 @@
     CHECK(json["headers"].dump().find("Authorization") != std::string::npos);
     LONGS_EQUAL(1, get(server.port(0), "/standin/counts")["with_key"].get<int>());
 }
+
+// Guards against a part of a request that a stand-in runs as the whole one because its connection
+// ends.
+TEST(TargetContract, HandlesNoPartOfARequestWhoseConnectionEnds)
+{
+    const std::string post = "POST / HTTP/1.1\r\nHost: x\r\n";
+    const std::string parts[] = {
+        post,
+        post + "Content-Length: 5\r\n\r\n",
+        post + "Content-Length: 5\r\n\r\npart",
+        post + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+    };
+    std::atomic<int> handled { 0 };
+    HttpServer server({ "127.0.0.1", 0 }, HttpServerOptions(), [&](const HttpRequest &) {
+        ++handled;
+        return HttpReply();
+    });
+    CHECK(server.start().ok());
+    for (const std::string &part : parts) {
+        RawConnection closed(server.port());
+        closed.send(part);
+        closed.shutDownSend();
+        closed.waitForEnd();
+        RawConnection reset(server.port());
+        reset.send(part);
+        reset.reset();
+        CHECK_EQUAL_TEXT(0, handled.load(), part.c_str());
+    }
+    RawConnection whole(server.port());
+    whole.send(post + "Content-Length: 0\r\n\r\n");
+    CHECK_EQUAL(200, whole.readReply().status);
+    CHECK_EQUAL(1, handled.load());
+}
