Wait for the update of a change that was reported during a call

Cause: a VM that follows called again 30 ms after a call during which a change had been reported, although a reader sends the changes of targets and VMs within 0.35 s; of the configuration it read each version instead of the newest. And each registry began its waits anew where calls for others had failed just before.

Change: such a call is scheduled as after any report, and later after each one that leaves the VM behind.

--- a/bluebellshift/gateway/store/callpacer.h
+++ b/bluebellshift/gateway/store/callpacer.h
@@ -8,6 +8,7 @@
 // calls fail at the same moment do not repeat them at the same moment.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 
 #include "bluebellshift/core/units.h"
@@ -29,6 +30,8 @@
     // A random time of at most `most`, to spread calls that are all due at the same moment.
     core::Duration spread(core::Duration most);
     void reset() { inVain_ = 0; }
+    // Continues as after at least `calls` in vain.
+    void setInVain(int calls) { inVain_ = std::max(inVain_, calls); }
     int inVain() const { return inVain_; }
 
 private:
--- a/bluebellshift/gateway/storelink.cpp
+++ b/bluebellshift/gateway/storelink.cpp
@@ -273,10 +273,10 @@
     state.mustList = false;
     state.hasFailed = false;
     state.isListed = true;
-    if (!state.isHistoryShort)
-        state.pacer.reset();
     const StoreRevision before = state.lastChange;
     state.revision = core::newerOf(state.revision, state.listedAt);
+    if (!state.isHistoryShort && !isBehindReports(state))
+        state.pacer.reset();
     const std::vector<RegistryEntry> changes = std::exchange(state.listedChanges, {});
     // An entry that was removed leaves no revision behind. The configuration is never removed.
     if (registry == Registry::Traffic)
@@ -285,7 +285,7 @@
         state.lastChange = state.revision;
     state.confirmedAt = now;
     if (isWatched(registry) && mode_ == StoreMode::Follows)
-        stopFollowedCalls(state, now);
+        stopFollowedCalls(registry, now);
     if (!isWatched(registry))
         state.dueAt = nextPoll(registry, !changes.empty(), now);
     const bool isForOthers = (registry == Registry::Vms && !changes.empty())
@@ -324,6 +324,7 @@
     State &state = stateOf(changed.registry);
     const StoreRevision at(era_, changed.at);
     const bool isNew = at.isNewerThan(state.revision);
+    state.revision = core::newerOf(state.revision, at);
     const bool isEarly = now - state.calledAt < state.callWait / 2;
     state.isBusy = false;
     state.hasFailed = false;
@@ -331,7 +332,8 @@
     if (changed.entries.empty() ? isEarly : !isNew) {
         retryLater(state, maxVainDelay, now); // it told nothing new, at once
     } else {
-        state.pacer.reset();
+        if (!isBehindReports(state))
+            state.pacer.reset();
         state.isHistoryShort = false;
         state.dueAt = now;
     }
@@ -345,9 +347,8 @@
         apply(changed.registry, entry, at, KnownEntries::Source::Watch, now);
         hasUnnamed = hasUnnamed || !entry.isNamed;
     }
-    state.revision = core::newerOf(state.revision, at);
     if (mode_ == StoreMode::Follows)
-        stopFollowedCalls(state, now);
+        stopFollowedCalls(changed.registry, now);
     if (hasUnnamed && isNew) {
         // It may replace a known entry: the list shows which one is missing.
         state.mustList = true;
@@ -384,10 +385,14 @@
 {
     State &state = stateOf(registry);
     state.reported = core::newerOf(state.reported, revision);
-    if (mode_ != StoreMode::Follows || state.isBusy || !revision.isNewerThan(state.revision))
-        return;
-    if (state.dueAt != Instant::never())
-        return;
+    const bool isScheduled = state.isBusy || state.dueAt != Instant::never();
+    if (mode_ == StoreMode::Follows && revision.isNewerThan(state.revision) && !isScheduled)
+        scheduleFollowedCall(registry, now);
+}
+
+void StoreLink::scheduleFollowedCall(Registry registry, Instant now)
+{
+    State &state = stateOf(registry);
     if (registry == Registry::Traffic)
         readNewest(state);
     // Changes come in groups: one call fetches those that follow each other closely.
@@ -462,12 +467,14 @@
 }
 
 // A change that was reported while a call was in progress may be missing from its response.
-void StoreLink::stopFollowedCalls(State &state, Instant now)
+void StoreLink::stopFollowedCalls(Registry registry, Instant now)
 {
-    if (state.reported.isNewerThan(state.revision))
-        retryLater(state, maxVainDelay, now);
-    else
-        state.dueAt = Instant::never(); // until a newer revision is reported
+    State &state = stateOf(registry);
+    state.dueAt = Instant::never(); // until a newer revision is reported
+    if (!state.reported.isNewerThan(state.revision))
+        return;
+    scheduleFollowedCall(registry, now);
+    state.dueAt = std::max(state.dueAt, now + state.pacer.nextWait(maxVainDelay));
 }
 
 // Makes the next call return the newest state of a registry. A watch would return each version
@@ -545,6 +552,8 @@
         if (probed.dueAt == Instant::never() || now < probed.dueAt)
             probed.dueAt = now;
     }
+    // Calls for other registries that failed tell as much of the store as those for this one.
+    state.pacer.setInVain(consecutiveFailures_ - 1);
     retryLater(state, maxRetryDelay, now);
     if (state.mustList)
         restartList(state); // its pages may be inconsistent
--- a/bluebellshift/gateway/storelink.h
+++ b/bluebellshift/gateway/storelink.h
@@ -227,7 +227,13 @@
                store::KnownEntries::Source source, Instant now);
     void finishList(Registry registry, Instant now);
     void removeUnlisted(Registry registry);
-    void stopFollowedCalls(State &state, Instant now);
+    // Whether a VM that follows has not received a change that was reported to it.
+    bool isBehindReports(const State &state) const
+    {
+        return mode_ == StoreMode::Follows && state.reported.isNewerThan(state.revision);
+    }
+    void scheduleFollowedCall(Registry registry, Instant now);
+    void stopFollowedCalls(Registry registry, Instant now);
     Instant nextPoll(Registry registry, bool hasChanged, Instant now) const;
     static void readNewest(State &state);
     void stopCalling(Registry registry);
