--- a/bluebellshift/gatewayd/testing/fleethunt.cpp
+++ b/bluebellshift/gatewayd/testing/fleethunt.cpp
@@ -243,7 +243,8 @@
     run.stopChanges();
     run.runFor(configApplyTime);
     const FleetRun::Result result = run.finish();
-    const bool isKept = result.cases.empty() && result.ownEnds.empty() && result.isConverged();
+    const bool isKept = result.cases.empty() && result.ownEnds.empty() && result.lateEnds == 0
+        && result.isConverged();
     std::printf("%s seed %llu: %s; %s", name.c_str(), static_cast<unsigned long long>(seed),
                 isKept ? "kept" : "BROKEN", result.text().c_str());
     std::fflush(stdout);
--- a/bluebellshift/gatewayd/testing/fleetrun.cpp
+++ b/bluebellshift/gatewayd/testing/fleetrun.cpp
@@ -18,6 +18,8 @@
 
 constexpr std::chrono::milliseconds tickInterval { 20 };
 constexpr std::chrono::milliseconds minLoopDelay { 250 }; // that counts, as for event 108
+constexpr std::chrono::seconds stopGrace { 6 };           // grace_s
+constexpr int keptConnections = 3;                        // at each gateway
 constexpr std::chrono::seconds startLimit { 20 };
 constexpr std::chrono::milliseconds settleTime { 4000 }; // for the gateways to find each other
 constexpr int logLinesPerSecond = 2000;
@@ -196,6 +198,7 @@
         if (gateway.isStarting && gateway.process->isServing()) {
             gateway.isStarting = false;
             endFault(i);
+            keepConnections(i);
         }
         if (gateway.process->isAlive())
             continue;
@@ -205,6 +208,10 @@
             ownEnds_.push_back(std::to_string(i));
         if (!gateway.isStarting && !gateway.isEndExpected)
             beginFault(i, "end of its own");
+        if (gateway.terminatedAt != TestClock::time_point()
+            && TestClock::now() - gateway.terminatedAt > stopGrace + tickInterval)
+            ++lateEnds_;
+        gateway.terminatedAt = {};
         gateway.isEndExpected = false;
         gateway.isStarting = true;
         ++gateway.incarnation;
@@ -212,6 +219,17 @@
     }
 }
 
+void FleetRun::keepConnections(std::size_t vm)
+{
+    Gateway &gateway = gateways_[vm];
+    gateway.keepers.clear();
+    for (int i = 0; i < keptConnections; ++i) {
+        gateway.keepers.push_back(
+            net::testing::RawPeer::connect(loop_, gateway.process->callers()));
+        gateway.keepers.back().send("GET /a/x HTTP/1.1\r\nHost: h\r\nDeadline-Ms: 2000\r\n\r\n");
+    }
+}
+
 std::int64_t FleetRun::millisOf(TestClock::time_point time) const
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(time - startedAt_).count();
@@ -312,6 +330,7 @@
         return;
     beginFault(vm, "SIGTERM");
     gateways_[vm].isEndExpected = true;
+    gateways_[vm].terminatedAt = TestClock::now();
     gateways_[vm].process->signal(SIGTERM);
 }
 
@@ -431,6 +450,7 @@
         observed_.targets.push_back(target.get());
     result.cases = checkRules(observed_);
     result.ownEnds = ownEnds_;
+    result.lateEnds = lateEnds_;
     result.requests = observed_.requests.size();
     for (const ClientRequest &request : observed_.requests)
         result.answered += request.outcome.empty() ? 0 : 1;
@@ -501,7 +521,8 @@
     out << "; most calls to the store in a second: " << mostCallsPerSecond << "; lines:";
     for (const auto &[name, count] : linesOf)
         out << ' ' << name << ' ' << count;
-    out << "; ended by themselves: " << ownEnds.size() << '\n';
+    out << "; ended by themselves: " << ownEnds.size() << ", late after SIGTERM: " << lateEnds
+        << '\n';
     std::map<std::string, std::vector<const RuleCase *>> byRule;
     for (const RuleCase &one : cases)
         byRule[one.rule].push_back(&one);
--- a/bluebellshift/gatewayd/testing/fleetrun.h
+++ b/bluebellshift/gatewayd/testing/fleetrun.h
@@ -28,6 +28,7 @@
 #include "bluebellshift/gatewayd/testing/rulecheck.h"
 #include "bluebellshift/gatewayd/testing/storeproxy.h"
 #include "bluebellshift/net/httpclient.h"
+#include "bluebellshift/net/testing/looptools.h"
 
 namespace bluebellshift::gatewayd::testing {
 
@@ -53,6 +54,7 @@
         int mostCallsPerSecond = 0;         // to the store, of all VMs
         std::map<std::string, int> linesOf; // by event name, of all VMs
         std::vector<std::string> ownEnds;   // VMs whose process ended by itself
+        int lateEnds = 0; // processes that ended later than the grace period after SIGTERM
         std::size_t requests = 0;
         std::size_t answered = 0;
         // Whether all VMs have the newest version in force.
@@ -116,12 +118,16 @@
         int faults = 0; // unfinished
         bool isEndExpected = false;
         bool isStarting = false; // launched, and not serving yet
+        TestClock::time_point terminatedAt;
+        std::vector<net::testing::RawPeer> keepers; // connections that clients never close
         TestClock::time_point disturbedFrom;
     };
 
     void tick();
     void checkProcesses();
     void note(const std::string &text);
+    // Opens connections to a process that serves, on which one request is sent.
+    void keepConnections(std::size_t vm);
     void beginFault(std::size_t vm, const std::string &name);
     void endFault(std::size_t vm);
     void writeEvacuation(const std::string &failureDomain);
@@ -149,6 +155,7 @@
     bool isStoreAway_ = false;
     std::map<std::string, TestClock::time_point> evacuatedSince_; // by failure domain, last written
     std::vector<std::string> ownEnds_;
+    int lateEnds_ = 0;
     std::ostringstream notes_; // of faults
     bool isFinished_ = false;
     bool isChanging_ = true;
