Write a VM's entry again that is lost before its first list of VMs

Cause: its entry was looked for only in the first list of a new era after one of the era before. Where the entry had been acknowledged and no list was complete yet, no list counted as that.

Change: from a new era on the entry is in doubt until a complete list shows it.

--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -217,7 +217,10 @@
                [this](const RegistryChanged &changed, StoreRevision after) {
                    sendUpdate(changed, after);
                },
-               [this] { reportBy(now_); },
+               [this] {
+                   ownEntry_.onRestored();
+                   reportBy(now_);
+               },
                [this](core::LogRecord record) { log(std::move(record)); } })
     , secret_(options_.peerKeyCandidate,
               { [this](const std::string &secretHex) { exchange_.setSecret(secretHex); },
--- a/bluebellshift/gateway/store/ownentry.h
+++ b/bluebellshift/gateway/store/ownentry.h
@@ -3,8 +3,9 @@
 //   OwnEntry entry;
 //   entry.start(random, now);
 //   if (auto write = entry.takeDue(now)) ... // at or after nextWake(): create it, or replace it
-//   entry.onWritten(now); entry.onWriteFailed(failure, now);
-//   entry.onLost(OwnEntry::Loss::Missing, now); // a list or a removal showed it
+//   entry.onWritten(); entry.onWriteFailed(failure, now);
+//   entry.onRestored(); entry.onSeen(); // a restored store may have lost it; a list shows it
+//   entry.onLost(OwnEntry::Loss::Missing, spread, now); // a list or a removal showed it
 #pragma once
 
 #include <cstdint>
@@ -44,7 +45,12 @@
         isStopped_ = true;
     }
 
+    // The store was restored: its list must show whether it still has the entry.
+    void onRestored() { isInDoubt_ = true; }
+    void onSeen() { isInDoubt_ = false; }
+
     bool isWritten() const { return isWritten_; }
+    bool isInDoubt() const { return isInDoubt_; }
     bool isPending() const { return isPending_; }
     Instant nextWake() const { return isPending_ ? Instant::never() : dueAt_; }
 
@@ -54,6 +60,7 @@
     bool isWritten_ = false;
     bool isPending_ = false;
     bool isLostWhilePending_ = false;
+    bool isInDoubt_ = false;
     bool isStopped_ = false;
     CallPacer pacer_;
 };
--- a/bluebellshift/gateway/store/registryview.cpp
+++ b/bluebellshift/gateway/store/registryview.cpp
@@ -138,7 +138,7 @@
         return;
     }
     const auto *vm = std::get_if<VmEntry>(&entry.value);
-    if (isRestoring(Registry::Vms) && (vm == nullptr || vm->incarnation != options_.vm.incarnation))
+    if (ownEntry_.isInDoubt() && (vm == nullptr || vm->incarnation != options_.vm.incarnation))
         ownEntry_.onLost(OwnEntry::Loss::Replaced, OwnEntry::rewriteSpread, now);
 }
 
@@ -167,8 +167,11 @@
 void RegistryView::onVmsListed(Instant now)
 {
     // An entry that was written and lost before it was ever listed is not reported as gone.
-    if (isRestoring(Registry::Vms) && ownEntry_.isWritten()
-        && !store_.knows(Registry::Vms, options_.vm.id.text()))
+    if (!ownEntry_.isInDoubt() || !ownEntry_.isWritten())
+        return;
+    if (store_.knows(Registry::Vms, options_.vm.id.text()))
+        ownEntry_.onSeen();
+    else
         ownEntry_.onLost(OwnEntry::Loss::Missing, OwnEntry::rewriteSpread, now);
 }
 
