Keep the waits of registries that fail when the store counts as returned

Cause: two failures make the store count as lost, its probe succeeds at once, and each return made all registries due, whatever their own waits were.

Change: a return makes only those registries due whose own last call did not fail.

--- a/bluebellshift/gateway/storelink.cpp
+++ b/bluebellshift/gateway/storelink.cpp
@@ -603,7 +603,8 @@
     readNewest(stateOf(Registry::Traffic));
     for (const Registry registry : allRegistries) {
         State &state = stateOf(registry);
-        if (!state.isBusy && state.dueAt != Instant::never())
+        // A registry whose own calls fail keeps its wait: that another one succeeds says nothing.
+        if (!state.isBusy && state.dueAt != Instant::never() && !state.hasFailed)
             state.dueAt = now;
     }
 }
