Send lists of a new era as they ended, and from each reader

Cause: a list whose page failed was begun again, and its update named entries that were removed meanwhile both as present and as gone; receivers took the first. Only the first reader sent its lists, also where it had just lost the store; and a list that was cut short counted as complete.

Change: an update names each entry once, with its last state; lists that are cut short are not sent as complete; all readers send theirs.

--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -145,6 +145,13 @@
     void sendTargetUpdate(const RegistryChanged &changed, StoreRevision after);
     void sendVmUpdate(const RegistryChanged &changed, StoreRevision after);
     bool isFirstReader() const;
+    // Whether this VM sends changes since `after`. All readers send the lists of a new era, as the
+    // first one may be without the store.
+    bool mustSend(StoreRevision after) const
+    {
+        const bool isComplete = after.era() != store_.era();
+        return isComplete ? store_.mode() == StoreMode::Reads : isFirstReader();
+    }
     // The era of what another VM sent; one of an earlier version of the program tells none.
     StoreEra eraOf(StoreEra told) const { return told == StoreEra() ? store_.era() : told; }
     Duration maxReaderAgeNow() const
@@ -494,7 +501,7 @@
 // the report that announces the new revision.
 void Reducer::State::sendTargetUpdate(const RegistryChanged &changed, StoreRevision after)
 {
-    if (!isFirstReader() || hasUnnamedEntry(changed))
+    if (!mustSend(after) || hasUnnamedEntry(changed))
         return;
     TargetUpdate update;
     update.after = after.number();
@@ -523,7 +530,7 @@
 
 void Reducer::State::sendVmUpdate(const RegistryChanged &changed, StoreRevision after)
 {
-    if (!isFirstReader() || hasUnnamedEntry(changed))
+    if (!mustSend(after) || hasUnnamedEntry(changed))
         return;
     VmUpdate update;
     update.after = after.number();
--- a/bluebellshift/gateway/storelink.cpp
+++ b/bluebellshift/gateway/storelink.cpp
@@ -1,6 +1,7 @@
 #include "bluebellshift/gateway/storelink.h"
 
 #include <algorithm>
+#include <unordered_set>
 
 #include "bluebellshift/gateway/hashing.h"
 
@@ -18,6 +19,19 @@
 // The registry that is requested to probe a lost store: a small one.
 constexpr Registry probedRegistry = Registry::Evacuations;
 
+// A list that was begun again may contain an entry and its later removal.
+std::vector<RegistryEntry> lastOfEach(std::vector<RegistryEntry> changes)
+{
+    std::unordered_set<std::string> names;
+    std::vector<RegistryEntry> last;
+    for (auto change = changes.rbegin(); change != changes.rend(); ++change) {
+        if (names.insert(change->name).second)
+            last.push_back(std::move(*change));
+    }
+    std::reverse(last.begin(), last.end());
+    return last;
+}
+
 } // namespace
 
 const char *toText(StoreMode mode)
@@ -247,7 +261,7 @@
     if (isCutShort)
         state.known.keepUnlisted();
     if (!listed.hasMore || isCutShort)
-        finishList(listed.registry, now);
+        finishList(listed.registry, isCutShort, now);
     onTimer(now);
 }
 
@@ -265,7 +279,7 @@
     }
 }
 
-void StoreLink::finishList(Registry registry, Instant now)
+void StoreLink::finishList(Registry registry, bool isCutShort, Instant now)
 {
     State &state = stateOf(registry);
     removeUnlisted(registry);
@@ -277,7 +291,7 @@
     state.revision = core::newerOf(state.revision, state.listedAt);
     if (!state.isHistoryShort && !isBehindReports(state))
         state.pacer.reset();
-    const std::vector<RegistryEntry> changes = std::exchange(state.listedChanges, {});
+    const std::vector<RegistryEntry> changes = lastOfEach(std::exchange(state.listedChanges, {}));
     // An entry that was removed leaves no revision behind. The configuration is never removed.
     if (registry == Registry::Traffic)
         state.lastChange = state.newestEntry;
@@ -290,7 +304,7 @@
         state.dueAt = nextPoll(registry, !changes.empty(), now);
     const bool isForOthers = (registry == Registry::Vms && !changes.empty())
         || (registry == Registry::Targets && state.isRestoring);
-    if (isForOthers)
+    if (isForOthers && !(isCutShort && state.isRestoring))
         hooks_.onListChanged({ registry, state.revision.number(), changes, 0, era_, CallId() },
                              before);
     logResponse(core::log::registryListed, registry, state.listedEntries, state.listedBytes, now);
--- a/bluebellshift/gateway/storelink.h
+++ b/bluebellshift/gateway/storelink.h
@@ -225,7 +225,8 @@
     // Applies an entry of a response as of `at`; returns whether it changed what is known.
     void apply(Registry registry, RegistryEntry entry, StoreRevision at,
                store::KnownEntries::Source source, Instant now);
-    void finishList(Registry registry, Instant now);
+    // `isCutShort`: some entries could not be listed.
+    void finishList(Registry registry, bool isCutShort, Instant now);
     void removeUnlisted(Registry registry);
     // Whether a VM that follows has not received a change that was reported to it.
     bool isBehindReports(const State &state) const
