Take reports that tell no era for older than a restored store

During an upgrade a VM of the earlier version could lift an evacuation at VMs of this one after the store's return from an older copy (a review's trial).

Cause: its reports tell no era and were taken for ones of the receiver's era, while it goes by the revisions of the era before.

Change: once this VM has seen the store restored, what tells no era counts as older than all that does.

--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -152,8 +152,13 @@
         const bool isComplete = after.era() != store_.era();
         return isComplete ? store_.mode() == StoreMode::Reads : isFirstReader();
     }
-    // The era of what another VM sent; one of an earlier version of the program tells none.
-    StoreEra eraOf(StoreEra told) const { return told == StoreEra() ? store_.era() : told; }
+    // The era of what another VM sent. An earlier version of the program tells none, and does not
+    // notice a restored store: what it sends is of the era before.
+    StoreEra eraOf(StoreEra told) const
+    {
+        const bool isRestored = store_.restoredAt() != Instant::never();
+        return told != StoreEra() || isRestored ? told : store_.era();
+    }
     Duration maxReaderAgeNow() const
     {
         return exchange_.usesRelays() ? maxRelayedReaderAge : maxReaderAge;
@@ -588,7 +593,7 @@
         return;
     for (std::size_t i = 0; i < followedRegistries.size(); ++i)
         store_.onReportedRevision(followedRegistries[i],
-                                  fleet_.changeRevision(i, store_.era(), now_), now_);
+                                  fleet_.changeRevision(i, eraOf(StoreEra()), now_), now_);
 }
 
 // Takes over the evacuations that a VM that reads the store knows. They are the only way to
