Close four smaller gaps that a review of the restored store found

- A stale list of VMs may be from before the restore: lists of VMs are current for 10 s after it.
- A refused removal of a silent VM's entry was repeated at each report: the tries get growing, partly random waits; and the entry's revision is noted also where the entry itself is passed over.
- The result of a removal was taken for that of the VM's own entry: results name the VM.

--- a/bluebellshift/gateway/event.h
+++ b/bluebellshift/gateway/event.h
@@ -56,12 +56,14 @@
 {
     Registry registry = Registry::Vms;
     StoreEra era {}; // as in RegistryFailed
+    VmId vm {};      // whose entry it was; empty: this VM's
 };
 struct StoreWriteFailed
 {
     Registry registry = Registry::Vms;
     StoreFailure failure = StoreFailure::NoAnswer;
     StoreEra era {}; // as in RegistryFailed
+    VmId vm {};      // as in StoreWritten
 };
 
 // A complete request of a caller. The shell keeps its bytes.
--- a/bluebellshift/gateway/fleet.cpp
+++ b/bluebellshift/gateway/fleet.cpp
@@ -32,6 +32,13 @@
     }
 }
 
+void Fleet::setRevision(const VmId &vm, Revision revision)
+{
+    const auto found = entries_.find(vm);
+    if (found != entries_.end())
+        found->second.revision = revision;
+}
+
 void Fleet::remove(const VmId &vm)
 {
     const auto found = entries_.find(vm);
--- a/bluebellshift/gateway/fleet.h
+++ b/bluebellshift/gateway/fleet.h
@@ -45,6 +45,8 @@
         RestoredStore, // it may be older than the VM's end: only a report shows that the VM lives
     };
     void put(const VmEntry &entry, Revision revision, Instant now, Origin origin = Origin::Store);
+    // The store's entry of a known VM has another revision.
+    void setRevision(const VmId &vm, Revision revision);
     void remove(const VmId &vm);
     enum class ReportResult {
         Ignored, // from a VM that is not registered, or not newer than the last one
--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -53,6 +53,7 @@
 // Minimum interval between reports that are sent because an admission changed.
 constexpr Duration minAdmissionInterval = Duration::millis(200);
 constexpr Duration writeTimeout = Duration::millis(1000);
+constexpr Duration maxRemovalWait = Duration::seconds(30);     // between tries
 constexpr Duration staleEntryAge = Duration::seconds(90);      // without a report
 constexpr Duration maxServingAfterStop = Duration::seconds(3); // after a stop was requested
 constexpr Duration stopMargin = Duration::millis(300);         // before the process is killed
@@ -133,6 +134,7 @@
     void checkConfigLag();
 
     void writeOwnEntry();
+    bool isOfOtherVm(const VmId &vm) const { return !vm.isEmpty() && vm != options_.vm.id; }
     void report();
     // Makes the next report an urgent one, at `at`.
     void reportBy(Instant at);
@@ -176,6 +178,8 @@
     void log(core::LogRecord record) { effects_.push_back(WriteLog { std::move(record) }); }
     void perform(Effect effect) { effects_.push_back(std::move(effect)); }
 
+    store::CallPacer removalPacer_;
+    Instant removalsDueAt_ = Instant::never();
     std::uint64_t missingVersion_ = 0; // in force at another VM
     Instant missingSince_ = Instant::never();
     bool hasEntryChanged_ = false;  // by the current event
@@ -259,6 +263,7 @@
     reportedAt_ = now;
     ownEntry_.start(mixHashes(random, 1), now);
     secret_.start(mixHashes(random, 2));
+    removalPacer_ = store::CallPacer(mixHashes(random, 3));
     store_.start(random, now);
     writeOwnEntry();
 }
@@ -424,6 +429,8 @@
 void Reducer::State::on(const StoreWritten &event)
 {
     store_.onEraTold(event.era, now_);
+    if (isOfOtherVm(event.vm))
+        return;
     // What was acknowledged in an earlier era may be lost.
     const bool isCurrent = event.era == StoreEra() || event.era == store_.era();
     if (event.registry == Registry::PeerKeys) {
@@ -442,7 +449,7 @@
     store_.onEraTold(event.era, now_);
     if (event.registry == Registry::PeerKeys)
         secret_.onCreateFailed(now_);
-    else if (ownEntry_.isPending()) // else a removal; another VM removes the entry once it is stale
+    else if (ownEntry_.isPending() && !isOfOtherVm(event.vm))
         ownEntry_.onWriteFailed(event.failure, now_);
 }
 
@@ -743,9 +750,14 @@
 {
     // A revision of an earlier era may be that of another change now.
     const bool isCurrent = !store_.isLost() && !store_.isRestoring(Registry::Vms);
-    if (!isCurrent || fleet_.rankFor(0, now_) != 0)
+    if (!isCurrent || fleet_.rankFor(0, now_) != 0 || now_ < removalsDueAt_)
         return;
-    for (const auto &[vm, revision] : fleet_.staleEntries(staleEntryAge, now_))
+    const auto stale = fleet_.staleEntries(staleEntryAge, now_);
+    if (stale.empty())
+        removalPacer_.reset();
+    else
+        removalsDueAt_ = now_ + removalPacer_.nextWait(maxRemovalWait);
+    for (const auto &[vm, revision] : stale)
         perform(RemoveVm { vm, revision, writeTimeout });
 }
 
--- a/bluebellshift/gateway/store/meshsecret.h
+++ b/bluebellshift/gateway/store/meshsecret.h
@@ -23,7 +23,7 @@
 class MeshSecret
 {
 public:
-    // A VM that holds a secret and sees a restored store writes it again within this time.
+    // Most VMs that hold a secret notice a restored store, and write it again, within this time.
     static constexpr core::Duration minCreateWait = core::Duration::millis(1000);
     static constexpr core::Duration createSpread = core::Duration::millis(1000);
     static constexpr core::Duration waitForEachRank = core::Duration::millis(300);
--- a/bluebellshift/gateway/store/registryview.cpp
+++ b/bluebellshift/gateway/store/registryview.cpp
@@ -121,8 +121,10 @@
         return;
     }
     // The entry of an earlier run of a VM that reports from its present one.
-    if (isRestored && fleet_.isLiveInOtherRun(*vm, now))
+    if (isRestored && fleet_.isLiveInOtherRun(*vm, now)) {
+        fleet_.setRevision(id, entry.revision);
         return;
+    }
     fleet_.put(*vm, entry.revision, now,
                isRestored ? Fleet::Origin::RestoredStore : Fleet::Origin::Store);
     exchange_.put(*vm, now);
@@ -187,6 +189,7 @@
     for (const TargetId &id : std::exchange(overdueTargets_, {}))
         lapsedTargets_.set(id, returnedAt);
     lapsedTargets_.setAll(returnedAt + options_.bounds.reregistrationGrace);
+    restoredTargets_.postpone(returnedAt);
     heldEvacuations_.setAll(returnedAt + evacuationHold);
     heldVms_.setAll(returnedAt + vmHold);
 }
--- a/bluebellshift/gateway/store/restoredtargets.h
+++ b/bluebellshift/gateway/store/restoredtargets.h
@@ -30,6 +30,8 @@
     // written again or has outlived maxStaleEntryTime. `known`: the target of that id that is in
     // use, or null. One that is not in use has left, also where this VM started after that.
     std::optional<Target> admit(Target target, const Target *known, Instant now);
+    // The store returned at `at`, and counts missing heartbeats from then on.
+    void postpone(Instant at) { heldUntil_.setAll(at + maxStaleEntryTime); }
     // The entry was written, or removed, after the store was restored.
     void onWritten(const TargetId &target);
 
--- a/bluebellshift/gateway/store/testing/storeeratest.cpp
+++ b/bluebellshift/gateway/store/testing/storeeratest.cpp
@@ -30,6 +30,7 @@
     std::map<Registry, CallId> watches;
     std::map<Registry, std::uint64_t> watchedFrom;
     std::map<Registry, Duration> waits; // for which the store may hold a watch
+    std::map<Registry, bool> mayBeStale;
     int calls = 0;
     std::map<std::string, std::uint64_t> targets; // in use, with their revisions
     std::map<std::string, bool> wasRestoring;     // when the entry was passed on
@@ -44,6 +45,7 @@
             ++calls;
             if (const auto *list = std::get_if<ListRegistry>(&effect)) {
                 lists[list->registry] = list->call;
+                mayBeStale[list->registry] = list->mayBeStale;
             } else if (const auto *watch = std::get_if<WatchRegistry>(&effect)) {
                 watches[watch->registry] = watch->call;
                 watchedFrom[watch->registry] = watch->after.number();
@@ -208,6 +210,52 @@
     CHECK_EQUAL(3, sent[0].entries.size()); // y, z, and the removal of x
 }
 
+// A list of the new era whose second page failed was repeated, and its update named an entry that
+// had been removed meanwhile as one that exists.
+TEST(StoreEra, AListThatIsRepeatedIsSentAsItEnded)
+{
+    listAll(140, { put("a", 5), put("b", 6) });
+    sent.clear();
+    link->onEraTold(secondEra, now);
+    advance(StoreLink::restoreSpread);
+    link->onListed({ Registry::Targets,
+                     Revision(50),
+                     true,
+                     { put("a", 5), put("b", 6) },
+                     0,
+                     secondEra,
+                     lists[Registry::Targets] },
+                   now);
+    fail(Registry::Targets, StoreFailure::Refused, lists[Registry::Targets], secondEra);
+    advance(StoreLink::maxRetryDelay);
+    list(Registry::Targets, 51, { put("a", 5), put("c", 7) }, secondEra);
+    CHECK_EQUAL(1, sent.size());
+    std::map<std::string, bool> exists;
+    for (const RegistryEntry &entry : sent[0].entries) {
+        CHECK(exists.count(entry.name) == 0);
+        exists[entry.name] = !entry.isGone;
+    }
+    CHECK(exists["a"] && exists["c"]);
+    CHECK_FALSE(exists["b"]);
+}
+
+// A stale read may return the state before the restore with the new era.
+TEST(StoreEra, ListsOfVmsAreCurrentForAWhileAfterARestore)
+{
+    listAll(140, {});
+    advance(StoreLink::pollInterval);
+    CHECK(mayBeStale[Registry::Vms]);
+    list(Registry::Vms, 140, {}, firstEra);
+    link->onEraTold(secondEra, now);
+    advance(StoreLink::restoreSpread);
+    list(Registry::Vms, 90, {}, secondEra);
+    advance(StoreLink::pollInterval);
+    CHECK_FALSE(mayBeStale[Registry::Vms]);
+    list(Registry::Vms, 91, {}, secondEra);
+    advance(StoreLink::maxStaleness);
+    CHECK(mayBeStale[Registry::Vms]);
+}
+
 // A store whose history is too short for any watch: list, watch, 410, list without a pause.
 TEST(StoreEra, AHistoryThatIsAlwaysTooShortIsReadWithGrowingWaits)
 {
@@ -274,6 +322,37 @@
     CHECK(waits[Registry::Evacuations] == StoreLink::watchWait);
 }
 
+// A store that refuses some registries and holds the watches of the others was lost and regained
+// without a pause: each return made all registries due at once.
+TEST(StoreEra, RegistriesThatFailBesideHeldWatchesAreRepeatedWithGrowingWaits)
+{
+    listAll(140, {});
+    calls = 0;
+    for (Duration passed; passed < Duration::seconds(10); passed = passed + Duration::millis(4)) {
+        const auto pending = std::exchange(watches, {});
+        for (const auto &[registry, call] : pending) {
+            if (registry != Registry::Evacuations)
+                fail(registry, StoreFailure::Refused, call, firstEra);
+            else if (waits[registry] == Duration())
+                link->onChanged({ registry, Revision(140), {}, 0, firstEra, call }, now);
+            else
+                watches[registry] = call; // held
+        }
+        const auto pendingLists = std::exchange(lists, {});
+        for (const auto &[registry, call] : pendingLists) {
+            if (registry == Registry::Traffic || registry == Registry::Targets)
+                fail(registry, StoreFailure::Refused, call, firstEra);
+            else
+                link->onListed({ registry, Revision(140), false, {}, 0, firstEra, call }, now);
+        }
+        advance(Duration::millis(4));
+    }
+    // Each wait of the two may come with a probe, the watch after it, and lists of VMs and keys.
+    const auto waitsInAll =
+        2 * Duration::seconds(10).toMicros() / (StoreLink::maxRetryDelay / 2).toMicros();
+    CHECK(calls <= 3 * waitsInAll + 20);
+}
+
 TEST(StoreEra, ARevisionReportedDuringACallIsReadAfterIt)
 {
     listAll(140, {});
--- a/bluebellshift/gateway/storelink.cpp
+++ b/bluebellshift/gateway/storelink.cpp
@@ -117,7 +117,8 @@
     if (state.mustList || !isWatched(registry)) {
         // The first list of VMs must be current, later ones may lag behind. A key that is missing
         // from a stale list is created, and listed again if that shows that it exists.
-        const bool mayBeStale = !state.isRestoring
+        const bool isRestored = restoredAt_ != Instant::never() && now - restoredAt_ < maxStaleness;
+        const bool mayBeStale = !isRestored
             && ((registry == Registry::Vms && state.isListed)
                 || (registry == Registry::PeerKeys && !state.isListed));
         const Duration timeout = isLost_ ? probeTimeout : callTimeout;
--- a/bluebellshift/gateway/storelink.h
+++ b/bluebellshift/gateway/storelink.h
@@ -94,6 +94,8 @@
     // The longest wait between calls for a registry whose calls succeed and tell nothing new, as
     // when the store keeps too little history for its watches. Half of what a change may take.
     static constexpr Duration maxVainDelay = Duration::millis(1000);
+    // Until then a stale list may be from before the store was restored.
+    static constexpr Duration maxStaleness = Duration::seconds(10);
     // Within this time after a new era all registries are listed, so that the VMs of a large fleet
     // stay below the store's rate.
     static constexpr Duration restoreSpread = Duration::millis(500);
--- a/bluebellshift/gateway/testing/storemodel.cpp
+++ b/bluebellshift/gateway/testing/storemodel.cpp
@@ -60,6 +60,7 @@
 StoreModel::Client StoreModel::connect()
 {
     clients_.emplace_back();
+    clients_.back().delays = newClientDelays_;
     return clients_.size() - 1;
 }
 
--- a/bluebellshift/gateway/testing/storemodel.h
+++ b/bluebellshift/gateway/testing/storemodel.h
@@ -86,6 +86,8 @@
     void restore(const Copy &copy, Instant now, Duration awayTime, Fault fault);
     void setAway(Instant now, Duration time, Fault fault);
     bool isAway(Instant now) const { return now < awayUntil_; }
+    // Delays the responses to calls for a registry of all clients that connect from now on.
+    void delayNewClients(Registry registry, Duration delay) { newClientDelays_[registry] = delay; }
     StoreEra era() const { return era_; }
     // The path between a client and the store.
     void setPath(Client client, Fault fault, Instant now);
@@ -163,6 +165,7 @@
     State stale_;
     Instant staleAt_ = Instant::never();
     StoreEra era_;
+    std::map<Registry, Duration> newClientDelays_;
     std::vector<ClientState> clients_;
     Instant awayUntil_ = Instant::never();
     Fault awayFault_ = Fault::None;
--- a/bluebellshift/gateway/testing/storeobservationtest.cpp
+++ b/bluebellshift/gateway/testing/storeobservationtest.cpp
@@ -114,3 +114,21 @@
     bench.advance(Duration::seconds(3));
     CHECK_EQUAL(0, linesOf(bench, core::log::configBehind).size());
 }
+
+// Guards against a reader of an earlier version of the program, which goes by the state before the
+// store was restored, and tells no era.
+TEST(StoreObservation, AReportWithoutAnEraIsNotOfARestoredStore)
+{
+    bench.reduce(targetsAsOf(501, StoreEra(2)));
+    bench.setEvacuated("near-2", true);
+    bench.advance(Duration::seconds(2));
+    CHECK_EQUAL(1, linesOf(bench, core::log::domainEvacuated).size());
+    VmReport report;
+    report.sequence = 1;
+    report.isReady = true;
+    report.readsStore = true;
+    report.registryRevisions = { 0, 0, 9999 };
+    bench.reduce(PeerReportReceived { VmId("vm-2"), Incarnation(7), report });
+    bench.advance(Duration::seconds(1));
+    CHECK_EQUAL(0, linesOf(bench, core::log::domainReturned).size());
+}
--- a/bluebellshift/gateway/testing/storerestoretest.cpp
+++ b/bluebellshift/gateway/testing/storerestoretest.cpp
@@ -245,6 +245,24 @@
     }
 }
 
+// Guards against an entry that is lost before its VM has listed the VMs, so that no list shows the
+// loss to it (points 3 and 6).
+TEST(StoreRestore, AnEntryThatIsLostBeforeTheFirstListIsWrittenAgain)
+{
+    StoreFleet fleet(smallFleet, 4);
+    fleet.run(settling);
+    const std::string secret = fleet.storedSecret();
+    const StoreModel::Copy copy = fleet.store().copy();
+    fleet.walk().kill(5, true);
+    fleet.store().delayNewClients(Registry::Vms, Duration::millis(900));
+    fleet.walk().restart(5);
+    fleet.run(Duration::millis(60));
+    CHECK(fleet.isRegistered(5));
+    fleet.restore(copy, StoreFleet::awayTime, StoreModel::Fault::Silent);
+    fleet.run(StoreFleet::contact + fleet.applyBound());
+    STRCMP_EQUAL("", lostProperty(fleet, secret).c_str());
+}
+
 // Guards against a target that left coming back into use because the copy still has it (point 4).
 TEST(StoreRestore, ATargetThatLeftIsNotUsedAgain)
 {
@@ -263,6 +281,26 @@
     }
 }
 
+// Guards against the same where the store is away again before it has noticed the missing
+// heartbeats, and counts them anew from its return.
+TEST(StoreRestore, ATargetThatLeftIsNotUsedAfterAnotherOutage)
+{
+    for (const int awaySeconds : { 3, 6, 8 }) {
+        StoreFleet fleet(smallFleet, 5);
+        fleet.run(settling);
+        const StoreModel::Copy copy = fleet.store().copy();
+        const Target left = StoreFleet::target(2);
+        fleet.removeTarget(left);
+        fleet.run(fleet.applyBound());
+        fleet.restore(copy);
+        fleet.run(Duration::seconds(2));
+        const Duration away = Duration::seconds(awaySeconds);
+        fleet.store().setAway(fleet.now(), away, StoreModel::Fault::Refused);
+        fleet.run(away);
+        STRCMP_EQUAL("", firstUse(fleet, left.id, Duration::millis(4500)).c_str());
+    }
+}
+
 // Guards against a draining target that gets requests because the copy calls it ready (point 4).
 TEST(StoreRestore, ATargetThatDrainsIsNotUsedAgain)
 {
