--- a/bluebellshift/gateway/store/registryview.h
+++ b/bluebellshift/gateway/store/registryview.h
@@ -1,7 +1,7 @@
 // What the store's entries of targets, failure domains and VMs mean for this VM, also when the
 // store has just returned and may lack entries of what is still there.
 //
-//   RegistryView view(options, store, pool, fleet, exchange, hooks);
+//   RegistryView view(options, store, pool, fleet, exchange, ownEntry, hooks);
 //   view.onEntry(registry, entry, now); // for each entry that is new, changed or gone
 //   view.onTimer(now);                  // at or after nextWake()
 //
