--- a/review/standin-2/stage.cpp
+++ b/review/standin-2/stage.cpp
@@ -49,6 +49,9 @@
             {"name":"swap","route_type":"unsafe","public":true,"target_latency_s":0.6,
              "priority":1,"match":{"path_prefix":"/swap/"},
              "action":{"service":"rota","timeout_s":4,"max_attempts":2}},
+            {"name":"view","route_type":"safe","public":true,"target_latency_s":0.5,
+             "priority":2,"match":{"path_prefix":"/view/"},
+             "action":{"service":"rota","timeout_s":4,"max_attempts":2}},
             {"name":"pay","route_type":"unsafe","public":true,"target_latency_s":0.4,
              "priority":0,"match":{"path_prefix":"/pay/"},
              "action":{"service":"fund","timeout_s":4,"max_attempts":2}}]}],
@@ -172,7 +175,7 @@
         exchange,
         { 200,
           { { "Request-Id", requestId }, { "Server-Stamp", place_.id + '.' + requestId } },
-          place_.service + " did it" },
+          std::string(answerBytes_, 'x') },
         false);
 }
 
--- a/review/standin-2/stage.h
+++ b/review/standin-2/stage.h
@@ -62,6 +62,8 @@
     Json entry() const;
     Json status() const;
     void join();
+    // The size of its answers from now on.
+    void answerWith(std::size_t bytes) { answerBytes_ = bytes; }
     // The store accepts that the instance drains.
     void drain();
     // The store accepts that the entry is gone.
@@ -83,13 +85,14 @@
     platform::testing::StoreStandin &store_;
     const InstancePlace place_;
     const std::function<void(const std::string &)> record_;
-    bluebellshift::net::ByteBudget budget_ { 4 * 1024 * 1024 };
+    bluebellshift::net::ByteBudget budget_ { 16 * 1024 * 1024 };
     std::unique_ptr<bluebellshift::net::HttpServer> server_;
     std::uint16_t port_ = 0;
     boost::asio::steady_timer beatTimer_;
     bool isDraining_ = false;
     bool isListed_ = false;
     int sequence_ = 0;
+    std::size_t answerBytes_ = 100;
     std::optional<Clock::time_point> leavingAt_;
     std::optional<Clock::time_point> drainsSince_;
     std::vector<Run> runs_;
@@ -125,6 +128,7 @@
     void offerLoad(std::vector<std::string> paths, int perSecond, Clock::duration time);
     void sendOne(const std::string &path, std::string body, std::chrono::milliseconds deadline);
     void signalGateway(int number);
+    std::uint16_t callers() const { return callers_; }
     const std::map<std::string, Sent> &sent() const { return sent_; }
     int answeredWith(int status) const;
 
