--- a/review/standin-2/foreignpart.cpp
+++ b/review/standin-2/foreignpart.cpp
@@ -45,6 +45,8 @@
     stage.runFor(seconds(6)); // longer than contact_s
     const auto before = static_cast<int>(fund.runs().size());
     if (stage.hasTrouble()) {
+        // Two calls, as a call replaces the spec or the status.
+        stage.store().put("servers", fund.place().id, partialEntry(fund), fund.status());
         stage.store().put("servers", fund.place().id, partialEntry(fund), { { "state", "ready" } });
         stage.record("another writer: the entry of " + fund.place().id
                      + " lacks fields and names service rota");
--- a/review/standin-2/stage.cpp
+++ b/review/standin-2/stage.cpp
@@ -309,6 +309,7 @@
 {
     const std::string id = fmt::format("q{:06}", ++lastRequest_);
     sent_[id].path = path;
+    sent_[id].sentAt = Clock::now();
     net::Request request;
     request.method = "POST";
     request.target = path + id;
@@ -324,6 +325,7 @@
     clients_.start({ loopback, callers_ }, "callers", net::serializeRequest(request), options,
                    [this, id](net::CallResult &&result) {
                        Sent &one = sent_[id];
+                       one.endedAt = Clock::now();
                        one.status = result.response ? result.response->status : 0;
                        one.isStamped = result.response
                            && net::findHeader(result.response->headers, "Server-Stamp") != nullptr;
--- a/review/standin-2/stage.h
+++ b/review/standin-2/stage.h
@@ -35,6 +35,7 @@
 inline constexpr int exitHeld = 0;
 inline constexpr int exitBroken = 1;
 inline constexpr int exitNotRun = 2;
+inline constexpr std::chrono::seconds routeTimeout { 4 }; // timeout_s of every route
 
 struct InstancePlace
 {
@@ -106,6 +107,8 @@
         std::string path;
         int status = 0; // 0: the connection closed without an answer
         bool isStamped = false;
+        Clock::time_point sentAt;
+        Clock::time_point endedAt;
     };
 
     // Arguments: the folder for the settings, the gateway's program, the file of the record.
