Tell an outage of the store from calls that are cut off (DRAIN)

Callers saw: requests sent to an instance that was gone, and 502 for those that it held when it exited, while watches that wait at the store were cut off.

Cause: three watches that end at one moment are failures in a row; the store counted as lost, and as returned with the next response. A target whose entry is missing just after a return stays in use, and each return counted its time anew.

Change: store/OutageDetector. Failures in a row still make the store count as lost, so that it is probed as soon as before; an outage is proved by a failed probe, or by a call that found no connection or no response in time. Refusals as too many calls (429) prove none. Only an outage explains missing entries or lifts the limit on the shares of regions. store/LapsedTargets ends the time of a missing target once the store has been there for twice the grace period. store-regained tells failures and outage, store-lost the sign.

Why it works: a probe is not held by the store, so that the one sent after the cut is answered and no return is counted.

--- a/bluebellshift/gateway/event.h
+++ b/bluebellshift/gateway/event.h
@@ -49,6 +49,7 @@
     StoreFailure failure = StoreFailure::NoAnswer;
     StoreEra era {}; // as the response tells; 0: it does not, or there was none
     CallId call {};  // that failed; 0: not known
+    FailureSign sign = FailureSign::Ended;
 };
 
 // A WriteVm, RemoveVm or CreatePeerKey succeeded or failed.
--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -712,7 +712,7 @@
 
 void Reducer::State::noticeFaults()
 {
-    if (store_.isLost())
+    if (store_.isOutage())
         faults_.onSign(regions::FaultSign::StoreLost, now_);
     if (std::exchange(knownLosses_, fleet_.lossCount()) != fleet_.lossCount())
         faults_.onSign(regions::FaultSign::VmLost, now_);
--- a/bluebellshift/gateway/registry.cpp
+++ b/bluebellshift/gateway/registry.cpp
@@ -36,4 +36,17 @@
     return "unknown";
 }
 
+const char *toText(FailureSign sign)
+{
+    switch (sign) {
+    case FailureSign::Ended:
+        return "ended";
+    case FailureSign::Throttled:
+        return "throttled";
+    case FailureSign::Unreachable:
+        return "unreachable";
+    }
+    return "unknown";
+}
+
 } // namespace bluebellshift::gateway
--- a/bluebellshift/gateway/registry.h
+++ b/bluebellshift/gateway/registry.h
@@ -87,4 +87,13 @@
 
 const char *toText(StoreFailure failure);
 
+// What a failed call tells of the store.
+enum class FailureSign {
+    Ended,       // the connection ended, the store refused the call, or the response is unusable
+    Throttled,   // it answered that the calls are too many
+    Unreachable, // no connection was accepted, or no response arrived in time
+};
+
+const char *toText(FailureSign sign);
+
 } // namespace bluebellshift::gateway
--- a/bluebellshift/gateway/store/registryview.cpp
+++ b/bluebellshift/gateway/store/registryview.cpp
@@ -44,7 +44,6 @@
         return;
     }
     lapsedTargets_.clear(id);
-    overdueTargets_.erase(id);
     const auto *target = std::get_if<Target>(&entry.value);
     if (target == nullptr) {
         removeTarget(id, "its entry can't be read", now);
@@ -66,8 +65,11 @@
     const bool mayReturn =
         store_.returnedAt() != Instant::never() && now - store_.returnedAt() < grace;
     if (mayReturn && !known->isDraining) {
-        lapsedTargets_.set(id, store_.returnedAt() + grace);
-        hooks_.log({ core::log::targetLapsed, { { "target", id.text() } } });
+        lapsedTargets_.add(id, store_.returnedAt(), grace, now);
+        hooks_.log(
+            { core::log::targetLapsed,
+              { { "target", id.text() },
+                { "returnedMsAgo", std::to_string((now - store_.returnedAt()).toMillis()) } } });
         return;
     }
     removeTarget(id, "its entry is gone", now);
@@ -76,7 +78,6 @@
 void RegistryView::removeTarget(const TargetId &id, const char *reason, Instant now)
 {
     lapsedTargets_.clear(id);
-    overdueTargets_.erase(id);
     hooks_.perform(ForgetTarget { id });
     pool_.remove(id, reason, now);
 }
@@ -153,11 +154,9 @@
 }
 
 // Without a confirmation the store may have been away again, and with it the entries.
-void RegistryView::removeOverdue(Instant now)
+void RegistryView::removeExpired(Instant now)
 {
-    if (targetsConfirmedAt(now) < overdueSince_)
-        return;
-    for (const TargetId &id : std::exchange(overdueTargets_, {}))
+    for (const TargetId &id : lapsedTargets_.takeConfirmed(targetsConfirmedAt(now)))
         removeTarget(id, "its entry did not return within the grace period", now);
 }
 
@@ -186,9 +185,7 @@
 // Owners write their entries again only while the store is there.
 void RegistryView::postponeAll(Instant returnedAt)
 {
-    for (const TargetId &id : std::exchange(overdueTargets_, {}))
-        lapsedTargets_.set(id, returnedAt);
-    lapsedTargets_.setAll(returnedAt + options_.bounds.reregistrationGrace);
+    lapsedTargets_.postpone(store_.lostAt(), returnedAt, options_.bounds.reregistrationGrace);
     restoredTargets_.postpone(returnedAt);
     heldEvacuations_.setAll(returnedAt + evacuationHold);
     heldVms_.setAll(returnedAt + vmHold);
@@ -200,14 +197,9 @@
         return;
     if (std::exchange(returnedAt_, store_.returnedAt()) != store_.returnedAt())
         postponeAll(store_.returnedAt());
-    const std::vector<TargetId> overdue = lapsedTargets_.takeDue(now);
-    if (!overdue.empty()) {
-        overdueTargets_.insert(overdue.begin(), overdue.end());
-        overdueSince_ = now;
-        if (store_.mode() != StoreMode::Follows)
-            hooks_.listTargets();
-    }
-    removeOverdue(now);
+    if (lapsedTargets_.expire(now) && store_.mode() != StoreMode::Follows)
+        hooks_.listTargets();
+    removeExpired(now);
     checkedAt_ = now;
     for (const Target &target : restoredTargets_.takeDue(targetsConfirmedAt(now)))
         pool_.put(target, now);
@@ -226,7 +218,7 @@
     Instant next = Instant::never();
     if (!hasStore())
         return next;
-    for (const Instant at : { lapsedTargets_.next(), restoredTargets_.nextWake(),
+    for (const Instant at : { lapsedTargets_.nextWake(), restoredTargets_.nextWake(),
                               heldEvacuations_.next(), heldVms_.next() }) {
         // A target that is due already waits for a confirmation.
         if (at != Instant::never() && at > checkedAt_)
--- a/bluebellshift/gateway/store/registryview.h
+++ b/bluebellshift/gateway/store/registryview.h
@@ -9,7 +9,7 @@
 // it was restored from a copy, it lacks what was written since the copy was made, and has what
 // was removed since. Both are written again by their owners within a known time, until which
 // - a target that is missing stays in use, unless it drains, and until the store or a VM that
-//   reads it has confirmed the registry after that time,
+//   reads it has confirmed the registry after that time (LapsedTargets),
 // - a target that left, or drains, is not used again (RestoredTargets),
 // - a failure domain whose evacuation is missing stays evacuated,
 // - a VM that is missing stays known, and longer while it reports,
@@ -17,12 +17,12 @@
 #pragma once
 
 #include <functional>
-#include <set>
 #include <vector>
 
 #include "bluebellshift/gateway/effect.h"
 #include "bluebellshift/gateway/fleet.h"
 #include "bluebellshift/gateway/store/deadlines.h"
+#include "bluebellshift/gateway/store/lapsedtargets.h"
 #include "bluebellshift/gateway/store/ownentry.h"
 #include "bluebellshift/gateway/store/restoredtargets.h"
 #include "bluebellshift/gateway/storelink.h"
@@ -70,8 +70,8 @@
     void onVm(const RegistryEntry &entry, Instant now);
     void onOwnEntry(const RegistryEntry &entry, Instant now);
     void removeVm(const VmId &id, Instant now);
-    // Removes the overdue targets if the registry was confirmed since.
-    void removeOverdue(Instant now);
+    // Removes the targets whose time had ended when the registry was last confirmed.
+    void removeExpired(Instant now);
     // When the store, or a VM that reads it for this one, last confirmed the targets.
     Instant targetsConfirmedAt(Instant now) const;
     // Whether changes of the store reach this VM, directly or through those that it follows.
@@ -88,9 +88,7 @@
     OwnEntry &ownEntry_;
     const Hooks hooks_;
     RestoredTargets restoredTargets_;
-    Deadlines<TargetId> lapsedTargets_; // by which they must register again
-    std::set<TargetId> overdueTargets_; // whose time has passed
-    Instant overdueSince_ = Instant::never();
+    LapsedTargets lapsedTargets_;
     Deadlines<FailureDomainId> heldEvacuations_;
     Deadlines<VmId> heldVms_;
     Instant checkedAt_ = Instant::never();  // when onTimer() was last called with the store
--- a/bluebellshift/gateway/storelink.cpp
+++ b/bluebellshift/gateway/storelink.cpp
@@ -73,7 +73,7 @@
         const State &state = stateOf(registry);
         if (state.isBusy || state.dueAt == Instant::never() || now < state.dueAt)
             continue;
-        if (isLost_ && registry != probedRegistry)
+        if (isLost() && registry != probedRegistry)
             continue;
         call(registry, now);
     }
@@ -85,7 +85,7 @@
     for (const Registry registry : allRegistries) {
         const State &state = stateOf(registry);
         if (state.isBusy || state.dueAt == Instant::never()
-            || (isLost_ && registry != probedRegistry))
+            || (isLost() && registry != probedRegistry))
             continue;
         next = next == Instant::never() ? state.dueAt : std::min(next, state.dueAt);
     }
@@ -112,6 +112,7 @@
     State &state = stateOf(registry);
     state.isBusy = true;
     state.call = CallId(++lastCall_);
+    state.beganAt = now;
     if (state.isFirstPage)
         state.calledAt = now;
     if (state.mustList || !isWatched(registry)) {
@@ -121,21 +122,21 @@
         const bool mayBeStale = !isRestored
             && ((registry == Registry::Vms && state.isListed)
                 || (registry == Registry::PeerKeys && !state.isListed));
-        const Duration timeout = isLost_ ? probeTimeout : callTimeout;
+        const Duration timeout = isLost() ? probeTimeout : callTimeout;
         hooks_.perform(
             ListRegistry { registry, state.listedUpTo, mayBeStale, timeout, state.call });
         return;
     }
     state.callWait = watchWait;
     Duration timeout = watchWait + watchMargin;
-    if (isLost_ || mode_ == StoreMode::Follows) {
+    if (isLost() || mode_ == StoreMode::Follows) {
         state.callWait = Duration();
         timeout = probeTimeout;
     } else if (mode_ == StoreMode::Reads) {
         state.callWait = readerWatchWait;
         timeout = readerWatchWait + readerWatchMargin;
     }
-    if (!isLost_ && state.hasFailed) { // does the store respond?
+    if (!isLost() && state.hasFailed) { // does the store respond?
         state.callWait = Duration();
         timeout = callTimeout;
     }
@@ -191,7 +192,7 @@
     hooks_.log({ core::log::storeEraChanged,
                  { { "era", std::to_string(era.number()) },
                    { "previous", std::to_string(era_.number()) },
-                   { "heardMsAgo", std::to_string((now - lastResponseAt_).toMillis()) } } });
+                   { "heardMsAgo", std::to_string((now - lastResponseAt()).toMillis()) } } });
     era_ = era;
     restoredAt_ = now;
     hooks_.onRestored();
@@ -472,7 +473,7 @@
 // A VM that follows needs no call until it misses a change; a lost store is probed all the same.
 void StoreLink::stopCalling(Registry registry)
 {
-    if (!isLost_ || registry != probedRegistry)
+    if (!isLost() || registry != probedRegistry)
         stateOf(registry).dueAt = Instant::never();
 }
 
@@ -486,7 +487,7 @@
 
 Instant StoreLink::confirmedAt() const
 {
-    Instant oldest = lastResponseAt_;
+    Instant oldest = lastResponseAt();
     for (const Registry registry : allRegistries) {
         if (isWatched(registry))
             oldest = std::min(oldest, stateOf(registry).confirmedAt);
@@ -496,7 +497,7 @@
 
 Instant StoreLink::returnedAt() const
 {
-    return std::max(regainedAt_, restoredAt_);
+    return std::max(outages_.returnedAt(), restoredAt_);
 }
 
 std::size_t StoreLink::unreadableCount() const
@@ -537,14 +538,12 @@
         return;
     }
     state.hasFailed = true;
-    ++consecutiveFailures_;
-    if (!isLost_ && consecutiveFailures_ >= maxConsecutiveFailures) {
-        isLost_ = true;
-        lostAt_ = now;
+    if (outages_.onFailure({ state.beganAt, failed.sign }, now)) {
         hooks_.log({ core::log::storeLost,
                      { { "registry", toText(failed.registry) },
                        { "failure", toText(failed.failure) },
-                       { "heardMsAgo", std::to_string((now - lastResponseAt_).toMillis()) } } });
+                       { "sign", toText(failed.sign) },
+                       { "heardMsAgo", std::to_string((now - lastResponseAt()).toMillis()) } } });
         State &probed = stateOf(probedRegistry);
         if (probed.isBusy)
             abandonCall(probed); // a watch would put the probe off for as long as it waits
@@ -552,7 +551,7 @@
             probed.dueAt = now;
     }
     // Calls for other registries that failed tell as much of the store as those for this one.
-    state.pacer.setUnproductive(consecutiveFailures_ - 1);
+    state.pacer.setUnproductive(outages_.consecutiveFailures() - 1);
     retryLater(state, maxRetryDelay, now);
     if (state.mustList)
         restartList(state); // its pages may be inconsistent
@@ -591,14 +590,14 @@
 
 void StoreLink::recordResponse(Instant now)
 {
-    consecutiveFailures_ = 0;
-    lastResponseAt_ = now;
-    if (!isLost_)
+    const int failures = outages_.consecutiveFailures();
+    const std::optional<store::OutageDetector::Return> returned = outages_.onResponse(now);
+    if (!returned)
         return;
-    isLost_ = false;
-    regainedAt_ = now;
-    hooks_.log(
-        { core::log::storeRegained, { { "lostMs", std::to_string((now - lostAt_).toMillis()) } } });
+    hooks_.log({ core::log::storeRegained,
+                 { { "lostMs", std::to_string(returned->lostTime.toMillis()) },
+                   { "failures", std::to_string(failures) },
+                   { "outage", returned->wasOutage ? "yes" : "no" } } });
     readNewest(stateOf(Registry::Traffic));
     for (const Registry registry : allRegistries) {
         State &state = stateOf(registry);
--- a/bluebellshift/gateway/storelink.h
+++ b/bluebellshift/gateway/storelink.h
@@ -7,10 +7,10 @@
 //   link.onTimer(now);                  // at or after link.nextWake()
 //
 // A registry is listed once and then watched. If the history that a watch needs has been
-// discarded, the registry is listed again. After maxConsecutiveFailures the store counts as
+// discarded, the registry is listed again. After several failures in a row the store counts as
 // lost: then one call at a time probes whether it has returned, so that an outage causes
-// little load. While the store is lost, all known entries are kept. A call that fails or tells
-// nothing new is followed by a wait that grows (store/callpacer.h).
+// little load (store/outagedetector.h). While the store is lost, all known entries are kept. A call
+// that fails or tells nothing new is followed by a wait that grows (store/callpacer.h).
 //
 // When a response of the store, or a report of another VM, tells a later era, the store has been
 // restored from an older copy. All registries are then listed again. Known entries stay in use
@@ -35,6 +35,7 @@
 #include "bluebellshift/gateway/event.h"
 #include "bluebellshift/gateway/store/callpacer.h"
 #include "bluebellshift/gateway/store/knownentries.h"
+#include "bluebellshift/gateway/store/outagedetector.h"
 
 namespace bluebellshift::gateway {
 
@@ -88,7 +89,6 @@
     static constexpr Duration updateWait = Duration::millis(350);
     // Delay of the next watch after a change, since changes come in groups.
     static constexpr Duration changeBatchTime = Duration::millis(300);
-    static constexpr int maxConsecutiveFailures = 2; // then the store counts as lost
     // Between lines about ignored data of one registry.
     static constexpr Duration ignoredLogInterval = Duration::seconds(1);
     // The longest wait between calls for a registry whose calls succeed and tell nothing new, as
@@ -160,8 +160,13 @@
     // Whether a registry is known from an earlier era only, or its first list of this era is being
     // applied.
     bool isRestoring(Registry registry) const { return stateOf(registry).isRestoring; }
-    bool isLost() const { return isLost_; }
-    // When the store last returned or told a later era; never() if it did neither.
+    // Whether calls fail, so that the store is probed.
+    bool isLost() const { return outages_.isLost(); }
+    // Whether the store is away, as a probe or a call without a response in time has shown.
+    bool isOutage() const { return outages_.isOutage(); }
+    // When calls last began to fail; never(): none did.
+    Instant lostAt() const { return outages_.lostAt(); }
+    // When the store last returned from an outage or told a later era; never() if it did neither.
     Instant returnedAt() const;
     // The latest era that the store or another VM told; 0: none did.
     StoreEra era() const { return era_; }
@@ -172,7 +177,7 @@
     // When the store, or a VM that reads it, last confirmed a registry; never() if it never did.
     Instant confirmedAt(Registry registry) const { return stateOf(registry).confirmedAt; }
     // When the store last responded.
-    Instant lastResponseAt() const { return lastResponseAt_; }
+    Instant lastResponseAt() const { return outages_.lastResponseAt(); }
 
 private:
     struct State
@@ -183,6 +188,7 @@
         Duration callWait;                // for how long the store may hold it
         Instant dueAt = Instant::never(); // time of the next call, if not busy; never(): none
         Instant calledAt;                 // of the latest call; of a list, its first page
+        Instant beganAt;                  // of the latest call
         bool mustList = true;
         bool isRestoring = false;    // see isRestoring()
         bool hasFailed = false;      // the latest call; the next one is not held by the store
@@ -243,11 +249,7 @@
     const StoreLinkHooks hooks_;
     std::array<State, registryCount> states_;
     StoreMode mode_ = StoreMode::Follows; // until the VMs are known
-    int consecutiveFailures_ = 0;         // over all registries
-    bool isLost_ = false;
-    Instant lostAt_ = Instant::never();
-    Instant regainedAt_ = Instant::never();
-    Instant lastResponseAt_ = Instant::never();
+    store::OutageDetector outages_;
     StoreEra era_;
     Instant restoredAt_ = Instant::never();
     std::uint64_t lastCall_ = 0;
--- a/bluebellshift/gateway/testing/storemodel.cpp
+++ b/bluebellshift/gateway/testing/storemodel.cpp
@@ -32,19 +32,23 @@
 }
 
 template<typename Read>
-EventBody failureOf(const Read &read, StoreFailure failure, StoreEra era = StoreEra())
+EventBody failureOf(const Read &read, StoreFailure failure, StoreEra era = StoreEra(),
+                    FailureSign sign = FailureSign::Ended)
 {
-    return RegistryFailed { read.registry, failure, era, read.call };
+    return RegistryFailed { read.registry, failure, era, read.call, sign };
 }
-EventBody failureOf(const WriteVm &, StoreFailure failure, StoreEra era = StoreEra())
+EventBody failureOf(const WriteVm &, StoreFailure failure, StoreEra era = StoreEra(),
+                    FailureSign = FailureSign::Ended)
 {
     return StoreWriteFailed { Registry::Vms, failure, era };
 }
-EventBody failureOf(const RemoveVm &, StoreFailure failure, StoreEra era = StoreEra())
+EventBody failureOf(const RemoveVm &, StoreFailure failure, StoreEra era = StoreEra(),
+                    FailureSign = FailureSign::Ended)
 {
     return StoreWriteFailed { Registry::Vms, failure, era };
 }
-EventBody failureOf(const CreatePeerKey &, StoreFailure failure, StoreEra era = StoreEra())
+EventBody failureOf(const CreatePeerKey &, StoreFailure failure, StoreEra era = StoreEra(),
+                    FailureSign = FailureSign::Ended)
 {
     return StoreWriteFailed { Registry::PeerKeys, failure, era };
 }
@@ -118,7 +122,9 @@
     pending.registry = registryOf(call);
     pending.reply.registry = pending.registry;
     pending.deadline = now + call.timeout;
-    pending.noAnswer = failureOf(call, StoreFailure::NoAnswer);
+    pending.noAnswer =
+        failureOf(call, StoreFailure::NoAnswer, StoreEra(), FailureSign::Unreachable);
+    pending.cutOff = failureOf(call, StoreFailure::NoAnswer);
     const Fault fault = faultOf(state, now);
     if (fault == Fault::Silent) {
         pending.at = pending.deadline;
@@ -126,11 +132,15 @@
     } else if (fault == Fault::Refused) {
         // The machine refuses the connection, so that nothing tells the era.
         pending.at = now + refusalDelay;
-        pending.reply.body = failureOf(call, StoreFailure::Refused);
-    } else if (!isWithinRate) {
-        ++refusedByRate_;
+        pending.reply.body =
+            failureOf(call, StoreFailure::Refused, StoreEra(), FailureSign::Unreachable);
+    } else if (cutOff_ == pending.registry) {
         pending.at = now + options_.responseDelay;
-        pending.reply.body = failureOf(call, StoreFailure::Refused, era_);
+        pending.reply.body = pending.cutOff;
+    } else if (!isWithinRate || fault == Fault::Throttled) {
+        refusedByRate_ += isWithinRate ? 0 : 1;
+        pending.at = now + options_.responseDelay;
+        pending.reply.body = failureOf(call, StoreFailure::Refused, era_, FailureSign::Throttled);
     } else if constexpr (isWatch) {
         if (std::optional<Reply> reply = serve(call)) {
             pending.reply = std::move(*reply);
@@ -379,6 +389,12 @@
         limitHistory(historyLimit_);
 }
 
+void StoreModel::cutWatches(Instant now)
+{
+    for (ClientState &client : clients_)
+        breakCalls(client, Fault::Refused, now);
+}
+
 void StoreModel::setPath(Client client, Fault fault, Instant now)
 {
     clients_[client].path = fault;
@@ -388,12 +404,14 @@
 
 void StoreModel::breakCalls(ClientState &client, Fault fault, Instant now)
 {
+    if (fault == Fault::Throttled)
+        return;
     for (Pending &one : client.pending) {
         const bool isLost = fault == Fault::Silent || !one.isSent;
         if (!isLost)
             continue;
         one.at = fault == Fault::Silent ? one.deadline : now;
-        one.reply = { one.registry, 0, one.noAnswer };
+        one.reply = { one.registry, 0, fault == Fault::Silent ? one.noAnswer : one.cutOff };
         one.isSent = true;
     }
 }
--- a/bluebellshift/gateway/testing/storemodel.h
+++ b/bluebellshift/gateway/testing/storemodel.h
@@ -44,8 +44,9 @@
     using Client = std::size_t;
     enum class Fault {
         None,
-        Refused, // calls fail soon
-        Silent,  // calls end with their timeouts
+        Refused,   // calls fail soon
+        Silent,    // calls end with their timeouts
+        Throttled, // calls are refused as too many; those in progress go on
     };
     struct State
     {
@@ -93,6 +94,10 @@
     void setPath(Client client, Fault fault, Instant now);
     // All following changes but the latest `most` are discarded; nothing: none are.
     void limitHistory(std::optional<std::size_t> most);
+    // Ends the connections of the watches that wait; all other calls are served.
+    void cutWatches(Instant now);
+    // Cuts off the responses to all calls for a registry; nothing: to none.
+    void setCutOff(std::optional<Registry> registry) { cutOff_ = registry; }
     // Each watch ends with HistoryGone.
     void setWatchesGone(bool isGone) { areWatchesGone_ = isGone; }
     // The next reply to a call of the client for the registry arrives later.
@@ -130,6 +135,7 @@
         Instant deadline; // when the caller gives up
         Reply reply;
         EventBody noAnswer; // the event if the response is lost
+        EventBody cutOff;   // the event if the connection ends before the response
         bool isSent = true; // false: a watch that waits for a change, until `at`
         Registry registry = Registry::Traffic;
         std::uint64_t after = 0;
@@ -171,6 +177,7 @@
     Fault awayFault_ = Fault::None;
     std::optional<std::size_t> historyLimit_;
     bool areWatchesGone_ = false;
+    std::optional<Registry> cutOff_;
     RateCounter reads_;
     RateCounter writes_;
     Rates highest_;
