Tell followers when the store has returned from an outage

Callers saw: in fleets of 20 VMs and more, all but a few VMs gave up targets that run, after an outage of the store in which their entries lapsed.

Cause: only the VMs that read the store notice its outage. A follower got the removals from a reader and took them for targets that had left.

Change: the update of targets tells how long ago the store returned to its sender. It starts the time in which the missing ones may be written again, and puts off nothing that was missing before.

The tests of gateway, shell and platform pass.

--- a/bluebellshift/core/targetupdate.h
+++ b/bluebellshift/core/targetupdate.h
@@ -45,6 +45,8 @@
     std::vector<TargetChange> changes;
     StoreEra era; // 0: the store tells none
     bool isComplete = false;
+    // Since the store returned to the sender from an outage; 0: not of late.
+    std::uint32_t returnAgeMillis = 0;
 };
 
 } // namespace bluebellshift::core
--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -520,6 +520,9 @@
     update.upTo = changed.at;
     update.era = store_.era();
     update.isComplete = after.era() != update.era;
+    if (const auto age = view_.returnAge(now_))
+        update.returnAgeMillis =
+            static_cast<std::uint32_t>(std::max<std::int64_t>(1, age->toMillis()));
     for (const RegistryEntry &entry : changed.entries) {
         core::TargetChange change;
         change.name = entry.name;
@@ -588,6 +591,8 @@
             entry.value = UnreadableEntry { change.problem };
         changed.entries.push_back(std::move(entry));
     }
+    if (event.update.returnAgeMillis > 0)
+        view_.onReaderReturned(now_ - Duration::millis(event.update.returnAgeMillis));
     store_.onEraTold(changed.era, now_);
     store_.onReportedChanges(changed, { changed.era, event.update.after }, event.update.isComplete,
                              now_);
--- a/bluebellshift/gateway/store/registryview.cpp
+++ b/bluebellshift/gateway/store/registryview.cpp
@@ -61,20 +61,29 @@
     const Target *known = pool_.find(id);
     if (known == nullptr)
         return;
+    // A reader's return starts the time of what is missing then; it does not put off that of what
+    // was missing before, as the store may have been away from that reader only.
+    const Instant returnedAt = std::max(store_.returnedAt(), readerReturnedAt_);
     const Duration grace = options_.bounds.reregistrationGrace;
-    const bool mayReturn =
-        store_.returnedAt() != Instant::never() && now - store_.returnedAt() < grace;
+    const bool mayReturn = returnedAt != Instant::never() && now - returnedAt < grace;
     if (mayReturn && !known->isDraining) {
-        lapsedTargets_.add(id, store_.returnedAt(), grace, now);
-        hooks_.log(
-            { core::log::targetLapsed,
-              { { "target", id.text() },
-                { "returnedMsAgo", std::to_string((now - store_.returnedAt()).toMillis()) } } });
+        lapsedTargets_.add(id, returnedAt, grace, now);
+        hooks_.log({ core::log::targetLapsed,
+                     { { "target", id.text() },
+                       { "returnedMsAgo", std::to_string((now - returnedAt).toMillis()) } } });
         return;
     }
     removeTarget(id, "its entry is gone", now);
 }
 
+std::optional<Duration> RegistryView::returnAge(Instant now) const
+{
+    const Instant returnedAt = store_.returnedAt();
+    if (returnedAt == Instant::never() || now - returnedAt >= options_.bounds.reregistrationGrace)
+        return std::nullopt;
+    return now - returnedAt;
+}
+
 void RegistryView::removeTarget(const TargetId &id, const char *reason, Instant now)
 {
     lapsedTargets_.clear(id);
--- a/bluebellshift/gateway/store/registryview.h
+++ b/bluebellshift/gateway/store/registryview.h
@@ -16,7 +16,9 @@
 // - a VM that was not known is live only once it reports.
 #pragma once
 
+#include <algorithm>
 #include <functional>
+#include <optional>
 #include <vector>
 
 #include "bluebellshift/gateway/effect.h"
@@ -54,6 +56,11 @@
 
     // An entry of the targets, the evacuations or the VMs.
     void onEntry(Registry registry, const RegistryEntry &entry, Instant now);
+    // Call when a VM that reads the store for this one has told when the store returned to it, and
+    // before its changes are applied.
+    void onReaderReturned(Instant at) { readerReturnedAt_ = std::max(readerReturnedAt_, at); }
+    // How long ago the store returned, if entries that are missing may still be written again.
+    std::optional<Duration> returnAge(Instant now) const;
     // Call when the VMs have been listed completely.
     void onVmsListed(Instant now);
     void onTimer(Instant now);
@@ -93,6 +100,7 @@
     Deadlines<VmId> heldVms_;
     Instant checkedAt_ = Instant::never();  // when onTimer() was last called with the store
     Instant returnedAt_ = Instant::never(); // of the store, when deadlines were last postponed
+    Instant readerReturnedAt_ = Instant::never();
 };
 
 } // namespace bluebellshift::gateway::store
--- a/bluebellshift/gateway/testing/cutwatchtest.cpp
+++ b/bluebellshift/gateway/testing/cutwatchtest.cpp
@@ -157,6 +157,16 @@
         STRCMP_EQUAL("", playSeries(60, seed).c_str());
 }
 
+// Guards against followers that give up targets which run: only the VMs that read the store had
+// noticed its outage.
+TEST(CutWatches, FollowersKeepTargetsWhoseEntriesLapseInAnOutage)
+{
+    for (const auto fault : { StoreModel::Fault::Refused, StoreModel::Fault::Silent }) {
+        for (const int awayMillis : { 1000, 3000, 10'000 })
+            STRCMP_EQUAL("", playOutages(60, fault, awayMillis, 1).c_str());
+    }
+}
+
 // Guards against giving up targets that run: their entries lapsed while the store was away.
 TEST(CutWatches, TargetsWhoseEntriesLapseInAnOutageAreKept)
 {
--- a/bluebellshift/shell/messagefields.h
+++ b/bluebellshift/shell/messagefields.h
@@ -186,8 +186,8 @@
 template<> struct Fields<core::TargetUpdate>
 {
     using T = core::TargetUpdate;
-    static constexpr auto list =
-        std::make_tuple(&T::after, &T::upTo, &T::changes, &T::era, &T::isComplete);
+    static constexpr auto list = std::make_tuple(&T::after, &T::upTo, &T::changes, &T::era,
+                                                 &T::isComplete, &T::returnAgeMillis);
 };
 
 template<> struct Fields<core::VmEntry>
