--- a/bluebellshift/gateway/reducer.cpp
+++ b/bluebellshift/gateway/reducer.cpp
@@ -209,7 +209,9 @@
             { [this](std::uint32_t target, Instant) { return fleet_.othersInFlight(target); },
               [this](Instant now) { return fleet_.meanReportAge(now); },
               [this](std::uint64_t target, Instant now) {
-                  return fleet_.coldSenderRank(target, now);
+                  ColdSenderRank rank = fleet_.coldSenderRank(target, now);
+                  rank.isKnown = ownEntry_.isKnown(now);
+                  return rank;
               },
               [this](TargetHash target, const RegionId &region, Instant now) {
                   return fleet_.senderRank(target, region, now);
--- a/bluebellshift/gateway/store/ownentry.cpp
+++ b/bluebellshift/gateway/store/ownentry.cpp
@@ -17,6 +17,8 @@
     dueAt_ = Instant::never();
     isPending_ = true;
     isLostWhilePending_ = false;
+    if (write_ == Write::Create)
+        createdAt_ = now;
     return write_;
 }
 
@@ -35,6 +37,10 @@
     isPending_ = false;
     if (isStopped_)
         return;
+    if (write_ == Write::Create && failure == StoreFailure::NoAnswer)
+        mayHaveCreated_ = true;
+    if (failure == StoreFailure::Conflict && !mayHaveCreated_)
+        createdAt_ = Instant::never();
     const Duration wait = pacer_.nextWait(maxRetryWait);
     if (failure == StoreFailure::Conflict || failure == StoreFailure::Missing) {
         write_ = failure == StoreFailure::Missing ? Write::Create : Write::Replace;
@@ -44,6 +50,13 @@
     }
 }
 
+bool OwnEntry::isKnown(Instant now) const
+{
+    if (createdAt_ == Instant::never())
+        return write_ == Write::Replace;
+    return isWritten_ && now - createdAt_ >= introductionTime;
+}
+
 void OwnEntry::onLost(Loss loss, Duration spread, Instant now)
 {
     if (isStopped_)
--- a/bluebellshift/gateway/store/ownentry.h
+++ b/bluebellshift/gateway/store/ownentry.h
@@ -6,6 +6,7 @@
 //   entry.onWritten(); entry.onWriteFailed(failure, now);
 //   entry.onRestored(); entry.onSeen(); // a restored store may have lost it; a list shows it
 //   entry.onLost(OwnEntry::Loss::Missing, spread, now); // a list or a removal showed it
+//   entry.isKnown(now);                                 // may the other VMs be taken to know it?
 #pragma once
 
 #include <cstdint>
@@ -23,6 +24,9 @@
     static constexpr Duration maxRetryWait = Duration::millis(800);
     // Within this time all VMs of a fleet write their entries again that a restored store lacks.
     static constexpr Duration rewriteSpread = Duration::millis(1000);
+    // Within this time after a VM has begun to create its entry, all VMs that reach the store have
+    // listed it (StoreLink::pollInterval), also where the response to the call was late.
+    static constexpr Duration introductionTime = Duration::seconds(6);
 
     enum class Write { Create, Replace };
     enum class Loss {
@@ -52,6 +56,9 @@
     bool isWritten() const { return isWritten_; }
     bool isInDoubt() const { return isInDoubt_; }
     bool isPending() const { return isPending_; }
+    // Whether the other VMs know this VM: the store had an entry of an earlier run, or this VM
+    // created its entry introductionTime ago.
+    bool isKnown(Instant now) const;
     Instant nextWake() const { return isPending_ ? Instant::never() : dueAt_; }
 
 private:
@@ -62,6 +69,8 @@
     bool isLostWhilePending_ = false;
     bool isInDoubt_ = false;
     bool isStopped_ = false;
+    bool mayHaveCreated_ = false;          // a creation of this run got no response
+    Instant createdAt_ = Instant::never(); // when that was last begun; never(): by an earlier run
     CallPacer pacer_;
 };
 
--- a/bluebellshift/gateway/store/testing/ownentrytest.cpp
+++ b/bluebellshift/gateway/store/testing/ownentrytest.cpp
@@ -85,3 +85,43 @@
     entry.onLost(OwnEntry::Loss::Missing, Duration(), now);
     CHECK(entry.nextWake() == Instant::never());
 }
+
+// Guards against a VM that counts on the others to know it although it has just created its entry.
+TEST(OwnEntry, IsKnownToTheOthersOnceTheyHaveListedIt)
+{
+    CHECK_FALSE(entry.isKnown(now));
+    wait();
+    const Instant createdAt = now;
+    CHECK_FALSE(entry.isKnown(createdAt + OwnEntry::introductionTime)); // no response yet
+    entry.onWritten();
+    CHECK_FALSE(entry.isKnown(createdAt + OwnEntry::introductionTime - Duration::micros(1)));
+    CHECK(entry.isKnown(createdAt + OwnEntry::introductionTime));
+    entry.onLost(OwnEntry::Loss::Missing, Duration(), now);
+    wait();
+    entry.onWritten();
+    CHECK_FALSE(entry.isKnown(now));
+}
+
+TEST(OwnEntry, IsKnownAtOnceIfTheStoreHasTheEntryOfAnEarlierRun)
+{
+    wait();
+    entry.onWriteFailed(StoreFailure::Conflict, now);
+    CHECK(entry.isKnown(now));
+    wait();
+    entry.onWriteFailed(StoreFailure::Missing, now);
+    CHECK_FALSE(entry.isKnown(now));
+}
+
+// The conflict may be with what this run has created.
+TEST(OwnEntry, AConflictAfterALostResponseProvesNoEarlierRun)
+{
+    wait();
+    const Instant createdAt = now;
+    entry.onWriteFailed(StoreFailure::NoAnswer, now);
+    wait();
+    entry.onWriteFailed(StoreFailure::Conflict, now);
+    wait();
+    entry.onWritten();
+    CHECK_FALSE(entry.isKnown(now));
+    CHECK(entry.isKnown(createdAt + Duration::seconds(60)));
+}
--- a/bluebellshift/gateway/targetlimits.h
+++ b/bluebellshift/gateway/targetlimits.h
@@ -52,6 +52,7 @@
     // callers behind a partition and keep their part of the bound.
     double fleetShare = 1;
     Instant since = Instant::never(); // when it stopped counting the latest of the others
+    bool isKnown = true;              // the others count it
 };
 
 struct TargetLimitHooks
--- a/bluebellshift/gateway/targets/coldsenders.cpp
+++ b/bluebellshift/gateway/targets/coldsenders.cpp
@@ -1,6 +1,9 @@
 // The first request waits, too: an earlier run of a VM that was killed may have sent one just
 // before, and so may a VM whose place this one has taken. VMs that are cut off from each other all
 // notice it at the same time, so that each of them waits for a random part of its interval.
+//
+// A VM that the others do not count is one sender more than they expect, and all VMs of a fleet
+// that has just registered are such VMs to each other. It waits until they have listed it.
 #include "bluebellshift/gateway/targets/coldsenders.h"
 
 #include <algorithm>
@@ -27,7 +30,7 @@
         const double part = static_cast<double>(maxSenders) * rank.fleetShare;
         senders = std::max<std::size_t>(1, static_cast<std::size_t>(part));
     }
-    if (rank.position >= senders) {
+    if (rank.position >= senders || !rank.isKnown) {
         use.barredAt = now;
         return false;
     }
--- a/bluebellshift/gateway/targets/coldsenders.h
+++ b/bluebellshift/gateway/targets/coldsenders.h
@@ -10,6 +10,7 @@
 //  - At most maxSenders VMs of a fleet whose VMs know each other send, at even intervals.
 //  - A VM that counts only a part of the registered VMs uses no more than that part of the bound.
 //  - A VM that has become a sender waits for one interval first.
+//  - A VM that the others do not know yet is no sender.
 #pragma once
 
 #include "bluebellshift/core/units.h"
--- a/bluebellshift/gateway/testing/storemodel.cpp
+++ b/bluebellshift/gateway/testing/storemodel.cpp
@@ -271,10 +271,10 @@
 
 StoreModel::Reply StoreModel::serve(const WriteVm &write, Instant now)
 {
-    if (!options_.isWritable)
-        return { Registry::Vms, 0, StoreWritten { Registry::Vms, era_ } };
     const std::string &name = write.entry.id.text();
     const bool exists = has(Registry::Vms, name);
+    if (!options_.isWritable && !(exists && write.mustCreate))
+        return { Registry::Vms, 0, StoreWritten { Registry::Vms, era_ } };
     if (exists == write.mustCreate) {
         const StoreFailure failure = exists ? StoreFailure::Conflict : StoreFailure::Missing;
         return { Registry::Vms, 0, failureOf(write, failure, era_) };
--- a/bluebellshift/gatewayd/testing/configoperator.cpp
+++ b/bluebellshift/gatewayd/testing/configoperator.cpp
@@ -93,7 +93,7 @@
         rules.push_back(ruleFor(path, service));
     Json clusters = Json::array();
     for (const std::string &service : services)
-        clusters.push_back({ { "name", service }, { "health_path", "/health" } });
+        clusters.push_back(clusterOf(service));
     Json spec = { { "version", version.number },
                   { "listeners", { { { "host", "h" }, { "rules", rules } } } },
                   { "clusters", clusters },
@@ -104,6 +104,16 @@
         version.firstAcknowledgedAt = version.acknowledgedAt;
 }
 
+Json ConfigOperator::clusterOf(const std::string &service) const
+{
+    Json cluster = { { "name", service }, { "health_path", "/health" } };
+    if (coldPerSecond_ > 0) {
+        cluster["warmup_s"] = 3;
+        cluster["cold_per_s"] = coldPerSecond_;
+    }
+    return cluster;
+}
+
 std::string ConfigOperator::randomPath(std::mt19937_64 &random) const
 {
     const std::size_t fixed = std::size(publicPaths) + 1;
--- a/bluebellshift/gatewayd/testing/configoperator.h
+++ b/bluebellshift/gatewayd/testing/configoperator.h
@@ -37,6 +37,8 @@
 
     ConfigOperator(platform::testing::StoreStandin &store, std::uint64_t seed);
 
+    // What each cold target tolerates, in the versions from the next one on. 0: nothing is said.
+    void setColdRate(double requestsPerSecond) { coldPerSecond_ = requestsPerSecond; }
     void publish();
     void writeAgain();
 
@@ -54,10 +56,12 @@
 private:
     void change(Version &version);
     void write(Version &version);
+    platform::Json clusterOf(const std::string &service) const;
 
     platform::testing::StoreStandin &store_;
     std::mt19937_64 random_;
     std::vector<Version> versions_;
+    double coldPerSecond_ = 0;
 };
 
 } // namespace bluebellshift::gatewayd::testing
--- a/bluebellshift/gatewayd/testing/fleetrun.cpp
+++ b/bluebellshift/gatewayd/testing/fleetrun.cpp
@@ -116,14 +116,14 @@
     tickTimer_.cancel();
 }
 
-void FleetRun::addTarget()
+void FleetRun::addTarget(double warmup)
 {
     const std::size_t number = targets_.size();
     targets_.push_back(std::make_unique<ListedTarget>(
         loop_, store_,
         TargetPlace { "t-" + std::to_string(number), services[number % services.size()],
                       domains_[number / services.size() % domains_.size()] }));
-    targets_.back()->join();
+    targets_.back()->join(warmup);
 }
 
 bool FleetRun::start()
@@ -200,8 +200,9 @@
             endFault(i);
             keepConnections(i);
         }
-        if (gateway.process->isAlive())
+        if (gateway.process->isAlive() || TestClock::now() < nextRestartAt_)
             continue;
+        nextRestartAt_ = TestClock::now() + options_.restartInterval;
         const bool isPortTaken =
             gateway.isStarting && gateway.process->log().find("can't listen") != std::string::npos;
         if (!gateway.isEndExpected && !isPortTaken)
--- a/bluebellshift/gatewayd/testing/fleetrun.h
+++ b/bluebellshift/gatewayd/testing/fleetrun.h
@@ -39,6 +39,7 @@
     std::uint64_t seed = 1;
     std::chrono::milliseconds requestInterval { 50 }; // at each gateway
     std::chrono::milliseconds storeDelay { 2 };       // in each direction
+    std::chrono::milliseconds restartInterval { 0 };  // between two processes that start again
 };
 
 class FleetRun
@@ -81,7 +82,8 @@
     ConfigOperator &config() { return config_; }
     std::size_t vmCount() const { return gateways_.size(); }
     std::vector<std::unique_ptr<ListedTarget>> &targets() { return targets_; }
-    void addTarget();
+    // `warmup`: for how many seconds it says that it is cold.
+    void addTarget(double warmup = 0);
 
     // Writes the next version, unless the store is away.
     void publish();
@@ -157,6 +159,7 @@
     std::vector<std::string> ownEnds_;
     int lateEnds_ = 0;
     std::ostringstream notes_; // of faults
+    TestClock::time_point nextRestartAt_;
     bool isFinished_ = false;
     bool isChanging_ = true;
     std::uint64_t requestNumber_ = 0;
--- a/bluebellshift/gatewayd/testing/listedtarget.cpp
+++ b/bluebellshift/gatewayd/testing/listedtarget.cpp
@@ -28,8 +28,9 @@
         std::abort();
 }
 
-void ListedTarget::join()
+void ListedTarget::join(double warmup)
 {
+    warmup_ = warmup;
     isGone_ = false;
     write();
 }
--- a/bluebellshift/gatewayd/testing/listedtarget.h
+++ b/bluebellshift/gatewayd/testing/listedtarget.h
@@ -41,7 +41,7 @@
     ListedTarget(boost::asio::io_context &loop, platform::testing::StoreStandin &store,
                  TargetPlace place);
 
-    void join();
+    void join(double warmup = 0);
     void setWarmup(double seconds);
     void drain();
     void leave();
