Count the bound of CutWatches from the removal itself

Cause: the walk allowed 450 ms more, as a removal waits until the store serves it; and a usage comment of OutageDetector was broken by the formatter. Change: the time of the removal is kept and the bound counts from it.

--- a/bluebellshift/gateway/store/outagedetector.h
+++ b/bluebellshift/gateway/store/outagedetector.h
@@ -1,9 +1,8 @@
 // Tells an outage of the store from calls that were merely cut off.
 //
 //   OutageDetector detector;
-//   detector.onFailure({ beganAt, sign }, now); // a call failed; true: the store now counts as
-//   lost detector.onResponse(now);                   // the store responded; its return, if it was
-//   lost
+//   if (detector.onFailure({ beganAt, sign }, now)) ...        // the store counts as lost now
+//   if (const auto returned = detector.onResponse(now)) ...    // it was lost until now
 //
 // After maxConsecutiveFailures without a response in between the store counts as lost, so that it
 // is probed. Only if a probe fails as well, or if a call found no store in time, is it an outage:
--- a/bluebellshift/gateway/testing/cutwatchtest.cpp
+++ b/bluebellshift/gateway/testing/cutwatchtest.cpp
@@ -50,7 +50,7 @@
     return fewest;
 }
 
-bool hasNoticedStoreFault(StoreFleet &fleet)
+bool hasReportedOutage(StoreFleet &fleet)
 {
     for (std::size_t vm = 0; vm < fleet.size(); ++vm) {
         const auto &logs = fleet.walk().vm(vm).logs();
@@ -79,11 +79,10 @@
     const std::uint64_t count = 3 + random() % 10;
     const auto leavesAfter = static_cast<std::int64_t>(random() % (count * 1200));
     const Instant leavesAt = fleet.now() + Duration::millis(leavesAfter);
-    const Instant bound = leavesAt + drainBoundOf(vmCount);
-    const Instant end = bound + Duration::seconds(4);
+    const Instant end = leavesAt + drainBoundOf(vmCount) + Duration::seconds(4);
     Instant nextTrouble = fleet.now();
     Instant throttledUntil;
-    bool hasLeft = false;
+    Instant leftAt = Instant::never(); // once the store serves the removal
     std::uint64_t troubles = 0;
     while (fleet.now() < end) {
         if (trouble != Trouble::FailingRegistry && fleet.now() >= nextTrouble && troubles < count) {
@@ -98,19 +97,19 @@
                 fleet.store().setAway(fleet.now(), time, StoreModel::Fault::Throttled);
             }
         }
-        if (!hasLeft && fleet.now() >= leavesAt && fleet.now() >= throttledUntil) {
+        if (leftAt == Instant::never() && fleet.now() >= std::max(leavesAt, throttledUntil)) {
             fleet.removeTarget(left);
-            hasLeft = true;
+            leftAt = fleet.now();
         }
         fleet.run(step);
-        if (fleet.now() > bound + Duration::millis(450) // by which it may have left later
+        if (leftAt != Instant::never() && fleet.now() > leftAt + drainBoundOf(vmCount)
             && fleet.targetsUsed(random() % vmCount, 40).count(left.id) > 0)
             return fmt::format("{} VMs, seed {}: {} is used {} ms after it left", vmCount, seed,
-                               left.id.text(), (fleet.now() - leavesAt).toMillis());
+                               left.id.text(), (fleet.now() - leftAt).toMillis());
     }
     if (mostTargetsKnown(fleet) != StoreFleet::targetCount - 1)
         return fmt::format("{} VMs, seed {}: not all VMs know that it left", vmCount, seed);
-    if (hasNoticedStoreFault(fleet))
+    if (hasReportedOutage(fleet))
         return fmt::format("{} VMs, seed {}: an outage is reported", vmCount, seed);
     return "";
 }
