--- a/review/standin-3/smallfleet.h
+++ b/review/standin-3/smallfleet.h
@@ -63,6 +63,7 @@
     std::string id;
     std::size_t gateway = 0; // to which it was sent
     Clock::time_point sentAt;
+    Clock::time_point endedAt;
     bool isUnsafe = false;
     int status = 0; // 0: the connection ended without a complete answer, or none came in time
     bool isServed = false;
