--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -7,7 +7,7 @@
 out=${OUT:-target/review-3}
 mkdir -p "$out"
 
-programs=(unreadable large)
+programs=(unreadable large stale)
 sources=(
     platform/testing/storeobjects.cpp
     platform/testing/storestandin.cpp
