--- a/review/standin-3/smallfleet.cpp
+++ b/review/standin-3/smallfleet.cpp
@@ -286,7 +286,7 @@
     const std::string expected = headerOf(request, "Expect-Instance");
     const bool isMine = expected.empty() || expected == place_.id;
     const bool isFull = running_.size() >= slots && waiting_.size() >= queue;
-    arrivals_.push_back({ id, Clock::now(), isMine && !isFull });
+    arrivals_.push_back({ id, Clock::now(), isMine && !isFull, isMine });
     record_.write(id + " reaches " + place_.id
                   + (!isMine      ? ", answered 421"
                          : isFull ? ", answered 503 (Not-Run)"
--- a/review/standin-3/smallfleet.h
+++ b/review/standin-3/smallfleet.h
@@ -74,7 +74,8 @@
 {
     std::string requestId;
     Clock::time_point at;
-    bool isRun = false; // else it was rejected with Not-Run
+    bool isRun = false;      // else it was rejected with Not-Run
+    bool isExpected = false; // else it was meant for another instance and got 421
 };
 
 class Record
