--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of review/11 to 15 into target/review-3/, from the project's own libraries
+# Builds the stand-ins of review/11 to 14 into target/review-3/, from the project's own libraries
 # that the build of the deploy file has left in target/, and from the project's own stand-ins.
 set -euo pipefail
 
@@ -7,7 +7,7 @@
 out=${OUT:-target/review-3}
 mkdir -p "$out"
 
-programs=(unreadable large stale)
+programs=(unreadable large)
 sources=(
     platform/testing/storeobjects.cpp
     platform/testing/storestandin.cpp
